--- /dev/null
+++ b/modules/hornbeamlane_network/loop/EventLoop.cpp
@@ -0,0 +1,103 @@
+#include "hornbeamlane_network/loop/EventLoop.h"
+
+#include <event2/event.h>
+
+#include <list>
+#include <utility>
+#include <vector>
+
+namespace hornbeamlane {
+
+namespace {
+
+struct EventDeleter
+{
+    void operator()(event *handle) const
+    {
+        event_free(handle);
+    }
+};
+
+struct SignalHandler
+{
+    std::function<void()> handler;
+    std::unique_ptr<event, EventDeleter> handle;
+};
+
+} // namespace
+
+struct EventLoop::Implementation
+{
+    event_base *base = nullptr;
+    std::vector<std::function<void()>> tasks;
+    std::list<SignalHandler> signals;
+    std::unique_ptr<event, EventDeleter> wakeUp;
+
+    void runTasks()
+    {
+        // A task may post another one, which then runs on the following turn.
+        const auto current = std::exchange(tasks, {});
+        for (const auto &task : current) {
+            task();
+        }
+    }
+};
+
+EventLoop::EventLoop()
+    : implementation_(std::make_unique<Implementation>())
+{
+    implementation_->base = event_base_new();
+    HORNBEAMLANE_ASSERT(implementation_->base != nullptr);
+    implementation_->wakeUp.reset(event_new(
+        implementation_->base, -1, 0,
+        [](evutil_socket_t, short, void *context) { static_cast<Implementation *>(context)->runTasks(); },
+        implementation_.get()));
+}
+
+EventLoop::~EventLoop()
+{
+    implementation_->tasks.clear();
+    implementation_->signals.clear();
+    implementation_->wakeUp.reset();
+    event_base_free(implementation_->base);
+}
+
+TimePoint EventLoop::now() const
+{
+    return Clock::now();
+}
+
+void EventLoop::run()
+{
+    event_base_loop(implementation_->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(implementation_->base);
+}
+
+void EventLoop::post(std::function<void()> task)
+{
+    implementation_->tasks.push_back(std::move(task));
+    if (implementation_->tasks.size() == 1) {
+        event_active(implementation_->wakeUp.get(), EV_TIMEOUT, 0);
+    }
+}
+
+void EventLoop::onSignal(int signalNumber, std::function<void()> handler)
+{
+    auto &entry = implementation_->signals.emplace_back();
+    entry.handler = std::move(handler);
+    entry.handle.reset(evsignal_new(
+        implementation_->base, signalNumber,
+        [](evutil_socket_t, short, void *context) { static_cast<SignalHandler *>(context)->handler(); }, &entry));
+    evsignal_add(entry.handle.get(), nullptr);
+}
+
+event_base *EventLoop::base() const
+{
+    return implementation_->base;
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_observability/hornbeamlane_observability.h
@@ -0,0 +1,9 @@
+/**
+    Structured logs and metrics.
+
+    Logs go through Boost.Log, one line an event; metrics are rendered in the Prometheus text form. Depends on
+    hornbeamlane_base.
+*/
+#pragma once
+
+#include "hornbeamlane_observability/logging/Log.h"
--- /dev/null
+++ b/programs/measure/main.cpp
@@ -0,0 +1,74 @@
+#include "measure/Measurement.h"
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+
+DEFINE_uint64(seed, 1, "First seed; each measurement runs with this and the following seeds");
+DEFINE_uint64(seeds, 3, "Number of seeds");
+DEFINE_bool(decisions_only, false, "Leave out the cost figures, which differ between runs");
+
+namespace {
+
+using namespace hornbeamlane::measure;
+
+void printMeasurement(const Measurement &measurement)
+{
+    nlohmann::ordered_json line;
+    line["measure"] = measurement.measure;
+    line["policy"] = measurement.policy;
+    line["seed"] = measurement.seed;
+    line["kind"] = measurement.isCost ? "cost" : "decision";
+    for (const auto &[name, value] : measurement.figures) {
+        line[name] = value;
+    }
+    std::printf("%s\n", line.dump().c_str());
+}
+
+/** Prints median, smallest and largest value over the seeds for each figure of each policy. */
+void printSummaries(const Measurements &measurements)
+{
+    std::map<std::pair<std::string, std::string>, std::map<std::string, std::vector<double>>> groups;
+    for (const auto &measurement : measurements) {
+        auto &group = groups[{measurement.measure, measurement.policy}];
+        for (const auto &[name, value] : measurement.figures) {
+            group[name].push_back(value);
+        }
+    }
+    for (auto &[key, figures] : groups) {
+        nlohmann::ordered_json line;
+        line["measure"] = key.first;
+        line["policy"] = key.second;
+        line["kind"] = "summary";
+        for (auto &[name, values] : figures) {
+            std::sort(values.begin(), values.end());
+            line[name] = {{"median", values[values.size() / 2]}, {"min", values.front()}, {"max", values.back()}};
+        }
+        std::printf("%s\n", line.dump().c_str());
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("Measures the policies beside their baselines; JSON lines on standard output.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    Options options;
+    options.seeds.clear();
+    for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
+        options.seeds.push_back(FLAGS_seed + i);
+    }
+    Measurements measurements;
+    if (FLAGS_decisions_only) {
+        std::erase_if(measurements, [](const Measurement &measurement) { return measurement.isCost; });
+    }
+    for (const auto &measurement : measurements) {
+        printMeasurement(measurement);
+    }
+    printSummaries(measurements);
+    return EXIT_SUCCESS;
+}
