--- a/modules/hornbeamlane_network/hornbeamlane_network.h
+++ b/modules/hornbeamlane_network/hornbeamlane_network.h
@@ -6,5 +6,12 @@
 */
 #pragma once
 
+#include "hornbeamlane_network/http/HttpCall.h"
+#include "hornbeamlane_network/http/HttpMessages.h"
+#include "hornbeamlane_network/http/HttpServer.h"
+#include "hornbeamlane_network/link/Link.h"
+#include "hornbeamlane_network/link/LinkConnector.h"
+#include "hornbeamlane_network/link/LinkListener.h"
 #include "hornbeamlane_network/loop/EventLoop.h"
 #include "hornbeamlane_network/loop/Timer.h"
+#include "hornbeamlane_network/table/HttpTableClient.h"
--- /dev/null
+++ b/modules/hornbeamlane_network/http/HttpMessages.cpp
@@ -0,0 +1,70 @@
+#include "hornbeamlane_network/http/HttpMessages.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace hornbeamlane {
+
+std::optional<std::string> HttpRequest::header(std::string_view name) const
+{
+    for (const auto &[key, value] : headers) {
+        if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string percentEncode(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0 || std::string_view("-._~").find(character) != std::string_view::npos) {
+            encoded += character;
+        } else {
+            encoded += '%';
+            encoded += digits[byte >> 4];
+            encoded += digits[byte & 0x0F];
+        }
+    }
+    return encoded;
+}
+
+std::string percentDecode(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        unsigned value = 0;
+        if (text[i] == '%' && i + 2 < text.size()) {
+            const auto result = std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16);
+            if (result.ptr == text.data() + i + 3) {
+                decoded += static_cast<char>(value);
+                i += 2;
+                continue;
+            }
+        }
+        decoded += text[i];
+    }
+    return decoded;
+}
+
+std::optional<std::string> queryField(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const auto field = query.substr(0, end);
+        const auto equals = std::min(field.find('='), field.size());
+        if (field.substr(0, equals) == name) {
+            return percentDecode(equals < field.size() ? field.substr(equals + 1) : std::string_view());
+        }
+        query.remove_prefix(std::min(end + 1, query.size()));
+    }
+    return std::nullopt;
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_network/http/HttpMessages.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace hornbeamlane {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/** A complete request as received. */
+struct HttpRequest {
+    std::string method;
+    /** Path without query, percent-decoded. */
+    std::string path;
+    /** Query without the question mark, as received. */
+    std::string query;
+    HttpHeaders headers;
+    std::string body;
+
+    /** Value of the first header of that name, in any case of letters. */
+    std::optional<std::string> header(std::string_view name) const;
+};
+
+/** A complete response. */
+struct HttpResponse {
+    int status = 0;
+    std::string contentType;
+    HttpHeaders headers;
+    std::string body;
+};
+
+/** Encodes every byte except unreserved characters of a URI. */
+std::string percentEncode(std::string_view text);
+
+/** Decodes a percent-encoded text; malformed escapes stay as they are. */
+std::string percentDecode(std::string_view text);
+
+/** Value of a field of a query string, percent-decoded. */
+std::optional<std::string> queryField(std::string_view query, std::string_view name);
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_network/http/HttpServer.cpp
@@ -0,0 +1,292 @@
+#include "hornbeamlane_network/http/HttpServer.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
+
+namespace hornbeamlane {
+
+struct HttpExchange::Implementation {
+    HttpRequest request;
+    evhttp_request *handle = nullptr;
+    bool isStreaming = false;
+    std::function<void()> closedHandler;
+    std::function<void()> drainedHandler;
+    /** Keeps the exchange alive while the library holds a pointer to it. */
+    std::shared_ptr<HttpExchange> self;
+
+    evhttp_connection *connection() const
+    {
+        return handle != nullptr ? evhttp_request_get_connection(handle) : nullptr;
+    }
+
+    /** Detaches from the library; the caller holds the returned reference until it is done. */
+    std::shared_ptr<HttpExchange> release()
+    {
+        if (auto *connectionHandle = connection()) {
+            evhttp_connection_set_closecb(connectionHandle, nullptr, nullptr);
+        }
+        handle = nullptr;
+        closedHandler = nullptr;
+        drainedHandler = nullptr;
+        return std::move(self);
+    }
+
+    void handleClose()
+    {
+        const auto handler = std::move(closedHandler);
+        const auto keep = std::move(self);
+        handle = nullptr;
+        drainedHandler = nullptr;
+        if (handler) {
+            handler();
+        }
+    }
+};
+
+namespace {
+
+void addHeaders(evhttp_request *handle, const HttpResponse &response)
+{
+    auto *headers = evhttp_request_get_output_headers(handle);
+    if (!response.contentType.empty()) {
+        evhttp_add_header(headers, "Content-Type", response.contentType.c_str());
+    }
+    for (const auto &[name, value] : response.headers) {
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+}
+
+const char *methodName(evhttp_cmd_type command)
+{
+    switch (command) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_PATCH:
+        return "PATCH";
+    default:
+        return "OPTIONS";
+    }
+}
+
+HttpRequest readRequest(evhttp_request *handle)
+{
+    HttpRequest request;
+    request.method = methodName(evhttp_request_get_command(handle));
+    const auto *uri = evhttp_request_get_evhttp_uri(handle);
+    const char *path = uri != nullptr ? evhttp_uri_get_path(uri) : nullptr;
+    const char *query = uri != nullptr ? evhttp_uri_get_query(uri) : nullptr;
+    request.path = path != nullptr ? percentDecode(path) : "";
+    request.query = query != nullptr ? query : "";
+    for (auto *header = evhttp_request_get_input_headers(handle)->tqh_first; header != nullptr;
+         header = header->next.tqe_next) {
+        request.headers.emplace_back(header->key, header->value);
+    }
+    auto *body = evhttp_request_get_input_buffer(handle);
+    request.body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, request.body.data(), request.body.size());
+    return request;
+}
+
+struct BufferDeleter {
+    void operator()(evbuffer *buffer) const
+    {
+        evbuffer_free(buffer);
+    }
+};
+
+using Buffer = std::unique_ptr<evbuffer, BufferDeleter>;
+
+} // namespace
+
+HttpExchange::HttpExchange(std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation))
+{
+}
+
+HttpExchange::~HttpExchange() = default;
+
+const HttpRequest &HttpExchange::request() const
+{
+    return implementation_->request;
+}
+
+void HttpExchange::reply(const HttpResponse &response)
+{
+    if (isClosed() || isStreaming()) {
+        return;
+    }
+    auto *handle = implementation_->handle;
+    const auto keep = implementation_->release();
+    addHeaders(handle, response);
+    const Buffer body(evbuffer_new());
+    evbuffer_add(body.get(), response.body.data(), response.body.size());
+    evhttp_send_reply(handle, response.status, nullptr, body.get());
+}
+
+void HttpExchange::startStream(const HttpResponse &head)
+{
+    if (isClosed() || isStreaming()) {
+        return;
+    }
+    implementation_->isStreaming = true;
+    addHeaders(implementation_->handle, head);
+    evhttp_send_reply_start(implementation_->handle, head.status, nullptr);
+}
+
+void HttpExchange::sendChunk(std::string_view bytes)
+{
+    if (isClosed() || !isStreaming() || bytes.empty()) {
+        return;
+    }
+    const Buffer chunk(evbuffer_new());
+    evbuffer_add(chunk.get(), bytes.data(), bytes.size());
+    evhttp_send_reply_chunk_with_cb(
+        implementation_->handle, chunk.get(),
+        [](evhttp_connection *, void *context) {
+            const auto *exchange = static_cast<Implementation *>(context);
+            if (exchange->drainedHandler) {
+                exchange->drainedHandler();
+            }
+        },
+        implementation_.get());
+}
+
+void HttpExchange::finishStream()
+{
+    if (isClosed() || !isStreaming()) {
+        return;
+    }
+    auto *handle = implementation_->handle;
+    const auto keep = implementation_->release();
+    evhttp_send_reply_end(handle);
+}
+
+void HttpExchange::abortStream()
+{
+    if (isClosed()) {
+        return;
+    }
+    auto *connection = implementation_->connection();
+    const auto keep = implementation_->release();
+    evhttp_connection_free(connection);
+}
+
+bool HttpExchange::isStreaming() const
+{
+    return implementation_->isStreaming;
+}
+
+bool HttpExchange::isClosed() const
+{
+    return implementation_->handle == nullptr;
+}
+
+std::size_t HttpExchange::bufferedBytes() const
+{
+    if (isClosed()) {
+        return 0;
+    }
+    auto *stream = evhttp_connection_get_bufferevent(implementation_->connection());
+    return evbuffer_get_length(bufferevent_get_output(stream));
+}
+
+void HttpExchange::onClosed(std::function<void()> handler)
+{
+    implementation_->closedHandler = std::move(handler);
+}
+
+void HttpExchange::onDrained(std::function<void()> handler)
+{
+    implementation_->drainedHandler = std::move(handler);
+}
+
+struct HttpServer::Implementation {
+    evhttp *server = nullptr;
+    evhttp_bound_socket *socket = nullptr;
+    Handler handler;
+    std::uint16_t port = 0;
+
+    void handle(evhttp_request *handle)
+    {
+        auto state = std::make_unique<HttpExchange::Implementation>();
+        state->handle = handle;
+        state->request = readRequest(handle);
+        auto *raw = state.get();
+        const auto exchange = std::make_shared<HttpExchange>(std::move(state));
+        raw->self = exchange;
+        auto *connection = evhttp_request_get_connection(handle);
+        evhttp_connection_set_closecb(
+            connection,
+            [](evhttp_connection *, void *context) {
+                static_cast<HttpExchange::Implementation *>(context)->handleClose();
+            },
+            raw);
+        // The library stops reading once a request is complete; reading on is what shows a caller's hang-up.
+        bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
+        handler(exchange);
+    }
+};
+
+HttpServer::HttpServer(EventLoop &loop, Options options, Handler handler)
+    : implementation_(std::make_unique<Implementation>())
+{
+    implementation_->handler = std::move(handler);
+    implementation_->server = evhttp_new(loop.base());
+    HORNBEAMLANE_ASSERT(implementation_->server != nullptr);
+    evhttp_set_max_body_size(implementation_->server, static_cast<ev_ssize_t>(options.maxBodyBytes));
+    evhttp_set_max_headers_size(implementation_->server, static_cast<ev_ssize_t>(options.maxHeaderBytes));
+    evhttp_set_timeout(implementation_->server, static_cast<int>(options.idleTimeout.count()));
+    evhttp_set_allowed_methods(implementation_->server,
+                               EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
+                                   | EVHTTP_REQ_PATCH);
+    evhttp_set_gencb(
+        implementation_->server,
+        [](evhttp_request *handle, void *context) { static_cast<Implementation *>(context)->handle(handle); },
+        implementation_.get());
+}
+
+HttpServer::~HttpServer()
+{
+    evhttp_free(implementation_->server);
+}
+
+bool HttpServer::listen(const std::string &address, std::uint16_t port)
+{
+    implementation_->socket = evhttp_bind_socket_with_handle(implementation_->server, address.c_str(), port);
+    if (implementation_->socket == nullptr) {
+        return false;
+    }
+    sockaddr_in bound{};
+    socklen_t length = sizeof(bound);
+    getsockname(evhttp_bound_socket_get_fd(implementation_->socket), reinterpret_cast<sockaddr *>(&bound), &length);
+    implementation_->port = ntohs(bound.sin_port);
+    return true;
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return implementation_->port;
+}
+
+void HttpServer::stopAccepting()
+{
+    if (implementation_->socket != nullptr) {
+        evhttp_del_accept_socket(implementation_->server, implementation_->socket);
+        implementation_->socket = nullptr;
+    }
+}
+
+} // namespace hornbeamlane
