--- /dev/null
+++ b/modules/hornbeamlane_daemon/Daemon.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "hornbeamlane_catalogue/reading/DocumentFault.h"
+#include "hornbeamlane_network/loop/EventLoop.h"
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace hornbeamlane {
+
+/** Exit status of a daemon whose settings are faulty. */
+constexpr int exitBadSettings = 2;
+
+struct DaemonOptions
+{
+    /** Starts a planned stop and calls `done` when nothing is running any more. */
+    std::function<void(std::function<void()> done)> shutDown;
+    /** The process ends after this time even if something is still running, and logs that it cut it off. */
+    std::chrono::milliseconds shutdownBound{600'000};
+};
+
+/** Runs the loop. SIGTERM and SIGINT start a planned stop; SIGUSR1 and SIGUSR2 make the log more or less detailed. */
+void runDaemon(EventLoop &loop, DaemonOptions options);
+
+/** Prints every fault to standard error and returns the exit status. */
+int reportFaults(const std::string &file, const DocumentFaults &faults);
+
+/** Prints that the address cannot be bound and returns the exit status. */
+int reportBindFailure(const std::string &address);
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_network/http/HttpCall.cpp
+++ b/modules/hornbeamlane_network/http/HttpCall.cpp
@@ -34,7 +34,8 @@
 
 } // namespace
 
-struct HttpCall::Implementation : std::enable_shared_from_this<HttpCall::Implementation> {
+struct HttpCall::Implementation : std::enable_shared_from_this<HttpCall::Implementation>
+{
     EventLoop &loop;
     Options options;
     Callbacks callbacks;
@@ -224,7 +225,8 @@
 void sendHttpRequest(EventLoop &loop, HttpCall::Options options,
                      std::function<void(HttpCallEnd, const HttpResponse &)> handler)
 {
-    struct Collector {
+    struct Collector
+    {
         HttpResponse response;
         std::unique_ptr<HttpCall> call;
     };
--- a/modules/hornbeamlane_network/http/HttpCall.h
+++ b/modules/hornbeamlane_network/http/HttpCall.h
@@ -25,7 +25,8 @@
 class HttpCall final
 {
 public:
-    struct Options {
+    struct Options
+    {
         /** "<ip>:<port>". */
         std::string address;
         std::string method = "GET";
@@ -39,7 +40,8 @@
     };
 
     /** A callback may destroy the call. */
-    struct Callbacks {
+    struct Callbacks
+    {
         std::function<void(const HttpResponse &head)> head;
         std::function<void(std::string_view bytes)> data;
         std::function<void(HttpCallEnd)> end;
--- a/modules/hornbeamlane_network/http/HttpMessages.h
+++ b/modules/hornbeamlane_network/http/HttpMessages.h
@@ -11,7 +11,8 @@
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
 /** A complete request as received. */
-struct HttpRequest {
+struct HttpRequest
+{
     std::string method;
     /** Path without query, percent-decoded. */
     std::string path;
@@ -25,7 +26,8 @@
 };
 
 /** A complete response. */
-struct HttpResponse {
+struct HttpResponse
+{
     int status = 0;
     std::string contentType;
     HttpHeaders headers;
--- a/modules/hornbeamlane_network/http/HttpServer.cpp
+++ b/modules/hornbeamlane_network/http/HttpServer.cpp
@@ -10,7 +10,8 @@
 
 namespace hornbeamlane {
 
-struct HttpExchange::Implementation {
+struct HttpExchange::Implementation
+{
     HttpRequest request;
     evhttp_request *handle = nullptr;
     bool isStreaming = false;
@@ -100,7 +101,8 @@
     return request;
 }
 
-struct BufferDeleter {
+struct BufferDeleter
+{
     void operator()(evbuffer *buffer) const
     {
         evbuffer_free(buffer);
@@ -213,7 +215,8 @@
     implementation_->drainedHandler = std::move(handler);
 }
 
-struct HttpServer::Implementation {
+struct HttpServer::Implementation
+{
     evhttp *server = nullptr;
     evhttp_bound_socket *socket = nullptr;
     Handler handler;
--- a/modules/hornbeamlane_network/http/HttpServer.h
+++ b/modules/hornbeamlane_network/http/HttpServer.h
@@ -55,7 +55,8 @@
 class HttpServer final
 {
 public:
-    struct Options {
+    struct Options
+    {
         /** Bound for the body; a larger one is answered with status 413. */
         std::size_t maxBodyBytes = 512 * 1024;
         /** Bound for all headers together; larger ones are answered with status 400 or 431. */
--- a/modules/hornbeamlane_network/link/Link.cpp
+++ b/modules/hornbeamlane_network/link/Link.cpp
@@ -33,7 +33,8 @@
     return "closed_locally";
 }
 
-struct Link::Implementation : std::enable_shared_from_this<Link::Implementation> {
+struct Link::Implementation : std::enable_shared_from_this<Link::Implementation>
+{
     EventLoop &loop;
     Options options;
     Callbacks callbacks;
@@ -65,8 +66,8 @@
     {
         stream = bufferevent_socket_new(loop.base(), static_cast<evutil_socket_t>(socket), BEV_OPT_CLOSE_ON_FREE);
         bufferevent_setcb(
-            stream,
-            [](bufferevent *, void *context) { static_cast<Implementation *>(context)->handleReadable(); }, nullptr,
+            stream, [](bufferevent *, void *context) { static_cast<Implementation *>(context)->handleReadable(); },
+            nullptr,
             [](bufferevent *, short events, void *context) {
                 static_cast<Implementation *>(context)->handleEvents(events);
             },
--- a/modules/hornbeamlane_network/link/Link.h
+++ b/modules/hornbeamlane_network/link/Link.h
@@ -31,7 +31,8 @@
 class Link final
 {
 public:
-    struct Options {
+    struct Options
+    {
         Duration heartbeatInterval = std::chrono::seconds(1);
         /** Silence of the peer after which the link ends. */
         Duration silenceTimeout = std::chrono::seconds(4);
@@ -42,7 +43,8 @@
     };
 
     /** A callback may destroy the link. */
-    struct Callbacks {
+    struct Callbacks
+    {
         std::function<void(const Hello &)> opened;
         /** Any message except Hello. */
         std::function<void(const Message &)> received;
--- a/modules/hornbeamlane_network/link/LinkConnector.cpp
+++ b/modules/hornbeamlane_network/link/LinkConnector.cpp
@@ -44,7 +44,8 @@
 {
     // Half of the delay is random, so that many peers do not dial a restarted process at the same moment.
     const auto half = delay_ / 2;
-    const auto jitter = Duration(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(half.count()) + 1)));
+    const auto jitter =
+        Duration(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(half.count()) + 1)));
     retryTimer_.startOnce(half + jitter);
     delay_ = std::min(delay_ * 2, options_.maxDelay);
 }
--- a/modules/hornbeamlane_network/link/LinkConnector.h
+++ b/modules/hornbeamlane_network/link/LinkConnector.h
@@ -12,7 +12,8 @@
 class LinkConnector final
 {
 public:
-    struct Options {
+    struct Options
+    {
         std::string address;
         Duration firstDelay = std::chrono::milliseconds(50);
         Duration maxDelay = std::chrono::seconds(2);
--- a/modules/hornbeamlane_network/link/LinkListener.cpp
+++ b/modules/hornbeamlane_network/link/LinkListener.cpp
@@ -7,7 +7,8 @@
 
 namespace hornbeamlane {
 
-struct LinkListener::Implementation {
+struct LinkListener::Implementation
+{
     EventLoop &loop;
     Handler handler;
     evconnlistener *listener = nullptr;
--- a/modules/hornbeamlane_network/table/HttpTableClient.cpp
+++ b/modules/hornbeamlane_network/table/HttpTableClient.cpp
@@ -113,27 +113,28 @@
 
 void HttpTableClient::list(const std::string &prefix, ListHandler handler)
 {
-    sendHttpRequest(
-        loop_,
-        {.address = options_.address, .target = "/v1/rows?prefix=" + percentEncode(prefix), .timeout = options_.timeout},
-        [handler = std::move(handler)](HttpCallEnd end, const HttpResponse &response) {
-            if (end != HttpCallEnd::Complete || response.status != statusOk) {
-                handler(statusOfFailure(end, response.status), {});
-                return;
-            }
-            const auto json = nlohmann::json::parse(response.body, nullptr, false);
-            if (!json.is_object() || !json.contains("rows") || !json["rows"].is_array()) {
-                handler(TableStatus::NoReply, {});
-                return;
-            }
-            std::vector<TableRow> rows;
-            for (const auto &element : json["rows"]) {
-                if (auto row = rowOf(element)) {
-                    rows.push_back(std::move(*row));
-                }
-            }
-            handler(TableStatus::Ok, rows);
-        });
+    sendHttpRequest(loop_,
+                    {.address = options_.address,
+                     .target = "/v1/rows?prefix=" + percentEncode(prefix),
+                     .timeout = options_.timeout},
+                    [handler = std::move(handler)](HttpCallEnd end, const HttpResponse &response) {
+                        if (end != HttpCallEnd::Complete || response.status != statusOk) {
+                            handler(statusOfFailure(end, response.status), {});
+                            return;
+                        }
+                        const auto json = nlohmann::json::parse(response.body, nullptr, false);
+                        if (!json.is_object() || !json.contains("rows") || !json["rows"].is_array()) {
+                            handler(TableStatus::NoReply, {});
+                            return;
+                        }
+                        std::vector<TableRow> rows;
+                        for (const auto &element : json["rows"]) {
+                            if (auto row = rowOf(element)) {
+                                rows.push_back(std::move(*row));
+                            }
+                        }
+                        handler(TableStatus::Ok, rows);
+                    });
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_network/table/HttpTableClient.h
+++ b/modules/hornbeamlane_network/table/HttpTableClient.h
@@ -9,7 +9,8 @@
 class HttpTableClient final : public TableClient
 {
 public:
-    struct Options {
+    struct Options
+    {
         /** "<ip>:<port>". */
         std::string address;
         /** Time after which a call counts as TableStatus::NoReply. */
--- a/modules/websocket_session/WebSocketSession.cpp
+++ b/modules/websocket_session/WebSocketSession.cpp
@@ -43,7 +43,6 @@
             });
         connection_->set_close_handler([this](const websocketpp::connection_hdl &) { reportClosed(); });
         connection_->set_fail_handler([this](const websocketpp::connection_hdl &) { reportClosed(); });
-        connection_->start();
     }
 
     ~Session() override
@@ -107,15 +106,20 @@
     if (error) {
         return nullptr;
     }
+    auto session = std::make_unique<Session<ClientEndpoint>>(connection, std::move(callbacks), maxMessageBytes);
+    // Connecting writes the handshake at once, so the handlers have to be in place before.
     endpoint.connect(connection);
-    return std::make_unique<Session<ClientEndpoint>>(connection, std::move(callbacks), maxMessageBytes);
+    return session;
 }
 
 std::unique_ptr<WebSocketSession> WebSocketSession::server(Callbacks callbacks, std::size_t maxMessageBytes)
 {
     static ServerEndpoint endpoint;
     silence(endpoint);
-    return std::make_unique<Session<ServerEndpoint>>(endpoint.get_connection(), std::move(callbacks), maxMessageBytes);
+    auto connection = endpoint.get_connection();
+    auto session = std::make_unique<Session<ServerEndpoint>>(connection, std::move(callbacks), maxMessageBytes);
+    connection->start();
+    return session;
 }
 
 } // namespace hornbeamlane::websocket
--- a/testing/standins/EngineStandIn.cpp
+++ b/testing/standins/EngineStandIn.cpp
@@ -162,14 +162,15 @@
 
 json EngineStandIn::status() const
 {
-    return {{"incarnation", incarnation_.value()},
-            {"running", streams_.size()},
-            {"mostAtOnce", mostAtOnce_},
-            {"falls", falls_},
-            {"steps", steps_},
-            {"stepMicroseconds", std::chrono::duration_cast<std::chrono::microseconds>(options_.stepTime + stall_).count()},
-            {"cacheSequence", cacheEvents_.size()},
-            {"mapVersion", mapVersion_}};
+    return {
+        {"incarnation", incarnation_.value()},
+        {"running", streams_.size()},
+        {"mostAtOnce", mostAtOnce_},
+        {"falls", falls_},
+        {"steps", steps_},
+        {"stepMicroseconds", std::chrono::duration_cast<std::chrono::microseconds>(options_.stepTime + stall_).count()},
+        {"cacheSequence", cacheEvents_.size()},
+        {"mapVersion", mapVersion_}};
 }
 
 void EngineStandIn::replyStatus(const Exchange &exchange)
--- a/testing/standins/EngineStandIn.h
+++ b/testing/standins/EngineStandIn.h
@@ -24,7 +24,8 @@
 class EngineStandIn final
 {
 public:
-    struct Options {
+    struct Options
+    {
         std::size_t capacity = 8;
         std::size_t coldCapacity = 2;
         std::uint64_t coldSteps = 100;
@@ -41,7 +42,8 @@
 private:
     using Exchange = std::shared_ptr<HttpExchange>;
 
-    struct Stream {
+    struct Stream
+    {
         Exchange exchange;
         std::string requestId;
         std::uint64_t priority = 0;
--- a/testing/standins/PlatformStandIn.h
+++ b/testing/standins/PlatformStandIn.h
@@ -25,7 +25,8 @@
     std::uint16_t port() const;
 
 private:
-    struct Row {
+    struct Row
+    {
         std::uint64_t version = 0;
         std::string value;
         bool isPresent = false;
--- a/testing/standins/StandInSupport.h
+++ b/testing/standins/StandInSupport.h
@@ -15,8 +15,7 @@
 void replyJson(const std::shared_ptr<HttpExchange> &exchange, int status, const nlohmann::json &json);
 
 /** Runs the task once after the delay; the timers live in the list of the owner. */
-void runLater(EventLoop &loop, std::vector<std::unique_ptr<Timer>> &timers, Duration delay,
-              std::function<void()> task);
+void runLater(EventLoop &loop, std::vector<std::unique_ptr<Timer>> &timers, Duration delay, std::function<void()> task);
 
 /** Runs the loop until SIGTERM or SIGINT. */
 void runUntilSignal(EventLoop &loop);
