--- a/modules/hornbeamlane_orders/attempts/AttemptLedger.cpp
+++ b/modules/hornbeamlane_orders/attempts/AttemptLedger.cpp
@@ -118,16 +118,21 @@
     record.response = StoredResponse();
 }
 
-void AttemptLedger::end(const AttemptId &attempt, ExecutionState state, milliseconds forgetAt)
+void AttemptLedger::end(const AttemptId &attempt, ExecutionState state, milliseconds now)
 {
     const auto found = records_.find(attempt);
     if (found == records_.end() || found->second.state != ExecutionState::Running) {
         return;
     }
-    release(found->second);
-    found->second.state = state;
-    found->second.forgetAt = forgetAt;
-    expiries_.emplace(forgetAt, attempt);
+    auto &record = found->second;
+    release(record);
+    record.state = state;
+    // Inside its window the record is needed to refuse a second copy of the dispatch.
+    record.forgetAt = std::max(record.validUntil, now) + milliseconds(1);
+    if (record.isKeyed) {
+        record.forgetAt = std::max(record.forgetAt, now + options_.keepResultFor);
+    }
+    expiries_.emplace(record.forgetAt, attempt);
 }
 
 void AttemptLedger::complete(const AttemptId &attempt, StoredResponse response, milliseconds now)
@@ -137,12 +142,11 @@
         return;
     }
     auto &record = found->second;
-    const auto afterWindow = std::max(record.validUntil, now) + milliseconds(1);
-    end(attempt, ExecutionState::Done,
-        record.isKeyed ? std::max(afterWindow, now + options_.keepResultFor) : afterWindow);
-    if (record.isKeyed && response.body.size() + response.contentType.size() <= options_.maxResultBytes) {
-        record.bytes = response.body.size() + response.contentType.size();
-        keptBytes_ += record.bytes;
+    end(attempt, ExecutionState::Done, now);
+    const auto bytes = response.body.size() + response.contentType.size();
+    if (record.isKeyed && bytes <= options_.maxResultBytes) {
+        record.bytes = bytes;
+        keptBytes_ += bytes;
         record.hasResponse = true;
         record.response = std::move(response);
     }
@@ -161,7 +165,7 @@
 
 void AttemptLedger::lose(const AttemptId &attempt, milliseconds now)
 {
-    end(attempt, ExecutionState::Unknown, now + std::max(options_.keepResultFor, options_.dispatchWindow));
+    end(attempt, ExecutionState::Unknown, now);
 }
 
 AttemptStatus AttemptLedger::query(const QueryAttempt &query, milliseconds now)
--- a/modules/hornbeamlane_orders/attempts/AttemptLedger.h
+++ b/modules/hornbeamlane_orders/attempts/AttemptLedger.h
@@ -58,12 +58,13 @@
 
     explicit AttemptLedger(Options options);
 
+    /** Every dispatch comes here first; admission control that then refuses it calls refuse(). */
     Decision accept(const Dispatch &dispatch, std::chrono::milliseconds now);
 
     /** The executor has answered in full. */
     void complete(const AttemptId &attempt, StoredResponse response, std::chrono::milliseconds now);
 
-    /** The accepted attempt was refused before any byte reached the executor. */
+    /** The accepted attempt was refused before any byte reached the executor; it is voided. */
     void refuse(const AttemptId &attempt, std::chrono::milliseconds now);
 
     /** The executor was lost after it may have received a byte. */
@@ -106,7 +107,7 @@
     Decision refuseFull(const Dispatch &dispatch, std::chrono::milliseconds now);
     bool hasRoom(bool isKeyed, std::chrono::milliseconds now);
     void voidAttempt(const AttemptId &attempt, std::chrono::milliseconds now);
-    void end(const AttemptId &attempt, ExecutionState state, std::chrono::milliseconds forgetAt);
+    void end(const AttemptId &attempt, ExecutionState state, std::chrono::milliseconds now);
     void release(Record &record);
     void forget(const AttemptId &attempt);
     /** Whether an attempt without a record may have been accepted and forgotten. */
--- a/modules/hornbeamlane_orders/claims/ClaimCoordinator.cpp
+++ b/modules/hornbeamlane_orders/claims/ClaimCoordinator.cpp
@@ -121,6 +121,9 @@
         const Refusal refusal{.reason = RefusalReason::NoServerAvailable, .detail = "no server for the request"};
         if (expectedVersion == version_ && version_ != RowVersion()) {
             removeClaim(refusal);
+        } else if (rounds_ == 1) {
+            // A resend needs no server if its answer is in the row.
+            read();
         } else {
             refuseWithoutEvidence(refusal.reason, "no server for the request");
         }
