Add the team limits with floors, leases and token buckets

Cause: nothing kept the sum of a team's requests within its limit.

Ruled out: a lease that covers requests with any deadline. When the table is down it ends while they still run, so only requests whose deadline is within the lease run under it. Adopting a predecessor's lease after a restart was ruled out: a frozen predecessor may still use it. Keeping all leases when the remainder shrinks was ruled out: a holder keeps its lease only if the row total that it wrote is within the smallest remainder.

Before: no limits.

Conclusion: the sum over servers is bounded by the settled version, as long as a server confirms a version only when it is within its shares.

--- a/modules/hornbeamlane_admission/hornbeamlane_admission.h
+++ b/modules/hornbeamlane_admission/hornbeamlane_admission.h
@@ -11,3 +11,8 @@
 #include "hornbeamlane_admission/concurrency/ColdStartLimiter.h"
 #include "hornbeamlane_admission/concurrency/EngineWatch.h"
 #include "hornbeamlane_admission/queue/FairQueue.h"
+#include "hornbeamlane_admission/teams/FloorSplit.h"
+#include "hornbeamlane_admission/teams/TeamLeaseBook.h"
+#include "hornbeamlane_admission/teams/TeamLeaseRow.h"
+#include "hornbeamlane_admission/teams/TeamLimits.h"
+#include "hornbeamlane_admission/teams/TokenBucket.h"
