--- a/modules/hornbeamlane_admission/hornbeamlane_admission.h
+++ b/modules/hornbeamlane_admission/hornbeamlane_admission.h
@@ -1,7 +1,7 @@
 /**
     Decides in the agent what its backend server may run: cold start, concurrency, fair queue and team limits.
 
-    Depends on hornbeamlane_catalogue,
+    AdmissionController is the facade; the other classes are its parts. Depends on hornbeamlane_catalogue,
     hornbeamlane_messages and, for the rows of team leases, hornbeamlane_membership. Does no input or output, reads no
     clock: every event carries the time, and what has to be done is returned as actions.
 */
@@ -10,6 +10,7 @@
 #include "hornbeamlane_admission/concurrency/AdaptiveConcurrency.h"
 #include "hornbeamlane_admission/concurrency/ColdStartLimiter.h"
 #include "hornbeamlane_admission/concurrency/EngineWatch.h"
+#include "hornbeamlane_admission/controller/AdmissionController.h"
 #include "hornbeamlane_admission/queue/FairQueue.h"
 #include "hornbeamlane_admission/teams/FloorSplit.h"
 #include "hornbeamlane_admission/teams/TeamLeaseBook.h"
