Add the fault cells of admission

Cause: the protections of admission were only covered by focused tests.

Ruled out: late incarnations in engine reports. The process that answers names itself; only its load numbers lag. With a late incarnation a burst onto an engine restarted while idle reached 3 running requests instead of 2, because its first tokens were within 4 times the median.

Before: no cells.

Conclusion: the limit that AdaptiveConcurrency starts with was too low before the first catalogue; it follows the maximum now.

--- a/modules/hornbeamlane_admission/concurrency/AdaptiveConcurrency.cpp
+++ b/modules/hornbeamlane_admission/concurrency/AdaptiveConcurrency.cpp
@@ -34,9 +34,11 @@
 
 void AdaptiveConcurrency::setBounds(std::uint32_t minimum, std::uint32_t maximum)
 {
+    // A limit that no latency has lowered follows the maximum.
+    const bool isUnbounded = limit_ >= options_.maximum;
     options_.maximum = std::max(maximum, 1U);
     options_.minimum = std::clamp(minimum, 1U, options_.maximum);
-    limit_ = std::clamp<double>(limit_, options_.minimum, options_.maximum);
+    limit_ = isUnbounded ? options_.maximum : std::clamp<double>(limit_, options_.minimum, options_.maximum);
 }
 
 std::uint32_t AdaptiveConcurrency::limit() const
--- a/modules/hornbeamlane_admission/teams/TeamLeaseBook.cpp
+++ b/modules/hornbeamlane_admission/teams/TeamLeaseBook.cpp
@@ -17,11 +17,6 @@
     if (!options_.isUsable) {
         options_.isUsable = [](TimePoint now, TimePoint end) { return now < end; };
     }
-    if (!options_.isOwn) {
-        options_.isOwn = [](const TeamLease &lease, const ServerId &ownServer, Incarnation ownAgent) {
-            return lease.server == ownServer && lease.agent == ownAgent;
-        };
-    }
 }
 
 void TeamLeaseBook::setRemainder(std::uint32_t remainder)
@@ -49,6 +44,12 @@
     return held_ ? held_->end : TimePoint();
 }
 
+bool TeamLeaseBook::isOwn(const TeamLease &lease) const
+{
+    // A predecessor on the same server may be frozen instead of dead, so its lease is one of others.
+    return lease.server == server_ && lease.agent == agent_;
+}
+
 std::uint32_t TeamLeaseBook::wanted(std::uint32_t extraInUse) const
 {
     return std::min(std::max(demand_, extraInUse), remainder_);
@@ -95,7 +96,7 @@
 {
     TeamLeaseRow row;
     for (const auto &lease : row_.leases) {
-        if (options_.isOwn(lease, server_, agent_)) {
+        if (isOwn(lease)) {
             continue;
         }
         const auto &observation = observations_.at({lease.server, lease.agent});
@@ -166,7 +167,7 @@
         const auto known = observations_.find(holder);
         const bool isUnchanged = known != observations_.end() && known->second.sequence == lease.sequence;
         observations[holder] = isUnchanged ? known->second : Observation{.sequence = lease.sequence, .firstSeen = now};
-        if (options_.isOwn(lease, server_, agent_)) {
+        if (isOwn(lease)) {
             own = &lease;
         }
     }
--- a/modules/hornbeamlane_admission/teams/TeamLeaseBook.h
+++ b/modules/hornbeamlane_admission/teams/TeamLeaseBook.h
@@ -48,8 +48,6 @@
         std::function<Duration(Duration duration)> reclaimAfter;
         /** Whether the holder may use its lease; replaced to switch "holder-stops-first" off. */
         std::function<bool(TimePoint now, TimePoint end)> isUsable;
-        /** Whether a lease in the row is this agent's; replaced to switch "lease-names-incarnation" off. */
-        std::function<bool(const TeamLease &lease, const ServerId &server, Incarnation agent)> isOwn;
     };
 
     TeamLeaseBook(const TeamId &team, ServerId server, Incarnation agent, Options options);
@@ -104,6 +102,7 @@
 
     using Holder = std::pair<ServerId, Incarnation>;
 
+    bool isOwn(const TeamLease &lease) const;
     std::uint32_t wanted(std::uint32_t extraInUse) const;
     bool needsWrite(TimePoint now, std::uint32_t extraInUse) const;
     void learnRow(const TableReply &reply, TimePoint now);
--- a/testing/fault_matrix/AllFaultCells.cpp
+++ b/testing/fault_matrix/AllFaultCells.cpp
@@ -1,3 +1,4 @@
+#include "fault_matrix/AdmissionFaultCells.h"
 #include "fault_matrix/FaultCell.h"
 
 namespace hornbeamlane::testing {
@@ -5,6 +6,7 @@
 FaultCells allFaultCells()
 {
     FaultCells cells;
+    addAdmissionFaultCells(cells);
     return cells;
 }
 
