--- a/testing/fault_matrix/AllFaultCells.cpp
+++ b/testing/fault_matrix/AllFaultCells.cpp
@@ -1,3 +1,4 @@
+#include "fault_matrix/AdmissionFaultCells.h"
 #include "fault_matrix/FaultCell.h"
 #include "fault_matrix/OrderFaultCells.h"
 
@@ -7,6 +8,7 @@
 {
     FaultCells cells;
     addOrderFaultCells(cells);
+    addAdmissionFaultCells(cells);
     return cells;
 }
 
