Carry owner and reservation in quarantine records

Cause: a QuarantineRecord named only the lost servers, so two entries that lost the same server could both run a suspect again and lose two more servers at once. Ruled out: deriving the owner from the order of arrival, because both updates can be under way at the same time. Before: no field. After: owner, reserved server, cleared and reply flags, all with defaults, so that a receiver of the previous form still reads the record. Conclusion: the codec test passes with the new fields.

--- a/modules/hornbeamlane_messages/codec/FieldCodec.h
+++ b/modules/hornbeamlane_messages/codec/FieldCodec.h
@@ -126,7 +126,11 @@
 template <class V> void visitFields(V &v, TeamBudget &m) { v.field("team", m.team); v.field("free", m.freeConcurrency); }
 template <class V> void visitFields(V &v, DrainRecord &m) { v.field("id", m.id); v.field("scope", m.scope); v.field("name", m.name); }
 template <class V> void visitFields(V &v, QuarantineRecord &m)
-{ v.field("fingerprint", m.fingerprint); v.field("lost", m.lostServers); v.field("expiresIn", m.expiresIn); }
+{
+    v.field("fingerprint", m.fingerprint); v.field("lost", m.lostServers); v.field("expiresIn", m.expiresIn);
+    v.field("owner", m.owner); v.field("reserved", m.reservedServer); v.field("cleared", m.isCleared);
+    v.field("reply", m.isReply);
+}
 
 template <class V> void visitFields(V &v, Hello &m)
 {
--- a/modules/hornbeamlane_messages/types/StateMessages.h
+++ b/modules/hornbeamlane_messages/types/StateMessages.h
@@ -54,6 +54,14 @@
     Hash128 fingerprint;
     std::vector<Incarnation> lostServers;
     std::chrono::milliseconds expiresIn{0};
+    /** Entry that may run the request again while the others wait; zero if unknown. */
+    Incarnation owner;
+    /** Server on which the sender runs the request or is about to; zero if on none. */
+    Incarnation reservedServer;
+    /** A later run ended normally, so the lost servers are no evidence any more. */
+    bool isCleared = false;
+    /** Answers a record of the receiver and is not answered itself. */
+    bool isReply = false;
 };
 
 struct QuarantineUpdate
