--- a/modules/hornbeamlane_routing/quarantine/CrashQuarantine.cpp
+++ b/modules/hornbeamlane_routing/quarantine/CrashQuarantine.cpp
@@ -57,9 +57,6 @@
     if (!options_.mayRunUnconfirmed) {
         options_.mayRunUnconfirmed = [this](Duration waited) { return waited >= options_.confirmationWait; };
     }
-    if (!options_.mayRunWithoutOwner) {
-        options_.mayRunWithoutOwner = [this](Duration sinceSeen) { return sinceSeen >= options_.ownerWait; };
-    }
     if (!options_.fingerprint) {
         options_.fingerprint = [](const TeamId &team, std::string_view target, std::string_view body) {
             // Lengths separate the parts: a team's name must not be able to continue into the target.
@@ -105,7 +102,7 @@
         return Verdict::Wait;
     }
     if (record->owner != self_) {
-        if (record->owner != Incarnation() && !options_.mayRunWithoutOwner(now - record->ownerSeenAt)) {
+        if (record->owner != Incarnation() && now - record->ownerSeenAt < options_.ownerWait) {
             return Verdict::Wait;
         }
         record->owner = self_;
--- a/modules/hornbeamlane_routing/quarantine/CrashQuarantine.h
+++ b/modules/hornbeamlane_routing/quarantine/CrashQuarantine.h
@@ -54,8 +54,6 @@
         std::function<bool(std::size_t copies)> mayRunBesideCopies;
         /** Whether a suspect may run before the peers have confirmed it; the default allows it after the wait. */
         std::function<bool(Duration waited)> mayRunUnconfirmed;
-        /** Whether a suspect that another entry has may run here; the default allows it after the wait. */
-        std::function<bool(Duration sinceOwnerSeen)> mayRunWithoutOwner;
         /** Fingerprint of a request; the default hashes team, target and body. */
         std::function<Hash128(const TeamId &, std::string_view target, std::string_view body)> fingerprint;
         /** Execution state that a refusal states; the default is Unknown if any server was lost with the request. */
