--- a/modules/hornbeamlane_observability/metrics/MetricsRegistry.cpp
+++ b/modules/hornbeamlane_observability/metrics/MetricsRegistry.cpp
@@ -60,13 +60,15 @@
 void renderHistogram(std::string &text, const std::string &name, const std::string &labels,
                      const LatencyHistogram &histogram, const std::vector<LatencyHistogram::Seconds> &bounds)
 {
-    const std::string separator = labels.empty() ? "" : ",";
+    const std::string bucketName = name + "_bucket";
+    const std::string prefix = labels + (labels.empty() ? "le=\"" : ",le=\"");
     std::uint64_t cumulative = 0;
     for (std::size_t i = 0; i < histogram.buckets().size(); ++i) {
         cumulative += histogram.buckets()[i];
-        const auto bound = i < bounds.size() ? toText(bounds[i].count()) : std::string("+Inf");
-        text += seriesText(name + "_bucket", labels + separator + "le=\"" + bound + '"');
-        text += ' ' + std::to_string(cumulative) + '\n';
+        std::string bucketLabels = prefix;
+        bucketLabels += i < bounds.size() ? toText(bounds[i].count()) : std::string("+Inf");
+        bucketLabels += '"';
+        text += seriesText(bucketName, bucketLabels) + ' ' + std::to_string(cumulative) + '\n';
     }
     text += seriesText(name + "_sum", labels) + ' ' + toText(histogram.sum().count()) + '\n';
     text += seriesText(name + "_count", labels) + ' ' + std::to_string(cumulative) + '\n';
