--- a/programs/measure/main.cpp
+++ b/programs/measure/main.cpp
@@ -1,3 +1,5 @@
+#include "measure/MeasureDeparture.h"
+#include "measure/MeasureRouting.h"
 #include "measure/Measurement.h"
 
 #include <gflags/gflags.h>
@@ -63,6 +65,10 @@
         options.seeds.push_back(FLAGS_seed + i);
     }
     Measurements measurements;
+    for (const auto measure : {measureRouting, measureDeparture}) {
+        const auto part = measure(options);
+        measurements.insert(measurements.end(), part.begin(), part.end());
+    }
     if (FLAGS_decisions_only) {
         std::erase_if(measurements, [](const Measurement &measurement) { return measurement.isCost; });
     }
