Let the ramp of a returned data centre not refuse requests

Cause: the ramp lowered the capacity by which requests are shed, and bounded the last resort, so requests were refused while the returned data centre had room.

--- a/modules/hornbeamlane_routing/departure/SpillPolicy.cpp
+++ b/modules/hornbeamlane_routing/departure/SpillPolicy.cpp
@@ -46,7 +46,7 @@
             continue;
         }
         const auto share = shareOf(target, i, now);
-        capacity += share.capacity * share.ramp;
+        capacity += share.capacity;
         load += share.load;
         if (i == own) {
             ownShare = share;
@@ -73,7 +73,7 @@
         draw -= weights_[i];
     }
     // The others have no room. The own data centre queues up to its bound, which its agents enforce.
-    if (ownShare && ownShare->load < options_.shedAllAt * ownShare->capacity * ownShare->ramp) {
+    if (ownShare && ownShare->load < options_.shedAllAt * ownShare->capacity) {
         return own;
     }
     return std::nullopt;
