--- a/testing/fault_matrix/AllFaultCells.cpp
+++ b/testing/fault_matrix/AllFaultCells.cpp
@@ -1,6 +1,7 @@
 #include "fault_matrix/AdmissionFaultCells.h"
 #include "fault_matrix/FaultCell.h"
 #include "fault_matrix/OrderFaultCells.h"
+#include "fault_matrix/RoutingFaultCells.h"
 
 namespace hornbeamlane::testing {
 
@@ -9,6 +10,7 @@
     FaultCells cells;
     addOrderFaultCells(cells);
     addAdmissionFaultCells(cells);
+    addRoutingFaultCells(cells);
     return cells;
 }
 
