--- a/modules/hornbeamlane_membership/hornbeamlane_membership.h
+++ b/modules/hornbeamlane_membership/hornbeamlane_membership.h
@@ -5,4 +5,6 @@
 */
 #pragma once
 
+#include "hornbeamlane_membership/lease/LeaseKeeper.h"
+#include "hornbeamlane_membership/lease/LeaseRow.h"
 #include "hornbeamlane_membership/table/TableClient.h"
