--- a/modules/hornbeamlane_membership/hornbeamlane_membership.h
+++ b/modules/hornbeamlane_membership/hornbeamlane_membership.h
@@ -20,4 +20,6 @@
 #include "hornbeamlane_membership/operator/DrainOperation.h"
 #include "hornbeamlane_membership/operator/StatusReport.h"
 #include "hornbeamlane_membership/operator/TableStep.h"
+#include "hornbeamlane_membership/lease/LeaseKeeper.h"
+#include "hornbeamlane_membership/lease/LeaseRow.h"
 #include "hornbeamlane_membership/table/TableClient.h"
