Give the claim actions names of their own

Cause: orders and membership each had a ReadRow and a WriteRow in the same namespace; a program that links both would break the one-definition rule.

--- a/modules/hornbeamlane_orders/claims/ClaimActions.h
+++ b/modules/hornbeamlane_orders/claims/ClaimActions.h
@@ -13,19 +13,19 @@
 /** Pairs a table reply with its request; replies to replaced requests are ignored. */
 using TableOperation = std::uint64_t;
 
-struct WriteRow
+struct WriteClaimRow
 {
     TableOperation operation = 0;
     TableWrite write;
 };
 
-struct ReadRow
+struct ReadClaimRow
 {
     TableOperation operation = 0;
     std::string key;
 };
 
-struct RemoveRow
+struct RemoveClaimRow
 {
     TableOperation operation = 0;
     std::string key;
@@ -71,7 +71,7 @@
     Refusal refusal;
 };
 
-using ClaimAction = std::variant<WriteRow, ReadRow, RemoveRow, DispatchAttempt, QueryAttemptState, ConfirmRecorded,
+using ClaimAction = std::variant<WriteClaimRow, ReadClaimRow, RemoveClaimRow, DispatchAttempt, QueryAttemptState, ConfirmRecorded,
                                  AnswerCaller, RefuseCaller>;
 using ClaimActions = std::vector<ClaimAction>;
 
--- a/modules/hornbeamlane_orders/claims/ClaimCoordinator.cpp
+++ b/modules/hornbeamlane_orders/claims/ClaimCoordinator.cpp
@@ -150,7 +150,7 @@
 void ClaimCoordinator::writeOwnClaim()
 {
     expectReply(Phase::Claiming);
-    actions_.emplace_back(WriteRow{pendingOperation_, {key_, version_, encodeClaim(own_)}});
+    actions_.emplace_back(WriteClaimRow{pendingOperation_, {key_, version_, encodeClaim(own_)}});
 }
 
 void ClaimCoordinator::dispatch()
@@ -199,7 +199,7 @@
     }
     tableTries_ = 0;
     expectReply(Phase::Reading);
-    actions_.emplace_back(ReadRow{pendingOperation_, key_});
+    actions_.emplace_back(ReadClaimRow{pendingOperation_, key_});
 }
 
 void ClaimCoordinator::onReadReply(const TableReply &reply, TimePoint now)
@@ -211,7 +211,7 @@
         claim(RowVersion(), now);
     } else if (reply.status == TableStatus::NoReply && mayRepeatOperation()) {
         expectReply(Phase::Reading);
-        actions_.emplace_back(ReadRow{pendingOperation_, key_});
+        actions_.emplace_back(ReadClaimRow{pendingOperation_, key_});
     } else {
         refuseWithoutEvidence(RefusalReason::ClaimStoreUnavailable, "the claim could not be read");
     }
@@ -401,7 +401,7 @@
 void ClaimCoordinator::writeRemoval()
 {
     expectReply(Phase::Removing);
-    actions_.emplace_back(RemoveRow{pendingOperation_, key_, version_});
+    actions_.emplace_back(RemoveClaimRow{pendingOperation_, key_, version_});
 }
 
 void ClaimCoordinator::onRemoveReply(const TableReply &reply)
@@ -450,7 +450,7 @@
 {
     expectReply(Phase::Recording);
     found_.response = response_;
-    actions_.emplace_back(WriteRow{pendingOperation_, {key_, version_, encodeClaim(found_)}});
+    actions_.emplace_back(WriteClaimRow{pendingOperation_, {key_, version_, encodeClaim(found_)}});
 }
 
 void ClaimCoordinator::finishRecord(bool isConfirmed)
@@ -476,7 +476,7 @@
         answer(isReplay_);
         isReadingRecord_ = true;
         expectReply(Phase::Recording);
-        actions_.emplace_back(ReadRow{pendingOperation_, key_});
+        actions_.emplace_back(ReadClaimRow{pendingOperation_, key_});
     } else if (reply.status == TableStatus::NotFound) {
         finishRecord(false);
     } else {
@@ -499,7 +499,7 @@
     found_ = claim;
     found_.state = ClaimState::Unknown;
     expectReply(Phase::MarkingUnknown);
-    actions_.emplace_back(WriteRow{pendingOperation_, {key_, version_, encodeClaim(found_)}});
+    actions_.emplace_back(WriteClaimRow{pendingOperation_, {key_, version_, encodeClaim(found_)}});
 }
 
 void ClaimCoordinator::onMarkReply(const TableReply &reply)
--- a/testing/fault_matrix/OrderWorld.cpp
+++ b/testing/fault_matrix/OrderWorld.cpp
@@ -374,17 +374,17 @@
 void OrderWorld::carryOut(const std::shared_ptr<Call> &call, const ClaimAction &action)
 {
     auto &entry = *call->entry;
-    if (const auto *write = std::get_if<WriteRow>(&action)) {
+    if (const auto *write = std::get_if<WriteClaimRow>(&action)) {
         constexpr std::array kinds = {"claim write", "record write", "unknown write"};
         ClaimDecodeFailure failure = ClaimDecodeFailure::None;
         const auto state = decodeClaim(write->write.value, failure)->state;
         requestTable(call, write->operation, kinds.at(static_cast<std::size_t>(state)),
                      [this, write = write->write] { return writeTable(write); });
-    } else if (const auto *removal = std::get_if<RemoveRow>(&action)) {
+    } else if (const auto *removal = std::get_if<RemoveClaimRow>(&action)) {
         requestTable(call, removal->operation, "claim removal", [this, removal = *removal] {
             return writeTable({removal.key, removal.expectedVersion, ""});
         });
-    } else if (const auto *readRow = std::get_if<ReadRow>(&action)) {
+    } else if (const auto *readRow = std::get_if<ReadClaimRow>(&action)) {
         requestTable(call, readRow->operation, "row read", [this] { return readTable(); });
     } else if (const auto *dispatched = std::get_if<DispatchAttempt>(&action)) {
         dispatch(call, *dispatched);
--- a/tests/orders/ClaimCoordinatorTest.cpp
+++ b/tests/orders/ClaimCoordinatorTest.cpp
@@ -56,8 +56,8 @@
         for (const auto status : {TableStatus::Unavailable, TableStatus::NoReply}) {
             ClaimCoordinator coordinator(optionsFor(mayBeResend));
             auto actions = coordinator.start(TimePoint());
-            while (std::holds_alternative<WriteRow>(actions.front())) {
-                const auto operation = only<WriteRow>(actions).operation;
+            while (std::holds_alternative<WriteClaimRow>(actions.front())) {
+                const auto operation = only<WriteClaimRow>(actions).operation;
                 actions = coordinator.onTableReply(operation, {status, std::nullopt}, TimePoint());
             }
             const auto refusal = only<RefuseCaller>(actions).refusal;
@@ -74,13 +74,13 @@
 {
     for (const auto sender : {agent, Incarnation(6)}) {
         ClaimCoordinator coordinator(optionsFor());
-        const auto write = only<WriteRow>(coordinator.start(TimePoint()));
+        const auto write = only<WriteClaimRow>(coordinator.start(TimePoint()));
         EXPECT_EQ(only<DispatchAttempt>(coordinator.onTableReply(write.operation, rowReply(""), TimePoint())).attempt,
                   own);
         const Rejected rejected{own, {.reason = RefusalReason::Draining, .execution = ExecutionState::NotRun}};
         const auto actions = coordinator.onRejected(rejected, sender, TimePoint());
         const bool isMeant = sender == agent;
-        const auto operation = isMeant ? only<RemoveRow>(actions).operation : only<WriteRow>(actions).operation;
+        const auto operation = isMeant ? only<RemoveClaimRow>(actions).operation : only<WriteClaimRow>(actions).operation;
         const auto refusal = only<RefuseCaller>(coordinator.onTableReply(operation, rowReply(""), TimePoint())).refusal;
         EXPECT_EQ(refusal.execution, isMeant ? ExecutionState::NotRun : ExecutionState::Unknown);
     }
@@ -94,7 +94,7 @@
         options.chooseTarget = [] { return std::optional<ClaimCoordinator::Target>(); };
         ClaimCoordinator coordinator(std::move(options));
         const auto body = std::string(maxStoredBodySize + (isOmitted ? 1 : 0), 'x');
-        const auto readRow = only<ReadRow>(coordinator.start(TimePoint()));
+        const auto readRow = only<ReadClaimRow>(coordinator.start(TimePoint()));
         const auto row = rowReply(encodeClaim(claimOf(ClaimState::Done, {200, "a", body})));
         auto actions = coordinator.onTableReply(readRow.operation, row, TimePoint());
         if (isOmitted) {
@@ -114,9 +114,9 @@
     const auto claimed = encodeClaim(claimOf(ClaimState::Claimed));
     for (const auto &row : {encodeClaim(claimOf(ClaimState::Unknown)), std::string("{\"v\":2}"), claimed}) {
         ClaimCoordinator coordinator(optionsFor());
-        const auto write = only<WriteRow>(coordinator.start(TimePoint()));
+        const auto write = only<WriteClaimRow>(coordinator.start(TimePoint()));
         const auto conflict = TableReply{TableStatus::Conflict, std::nullopt};
-        const auto readRow = only<ReadRow>(coordinator.onTableReply(write.operation, conflict, TimePoint()));
+        const auto readRow = only<ReadClaimRow>(coordinator.onTableReply(write.operation, conflict, TimePoint()));
         auto actions = coordinator.onTableReply(readRow.operation, rowReply(row), TimePoint());
         while (std::holds_alternative<QueryAttemptState>(actions.front())) {
             actions = coordinator.onTime(*coordinator.nextWakeUp());
@@ -131,13 +131,13 @@
 TEST(ClaimCoordinator, AnswersAtOnceAndRecordsLater)
 {
     ClaimCoordinator coordinator(optionsFor());
-    const auto write = only<WriteRow>(coordinator.start(TimePoint()));
+    const auto write = only<WriteClaimRow>(coordinator.start(TimePoint()));
     coordinator.onTableReply(write.operation, rowReply(""), TimePoint());
-    auto record = only<WriteRow>(coordinator.onResponse(own, {200, "a", "body"}, TimePoint()));
+    auto record = only<WriteClaimRow>(coordinator.onResponse(own, {200, "a", "body"}, TimePoint()));
     for (int i = 0; i < 3; ++i) {
         const TableReply down{TableStatus::Unavailable, std::nullopt};
         EXPECT_EQ(coordinator.onTableReply(record.operation, down, TimePoint()).size(), i == 0 ? 1U : 0U);
-        record = only<WriteRow>(coordinator.onTime(*coordinator.nextWakeUp()));
+        record = only<WriteClaimRow>(coordinator.onTime(*coordinator.nextWakeUp()));
     }
     EXPECT_EQ(
         only<ConfirmRecorded>(coordinator.onTableReply(record.operation, rowReply(""), TimePoint())).recorded.attempt,
