Run entry and agent on the core's routing, claims, admission and membership

Cause: the thin path chose the first open link and admitted two requests at a server. Entry and agent now carry out the actions of the core. Found on the way: the settled version was never announced, because heartbeats do not carry it, so every floor stayed zero after the first catalogue; ruled out were the split of floors (two homes of two each) and the confirmations (complete). Readers now announce it, and version 0 limits nothing. Before: the demo's requests were refused with team_limit_reached. After: chat, order, replay through the other entry, drain and undrain of a data centre pass.

--- a/modules/hornbeamlane_admission/teams/TeamLimits.cpp
+++ b/modules/hornbeamlane_admission/teams/TeamLimits.cpp
@@ -145,10 +145,12 @@
 {
     std::vector<CatalogueVersion> missing;
     // Versions count up by one. The range is short: it ends when all servers have confirmed.
-    if (newest_.value() - settled_.value() + 1 == versions_.size()) {
+    // Version 0 stands for "none was ever accepted": nothing runs under it, so it limits nothing.
+    const auto first = std::max(settled_, CatalogueVersion(1));
+    if (newest_ < first || newest_.value() - first.value() + 1 == versions_.size()) {
         return missing;
     }
-    for (auto version = settled_; version < newest_; version = version.next()) {
+    for (auto version = first; version < newest_; version = version.next()) {
         if (!versions_.contains(version)) {
             missing.push_back(version);
         }
--- a/modules/hornbeamlane_agent/Agent.h
+++ b/modules/hornbeamlane_agent/Agent.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "hornbeamlane_admission/hornbeamlane_admission.h"
 #include "hornbeamlane_agent/AgentSettings.h"
 #include "hornbeamlane_agent/EngineAttempt.h"
+#include "hornbeamlane_daemon/hornbeamlane_daemon.h"
 #include "hornbeamlane_network/hornbeamlane_network.h"
+#include "hornbeamlane_orders/hornbeamlane_orders.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,8 +24,6 @@
     /** Starts to listen for entries; false if the address cannot be bound. */
     bool start();
 
-    std::uint16_t linkPort() const;
-
     /** Takes no new work from now on; calls the handler when no attempt is running. */
     void shutDown(std::function<void()> done);
 
@@ -31,36 +33,67 @@
     struct Session
     {
         std::unique_ptr<Link> link;
+        std::string peer;
     };
 
-    struct Running
+    struct Work
     {
         SessionId session = 0;
-        std::unique_ptr<EngineAttempt> attempt;
+        Dispatch dispatch;
+        /** Empty while the request waits in the queue. */
+        std::shared_ptr<EngineAttempt> attempt;
     };
 
     void acceptSession(std::intptr_t socket);
+    void handleOpened(SessionId session, const Hello &hello);
+    void handleSessionClosed(SessionId session, LinkEnd end);
     void handleMessage(SessionId session, const Message &message);
     void handleDispatch(SessionId session, const Dispatch &dispatch);
-    void startAttempt(SessionId session, const Dispatch &dispatch);
+    void handleCancel(const AttemptId &attempt);
     void handleFinished(const AttemptId &attempt, const EngineAttempt::Result &result);
-    void handleSessionClosed(SessionId session, LinkEnd end);
-    void removeAttempt(const AttemptId &attempt);
-    void reject(SessionId session, const AttemptId &attempt, const Refusal &refusal);
+
+    void startAttempt(const AttemptId &attempt);
+    void abandonAttempt(const AttemptId &attempt);
+    void refuseWork(const AttemptId &attempt, const Refusal &refusal);
+    void endWork(const AttemptId &attempt, AdmissionController::Outcome outcome);
+    void reject(SessionId session, const AttemptId &attempt, const TeamId &team, const Refusal &refusal);
+
+    void runAdmission();
+    void runTableAction(const TeamLimits::TableAction &action);
+    void armAdmissionTimer();
+    void pollEngine();
+    void handleEngineStatus(HttpCallEnd end, const HttpResponse &response);
+    void applyCatalogue(CatalogueVersion version, const Catalogue &catalogue);
+    void fetchMissingVersions();
+    void housekeep();
+
     void sendTo(SessionId session, const Message &message);
-    void broadcastLoad();
+    void sendToPeer(const std::string &peer, const Message &message);
+    LoadReport makeLoadReport();
     std::chrono::milliseconds localTime() const;
-    Hello hello() const;
-    Heartbeat heartbeat() const;
+    static bool isKeyed(const Dispatch &dispatch);
+    void reportIfIdle();
 
     EventLoop &loop_;
     AgentSettings settings_;
     Incarnation incarnation_;
+    HttpTableClient table_;
     LinkListener listener_;
-    Timer loadTimer_;
+    AdmissionController admission_;
+    AttemptLedger ledger_;
+    MembershipNode membership_;
+    Timer admissionTimer_;
+    Timer engineTimer_;
+    Timer housekeepingTimer_;
     std::map<SessionId, Session> sessions_;
-    std::map<AttemptId, Running> running_;
+    std::map<AttemptId, Work> work_;
+    /** Prefixes that finished requests have left in the engine's cache and that are not reported yet. */
+    std::vector<std::uint64_t> newPrefixes_;
+    std::uint64_t cacheSequence_ = 0;
+    CatalogueVersion appliedSettled_;
     SessionId lastSession_ = 0;
+    bool isPollingEngine_ = false;
+    bool isFetchingVersions_ = false;
     bool isLeaving_ = false;
     std::function<void()> whenIdle_;
 };
--- a/modules/hornbeamlane_agent/AgentSettings.cpp
+++ b/modules/hornbeamlane_agent/AgentSettings.cpp
@@ -19,6 +19,7 @@
             reader.required("dataCentre", settings.dataCentre);
             reader.optional("linkAddress", settings.linkAddress);
             reader.required("engineAddress", settings.engineAddress);
+            reader.required("platformAddress", settings.platformAddress);
             reader.optional("logLevel", settings.logLevel, detail::logLevelNames);
             reader.optional("engineStatusIntervalMilliseconds", settings.engineStatusInterval, 10ms, 1min);
             reader.optional("loadReportIntervalMilliseconds", settings.loadReportInterval, 10ms, 1min);
--- a/modules/hornbeamlane_agent/AgentSettings.h
+++ b/modules/hornbeamlane_agent/AgentSettings.h
@@ -21,6 +21,8 @@
     std::string linkAddress = "127.0.0.1:0";
     /** "<ip>:<port>" of the engine or service. */
     std::string engineAddress;
+    /** "<ip>:<port>" of the platform's table service, for leases on team limits. */
+    std::string platformAddress;
     LogLevel logLevel = LogLevel::Info;
     std::chrono::milliseconds engineStatusInterval{200};
     std::chrono::milliseconds loadReportInterval{200};
--- a/modules/hornbeamlane_agent/EngineAttempt.cpp
+++ b/modules/hornbeamlane_agent/EngineAttempt.cpp
@@ -12,6 +12,17 @@
 /** Largest piece of a body in one message, well under maxFrameBytes. */
 constexpr std::size_t maxDataBytes = 32 * 1024;
 
+/** Tokens in a piece of an event stream; engines send one event for each token. */
+std::uint32_t countTokens(std::string_view bytes)
+{
+    constexpr std::string_view eventStart = "data: {";
+    std::uint32_t tokens = 0;
+    for (auto at = bytes.find(eventStart); at != std::string_view::npos; at = bytes.find(eventStart, at + 1)) {
+        ++tokens;
+    }
+    return tokens;
+}
+
 } // namespace
 
 EngineAttempt::EngineAttempt(EventLoop &loop, Options options, Dispatch dispatch, Callbacks callbacks)
@@ -71,10 +82,12 @@
         hasFirstByte_ = true;
         callbacks_.firstByte();
     }
-    callbacks_.data(bytes.size());
-    if (options_.isResultKept && !isTooLargeToKeep_) {
-        isTooLargeToKeep_ = result_.body.size() + bytes.size() > options_.maxKeptBytes;
-        if (!isTooLargeToKeep_) {
+    if (const auto tokens = countTokens(bytes); tokens > 0) {
+        callbacks_.tokens(tokens);
+    }
+    if (options_.isResultKept && !result_.isBodyOmitted) {
+        result_.isBodyOmitted = result_.body.size() + bytes.size() > options_.maxKeptBytes;
+        if (!result_.isBodyOmitted) {
             result_.body += bytes;
         }
     }
@@ -140,7 +153,7 @@
         callbacks_.message(ResponseEnd{.attempt = dispatch_.attempt, .sequence = sequence_++});
     }
     result_.isComplete = true;
-    if (isTooLargeToKeep_) {
+    if (result_.isBodyOmitted) {
         result_.body.clear();
     }
     const auto finished = std::move(callbacks_.finished);
--- a/modules/hornbeamlane_agent/EngineAttempt.h
+++ b/modules/hornbeamlane_agent/EngineAttempt.h
@@ -24,6 +24,8 @@
         std::string contentType;
         /** Whole body; collected only if Options::isResultKept. */
         std::string body;
+        /** The body was too long to keep. */
+        bool isBodyOmitted = false;
         /** Set if the attempt is not complete. */
         Refusal refusal;
     };
@@ -42,7 +44,7 @@
     {
         std::function<void(const Message &)> message;
         std::function<void()> firstByte;
-        std::function<void(std::size_t bytes)> data;
+        std::function<void(std::uint32_t tokens)> tokens;
         std::function<void(const Result &)> finished;
     };
 
@@ -76,7 +78,6 @@
     bool isDetached_ = false;
     bool isInputComplete_ = false;
     bool hasFirstByte_ = false;
-    bool isTooLargeToKeep_ = false;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_base/failure/Refusal.cpp
+++ b/modules/hornbeamlane_base/failure/Refusal.cpp
@@ -28,6 +28,7 @@
     ReasonRow{RefusalReason::TeamLimitReached, "team_limit_reached", 429},
     ReasonRow{RefusalReason::Overloaded, "overloaded", 503},
     ReasonRow{RefusalReason::DeadlineTooShort, "deadline_too_short", 503},
+    ReasonRow{RefusalReason::DeadlineExceeded, "deadline_exceeded", 504},
     ReasonRow{RefusalReason::NoServerAvailable, "no_server_available", 503},
     ReasonRow{RefusalReason::Draining, "draining", 503},
     ReasonRow{RefusalReason::NotReady, "not_ready", 503},
--- a/modules/hornbeamlane_base/failure/Refusal.h
+++ b/modules/hornbeamlane_base/failure/Refusal.h
@@ -23,6 +23,7 @@
     TeamLimitReached,
     Overloaded,
     DeadlineTooShort,
+    DeadlineExceeded,
     NoServerAvailable,
     Draining,
     NotReady,
--- a/modules/hornbeamlane_daemon/hornbeamlane_daemon.h
+++ b/modules/hornbeamlane_daemon/hornbeamlane_daemon.h
@@ -6,4 +6,5 @@
 #pragma once
 
 #include "hornbeamlane_daemon/Daemon.h"
+#include "hornbeamlane_daemon/membership/MembershipNode.h"
 #include "hornbeamlane_daemon/settings/SettingsFile.h"
--- a/modules/hornbeamlane_entry/CallerRequest.cpp
+++ b/modules/hornbeamlane_entry/CallerRequest.cpp
@@ -14,6 +14,9 @@
 constexpr std::string_view servicePrefix = "/services/";
 constexpr std::size_t maxKeyBytes = 255;
 
+/** Tokens reserved for a request that states no bound of its own. */
+constexpr std::uint32_t defaultMaxTokens = 1024;
+
 Refusal refuse(RefusalReason reason, std::string detail)
 {
     return {.reason = reason, .execution = ExecutionState::NotRun, .detail = std::move(detail)};
@@ -122,6 +125,9 @@
         if (body.contains("stream") && !body["stream"].is_boolean()) {
             return fail(RefusalReason::MalformedRequest, "stream must be true or false");
         }
+        if (body.contains("max_tokens") && (!body["max_tokens"].is_number_unsigned() || body["max_tokens"] == 0U)) {
+            return fail(RefusalReason::MalformedRequest, "max_tokens must be a positive integer");
+        }
         const ModelId model(body["model"].get<std::string>());
         if (!catalogue_.models.contains(model) || !contains(team_->models, model)) {
             return fail(RefusalReason::UnknownModel, "the team has no such model");
@@ -131,6 +137,8 @@
         dispatch.target = model.name();
         dispatch.path = chatPath;
         dispatch.isStream = body.value("stream", false);
+        dispatch.maxTokens = static_cast<std::uint32_t>(
+            std::min<std::uint64_t>(body.value("max_tokens", std::uint64_t{defaultMaxTokens}), UINT32_MAX));
         dispatch.isRepeatable = true;
         result_.prompt = promptOf(body);
         return true;
--- a/modules/hornbeamlane_entry/RequestFlow.h
+++ b/modules/hornbeamlane_entry/RequestFlow.h
@@ -1,56 +1,68 @@
 #pragma once
 
+#include "hornbeamlane_entry/CallerReply.h"
 #include "hornbeamlane_entry/CallerRequest.h"
-#include "hornbeamlane_network/hornbeamlane_network.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace hornbeamlane {
 
-/** One caller's request from its acceptance to the end of its answer, over all its attempts. */
-class RequestFlow final
+/** The way of one caller's request through the entry, over all its attempts. */
+class RequestFlow
 {
 public:
-    /** What the flow needs from the entry. */
+    /** A server for an attempt and what its link last said about its agent. */
+    struct Target
+    {
+        ServerId server;
+        Incarnation incarnation;
+        std::chrono::milliseconds agentTime{0};
+    };
+
+    /** Why no server was chosen. */
+    struct NoTarget
+    {
+        Refusal refusal;
+        /** A server may be possible shortly; ask again. */
+        bool isTemporary = false;
+    };
+
+    /** What a flow needs from the entry. */
     struct Hooks
     {
-        std::function<std::optional<ServerId>(const CallerRequest &, const std::vector<ServerId> &tried)> chooseServer;
-        /** New attempt of this flow at a server; empty if its link is gone. */
-        std::function<std::optional<AttemptId>(const ServerId &)> beginAttempt;
-        std::function<bool(const ServerId &, const Message &)> send;
-        /** The flow is over; the entry destroys it on the next turn. */
-        std::function<void(const AttemptId &lastAttempt)> finished;
+        std::function<std::optional<Target>(const CallerRequest &, const std::vector<ServerId> &tried, NoTarget &)>
+            chooseTarget;
+        std::function<AttemptId()> nextAttempt;
+        /** False if no byte of the message left the process. */
+        std::function<bool(const Target &, const Message &)> send;
+        /** An attempt was sent to, or has ended at, the server; keeps the entry's own counts. */
+        std::function<void(const Target &, const Dispatch &)> dispatched;
+        std::function<void(const Target &, const Dispatch &, bool isComplete)> ended;
+        std::function<bool(TimePoint)> takeRetry;
+        std::function<TimePoint()> now;
     };
 
-    RequestFlow(CallerRequest request, std::shared_ptr<HttpExchange> exchange, Hooks hooks);
-
-    void start();
-    void onMessage(const Message &message);
-    void onServerLost(const ServerId &server);
-
-private:
-    void tryNextServer(const Refusal &lastRefusal);
-    void handleHead(const ResponseHead &head);
-    void handleData(const ResponseData &data);
-    void handleEnd();
-    void handleRejected(const Rejected &rejected);
-    void refuse(const Refusal &refusal);
-    void grantCredit();
-    void handleCallerGone();
-    void finish();
-
-    CallerRequest request_;
-    std::shared_ptr<HttpExchange> exchange_;
-    Hooks hooks_;
-    std::vector<ServerId> tried_;
-    ServerId server_;
-    AttemptId attempt_;
-    std::uint64_t nextSequence_ = 0;
-    std::uint64_t uncreditedBytes_ = 0;
-    HttpResponse response_;
-    bool isOver_ = false;
+    virtual ~RequestFlow() = default;
+
+    virtual void start() = 0;
+
+    /** A message of the agent incarnation that the link belongs to. */
+    virtual void onMessage(const ServerId &server, Incarnation sender, const Message &message) = 0;
+    virtual void onLinkLost(const ServerId &server, Incarnation incarnation) = 0;
+    virtual void onLinkUp(const ServerId &server, Incarnation incarnation) = 0;
+    virtual void onTime() = 0;
+    virtual void onCallerGone() = 0;
+    virtual void onCallerDrained() = 0;
+
+    /** When onTime() is next needed. */
+    virtual std::optional<TimePoint> nextWakeUp() const = 0;
+
+    /** Nothing is left to do; the entry destroys the flow. */
+    virtual bool isFinished() const = 0;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_membership/catalogue/CatalogueKeeper.cpp
+++ b/modules/hornbeamlane_membership/catalogue/CatalogueKeeper.cpp
@@ -79,7 +79,8 @@
 {
     const bool isCandidate = options_.isNewer(candidate_.version, version);
     const bool isSettled = version == settledVersion_ && settled_.version != version;
-    if (!isCandidate && !isSettled) {
+    // An update without a document only announces a settled version.
+    if (document.empty() || (!isCandidate && !isSettled)) {
         return false;
     }
     DocumentFaults faults;
@@ -311,6 +312,16 @@
     }
 }
 
+KeeperActions CatalogueKeeper::announceSettledVersion() const
+{
+    KeeperActions actions;
+    for (const auto &[name, peer] : peers_) {
+        actions.emplace_back(SendToPeer{
+            .peer = name, .message = CatalogueUpdate{.version = inForce_.version, .settledVersion = settledVersion_}});
+    }
+    return actions;
+}
+
 bool CatalogueKeeper::isReader(TimePoint now) const
 {
     if (options_.role != ProcessRole::Entry || !options_.hasTable) {
--- a/modules/hornbeamlane_membership/catalogue/CatalogueKeeper.h
+++ b/modules/hornbeamlane_membership/catalogue/CatalogueKeeper.h
@@ -123,6 +123,9 @@
     /** Raises the settled version; a lower one is ignored. */
     void setSettledVersion(CatalogueVersion version);
 
+    /** Tells all linked processes the settled version; heartbeats do not carry it. */
+    KeeperActions announceSettledVersion() const;
+
     /** Whether this process is one of the readers of its data centre. */
     bool isReader(TimePoint now) const;
 
--- a/modules/hornbeamlane_messages/codec/FieldCodec.h
+++ b/modules/hornbeamlane_messages/codec/FieldCodec.h
@@ -158,6 +158,7 @@
     v.field("body", m.body); v.field("deadline", m.remainingDeadline); v.field("validUntil", m.validUntil);
     v.field("priority", m.priority); v.field("repeatable", m.isRepeatable); v.field("stream", m.isStream);
     v.field("fingerprint", m.fingerprint); v.field("prefixes", m.prefixes); v.field("key", m.idempotencyKey);
+    v.field("maxTokens", m.maxTokens);
 }
 template <class V> void visitFields(V &v, Cancel &m) { v.field("attempt", m.attempt); }
 template <class V> void visitFields(V &v, Credit &m) { v.field("attempt", m.attempt); v.field("bytes", m.bytes); }
--- a/modules/hornbeamlane_messages/types/AttemptMessages.h
+++ b/modules/hornbeamlane_messages/types/AttemptMessages.h
@@ -32,6 +32,8 @@
     std::uint32_t priority = 0;
     bool isRepeatable = false;
     bool isStream = false;
+    /** Most tokens that the request may generate; 0 for a plain service. */
+    std::uint32_t maxTokens = 0;
     /** Hash of team, target and canonical body; see CrashQuarantine. */
     Hash128 fingerprint;
     /** Hashes of the prompt's prefixes, shortest first. */
--- a/modules/hornbeamlane_messages/types/StateMessages.h
+++ b/modules/hornbeamlane_messages/types/StateMessages.h
@@ -14,6 +14,7 @@
     CatalogueVersion version;
     /** The newest version that every server of all older versions has confirmed. */
     CatalogueVersion settledVersion;
+    /** Empty if the message only announces the settled version. */
     std::string document;
 };
 
--- a/modules/hornbeamlane_orders/claims/ClaimActions.h
+++ b/modules/hornbeamlane_orders/claims/ClaimActions.h
@@ -71,8 +71,8 @@
     Refusal refusal;
 };
 
-using ClaimAction = std::variant<WriteClaimRow, ReadClaimRow, RemoveClaimRow, DispatchAttempt, QueryAttemptState, ConfirmRecorded,
-                                 AnswerCaller, RefuseCaller>;
+using ClaimAction = std::variant<WriteClaimRow, ReadClaimRow, RemoveClaimRow, DispatchAttempt, QueryAttemptState,
+                                 ConfirmRecorded, AnswerCaller, RefuseCaller>;
 using ClaimActions = std::vector<ClaimAction>;
 
 } // namespace hornbeamlane
--- a/programs/agent/main.cpp
+++ b/programs/agent/main.cpp
@@ -11,6 +11,7 @@
 DEFINE_string(data_centre, "", "Overrides the setting dataCentre");
 DEFINE_string(link_address, "", "Overrides the setting linkAddress");
 DEFINE_string(engine_address, "", "Overrides the setting engineAddress");
+DEFINE_string(platform_address, "", "Overrides the setting platformAddress");
 DEFINE_string(log_level, "", "Overrides the setting logLevel: debug, info, warning or error");
 DEFINE_bool(print_settings, false, "Print the settings in force and exit");
 
@@ -29,6 +30,7 @@
                                              {"dataCentre", FLAGS_data_centre},
                                              {"linkAddress", FLAGS_link_address},
                                              {"engineAddress", FLAGS_engine_address},
+                                             {"platformAddress", FLAGS_platform_address},
                                              {"logLevel", FLAGS_log_level}},
                                             text, faults);
     if (!settings) {
--- a/tests/orders/ClaimCoordinatorTest.cpp
+++ b/tests/orders/ClaimCoordinatorTest.cpp
@@ -80,7 +80,8 @@
         const Rejected rejected{own, {.reason = RefusalReason::Draining, .execution = ExecutionState::NotRun}};
         const auto actions = coordinator.onRejected(rejected, sender, TimePoint());
         const bool isMeant = sender == agent;
-        const auto operation = isMeant ? only<RemoveClaimRow>(actions).operation : only<WriteClaimRow>(actions).operation;
+        const auto operation =
+            isMeant ? only<RemoveClaimRow>(actions).operation : only<WriteClaimRow>(actions).operation;
         const auto refusal = only<RefuseCaller>(coordinator.onTableReply(operation, rowReply(""), TimePoint())).refusal;
         EXPECT_EQ(refusal.execution, isMeant ? ExecutionState::NotRun : ExecutionState::Unknown);
     }
