Shorten the world of the order fault cells

Cause: the header repeated every member, and enumerators, names and effects of the faults were in three places. Decoding each row only to name a message took half of the run time.

--- a/testing/fault_matrix/OrderFaultCells.cpp
+++ b/testing/fault_matrix/OrderFaultCells.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <optional>
 
 namespace hornbeamlane::testing {
 
@@ -19,10 +20,8 @@
 }};
 
 /** Second faults of the pairs; the others add run time and no further kind of interleaving. */
-constexpr std::array secondFaults = {
-    OrderFault::MessageLost, OrderFault::MessageDoubled, OrderFault::MessageDelayedLate, OrderFault::AgentKilled,
-    OrderFault::TableDown,   OrderFault::AgentRefuses,   OrderFault::SentToOtherEntry,
-};
+constexpr std::array secondFaults = {"message lost", "message doubled", "message delayed late", "agent killed",
+                                     "table down",   "agent refuses",   "sent to other entry"};
 
 /** Messages after the first fault at which the second strikes; enough to reach the answer to a send. */
 constexpr std::size_t secondFaultReach = 7;
@@ -105,21 +104,20 @@
 std::vector<std::string> runOnce(const std::vector<OrderFaultAt> &faults, const DisabledMechanisms &disabled,
                                  Violations &violations)
 {
-    OrderWorld world(faults, disabled);
-    world.run();
-    for (const auto &[invariant, detail] : world.violations()) {
+    const auto run = runOrderWorld(faults, disabled);
+    for (const auto &[invariant, detail] : run.violations) {
         std::string place;
         for (const auto &fault : faults) {
-            place += toString(fault.fault) + " at " + std::to_string(fault.step) + " ("
-                + (fault.step < world.steps().size() ? world.steps()[fault.step] : "not reached") + "), ";
+            const bool isReached = fault.step < run.steps.size();
+            place += fault.fault + " at " + (isReached ? run.steps[fault.step] : "no message") + ", ";
         }
         violations.emplace(invariant, place + detail);
     }
-    return world.steps();
+    return run.steps;
 }
 
 /** One fault at each message of one kind. */
-Violations runSingle(const std::string &kind, OrderFault fault, const DisabledMechanisms &disabled)
+Violations runSingle(const std::string &kind, const std::string &fault, const DisabledMechanisms &disabled)
 {
     Violations violations;
     const auto steps = runOnce({}, disabled, violations);
@@ -132,7 +130,7 @@
 }
 
 /** One fault at each message of the first send, followed by a second at the same or one of the next messages. */
-Violations runPairs(OrderFault first, const DisabledMechanisms &disabled)
+Violations runPairs(const std::string &first, const DisabledMechanisms &disabled)
 {
     Violations violations;
     const auto steps = runOnce({}, disabled, violations);
@@ -149,7 +147,7 @@
 }
 
 /** The cells of one run, one for each invariant; the run is not repeated for the second and third. */
-void addCells(FaultCells &cells, const std::string &step, OrderFault fault,
+void addCells(FaultCells &cells, const std::string &step, const std::string &fault,
               std::function<Violations(const DisabledMechanisms &)> run)
 {
     struct Memory
@@ -173,8 +171,8 @@
         };
         cells.push_back({.invariant = name,
                          .step = step,
-                         .fault = toString(fault) + (step == pairStep ? ", then another fault" : ""),
-                         .protectedBy = protectorsOf(id, step, toString(fault)),
+                         .fault = fault + (step == pairStep ? ", then another fault" : ""),
+                         .protectedBy = protectorsOf(id, step, fault),
                          .run = runCell});
     }
 }
@@ -187,8 +185,7 @@
     auto steps = runOnce({}, {}, violations);
     std::sort(steps.begin(), steps.end());
     steps.erase(std::unique(steps.begin(), steps.end()), steps.end());
-    for (std::size_t i = 0; i < orderFaultCount; ++i) {
-        const auto fault = static_cast<OrderFault>(i);
+    for (const auto &fault : orderFaults()) {
         for (const auto &step : steps) {
             addCells(cells, step, fault,
                      [step, fault](const DisabledMechanisms &disabled) { return runSingle(step, fault, disabled); });
