Keep the row readable for any response and pass retryAfter on

Cause: a response with a status above 599 or a very long content type would have been written to a row that decodeClaim() refuses, so that every resend would have been told "outcome unknown". The retryAfter of an agent's refusal was replaced by the default.

After: statuses of three digits are accepted, a response with a content type above 1 KiB is marked as omitted and stays with the agent, and retryAfter is passed on.

--- a/modules/hornbeamlane_orders/claims/ClaimCoordinator.cpp
+++ b/modules/hornbeamlane_orders/claims/ClaimCoordinator.cpp
@@ -70,7 +70,8 @@
     }
 }
 
-void ClaimCoordinator::refuse(RefusalReason reason, ExecutionState execution, const char *detail)
+void ClaimCoordinator::refuse(RefusalReason reason, ExecutionState execution, const std::string &detail,
+                              std::optional<std::chrono::milliseconds> retryAfter)
 {
     if (!isAnswered_) {
         isAnswered_ = true;
@@ -79,14 +80,14 @@
         actions_.emplace_back(
             RefuseCaller{{.reason = reason,
                           .execution = execution,
-                          .retryAfter = isFinal ? std::nullopt : std::optional<std::chrono::milliseconds>(resendDelay),
+                          .retryAfter = isFinal ? std::nullopt : std::optional(retryAfter.value_or(resendDelay)),
                           .detail = detail}});
     }
     phase_ = Phase::Finished;
     pendingOperation_ = 0;
 }
 
-void ClaimCoordinator::refuseWithoutEvidence(RefusalReason reason, const char *detail)
+void ClaimCoordinator::refuseWithoutEvidence(RefusalReason reason, const std::string &detail)
 {
     refuse(hasForeignClaim_ ? RefusalReason::OutcomeUnknown : reason, executionWithoutEvidence(), detail);
 }
@@ -392,7 +393,7 @@
     tableTries_ = 0;
     hasUnansweredWrite_ = false;
     if (!decide(options_.removesBeforeRefusal, true)) {
-        refuse(refusal.reason, ExecutionState::NotRun, refusal.detail.c_str());
+        refuse(refusal.reason, ExecutionState::NotRun, refusal.detail, refusal.retryAfter);
         return;
     }
     writeRemoval();
@@ -409,7 +410,7 @@
     const bool isRemoved =
         reply.status == TableStatus::Ok || (reply.status == TableStatus::NotFound && hasUnansweredWrite_);
     if (isRemoved) {
-        refuse(removalRefusal_.reason, tracker_.execution(), removalRefusal_.detail.c_str());
+        refuse(removalRefusal_.reason, tracker_.execution(), removalRefusal_.detail, removalRefusal_.retryAfter);
     } else if (reply.status == TableStatus::Conflict) {
         hasForeignClaim_ = true;
         read();
@@ -417,7 +418,7 @@
         hasUnansweredWrite_ = true;
         writeRemoval();
     } else {
-        refuseWithoutEvidence(removalRefusal_.reason, removalRefusal_.detail.c_str());
+        refuseWithoutEvidence(removalRefusal_.reason, removalRefusal_.detail);
     }
 }
 
@@ -457,8 +458,8 @@
 {
     answer(isReplay_);
     phase_ = Phase::Finished;
-    // An agent keeps a body that did not fit into the row for as long as it can.
-    if (isConfirmed && response_.body.size() <= maxStoredBodySize) {
+    // An agent keeps a response that did not fit into the row for as long as it can.
+    if (isConfirmed && fitsIntoRow(response_)) {
         actions_.emplace_back(ConfirmRecorded{found_.server, {found_.attempt}});
     }
 }
@@ -577,7 +578,7 @@
         refuseUnknown("the agent that may have run the request is gone");
         return;
     case Phase::Removing:
-        refuseWithoutEvidence(removalRefusal_.reason, removalRefusal_.detail.c_str());
+        refuseWithoutEvidence(removalRefusal_.reason, removalRefusal_.detail);
         return;
     case Phase::Idle:
     case Phase::Finished:
--- a/modules/hornbeamlane_orders/claims/ClaimCoordinator.h
+++ b/modules/hornbeamlane_orders/claims/ClaimCoordinator.h
@@ -143,8 +143,9 @@
     /** What is true of the request while the row gives no evidence. */
     ExecutionState executionWithoutEvidence() const;
     void answer(bool isReplay);
-    void refuse(RefusalReason reason, ExecutionState execution, const char *detail);
-    void refuseWithoutEvidence(RefusalReason reason, const char *detail);
+    void refuse(RefusalReason reason, ExecutionState execution, const std::string &detail,
+                std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
+    void refuseWithoutEvidence(RefusalReason reason, const std::string &detail);
     void refuseUnknown(const char *detail);
 
     Options options_;
--- a/modules/hornbeamlane_orders/claims/ClaimRecord.cpp
+++ b/modules/hornbeamlane_orders/claims/ClaimRecord.cpp
@@ -15,7 +15,9 @@
 // Base64 enlarges a body by a third; the other fields are names and numbers.
 constexpr std::size_t maxRowSize = maxStoredBodySize / 3 * 4 + 16 * 1024;
 constexpr int minStatus = 100;
-constexpr int maxStatus = 599;
+// Services may answer with any status of three digits.
+constexpr int maxStatus = 999;
+constexpr std::size_t maxContentTypeSize = 1024;
 constexpr std::array stateNames = {"claimed", "done", "unknown"};
 constexpr std::string_view hexDigits = "0123456789abcdef";
 constexpr std::string_view base64Digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -171,6 +173,12 @@
     return "claims/" + escape(team.name()) + "/" + escape(idempotencyKey);
 }
 
+bool fitsIntoRow(const StoredResponse &response)
+{
+    return !response.isBodyOmitted && response.body.size() <= maxStoredBodySize
+        && response.contentType.size() <= maxContentTypeSize;
+}
+
 std::string encodeClaim(const ClaimRecord &record)
 {
     json row = {
@@ -183,9 +191,9 @@
         {"digest", record.digest.toString()},
     };
     if (record.state == ClaimState::Done) {
-        const bool isOmitted = record.response.isBodyOmitted || record.response.body.size() > maxStoredBodySize;
+        const bool isOmitted = !fitsIntoRow(record.response);
         row["status"] = record.response.status;
-        row["contentType"] = escape(record.response.contentType);
+        row["contentType"] = isOmitted ? std::string() : escape(record.response.contentType);
         row["omitted"] = isOmitted ? 1 : 0;
         row["body"] = isOmitted ? std::string() : toBase64(record.response.body);
     }
--- a/modules/hornbeamlane_orders/claims/ClaimRecord.h
+++ b/modules/hornbeamlane_orders/claims/ClaimRecord.h
@@ -16,7 +16,7 @@
     int status = 0;
     std::string contentType;
     std::string body;
-    /** The body was too long for the row; only the agent may still have it. */
+    /** The response was too long for the row; only the agent may still have it. */
     bool isBodyOmitted = false;
 
     bool operator==(const StoredResponse &) const = default;
@@ -53,7 +53,10 @@
 /** Key of the row: "claims/<team>/<key>" with both parts escaped, so that no two pairs share a row. */
 std::string claimRowKey(const TeamId &team, std::string_view idempotencyKey);
 
-/** JSON text of the row. A body longer than maxStoredBodySize is omitted and marked as such. */
+/** Whether the row can hold the whole response. */
+bool fitsIntoRow(const StoredResponse &response);
+
+/** JSON text of the row. A response that does not fit keeps its status only and is marked as omitted. */
 std::string encodeClaim(const ClaimRecord &record);
 
 /** Inverse of encodeClaim(). Empty, with the reason, for anything that encodeClaim() does not write. */
--- a/tests/orders/ClaimRecordTest.cpp
+++ b/tests/orders/ClaimRecordTest.cpp
@@ -38,6 +38,10 @@
     const auto longer = decodeClaim(encodeClaim(doneRecord(std::string(maxStoredBodySize + 1, 'x'))), failure);
     ASSERT_TRUE(longer);
     EXPECT_TRUE(longer->response.isBodyOmitted);
+    auto record = doneRecord("body");
+    record.response.contentType.assign(100'000, '%');
+    ASSERT_TRUE(decodeClaim(encodeClaim(record), failure)) << "a long header must not make the row unreadable";
+    EXPECT_TRUE(decodeClaim(encodeClaim(record), failure)->response.isBodyOmitted);
 }
 
 // Guards against two pairs of team and key that share a row.
