--- a/modules/hornbeamlane_orders/claims/ClaimCoordinator.h
+++ b/modules/hornbeamlane_orders/claims/ClaimCoordinator.h
@@ -15,6 +15,9 @@
 
     Each input returns the actions to carry out, in order. The caller gets exactly one AnswerCaller or RefuseCaller;
     after it the coordinator may still have to record the result, until isFinished().
+
+    "Not run" holds for the moment at which the row showed it. Another send of the same key that is still waiting at
+    that moment may run afterwards.
 */
 class ClaimCoordinator final
 {
@@ -75,6 +78,8 @@
         std::function<bool()> removesBeforeRefusal;
         /** Replaces the rule that "not run" without evidence from the row needs a first send. */
         std::function<bool(const Request &)> isFirstSend;
+        /** Replaces the rule that a table reply after the deadline leads to no dispatch and to no "not run". */
+        std::function<bool(TimePoint now, TimePoint deadline)> isCallerWaiting;
     };
 
     explicit ClaimCoordinator(Options options);
@@ -138,8 +143,9 @@
     /** What is true of the request while the row gives no evidence. */
     ExecutionState executionWithoutEvidence() const;
     void answer(bool isReplay);
-    void refuse(RefusalReason reason, ExecutionState execution, const char *detail);
-    void refuseWithoutEvidence(RefusalReason reason, const char *detail);
+    void refuse(RefusalReason reason, ExecutionState execution, const std::string &detail,
+                std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
+    void refuseWithoutEvidence(RefusalReason reason, const std::string &detail);
     void refuseUnknown(const char *detail);
 
     Options options_;
