Submit at the arrival instead of the end of an engine step

Cause: in the overload measure a request reached the agent up to one step (35 ms) after its arrival, so the agent's 860 ms ended after the caller's.

Ruled out: a margin in the agent, which would hide the fault of the input generator.

--- a/programs/measure/MeasureOverload.cpp
+++ b/programs/measure/MeasureOverload.cpp
@@ -300,18 +300,22 @@
     std::size_t next = 0;
     // A request that has not ended by then counts as late.
     const auto end = start + length + 60s;
-    for (auto now = start; now < end;) {
-        for (; next < input.size() && input[next].arrival <= now; ++next) {
-            policy.submit(next, input[next], now);
-            result.sentByTeam[input[next].team] += isCounted(input[next]) ? 1 : 0;
-        }
+    const auto carryOut = [&](TimePoint now) {
         for (const auto index : policy.takeStarts(now)) {
             engine.add(index, input[index].promptTokens);
         }
         for (const auto index : policy.takeRefused()) {
             result.refused += isCounted(input[index]) ? 1 : 0;
         }
+    };
+    for (auto now = start; now < end;) {
         now += engine.beginStep();
+        // The agent decides at the arrival; the engine takes the request up with its next step.
+        for (; next < input.size() && input[next].arrival <= now; ++next) {
+            policy.submit(next, input[next], input[next].arrival);
+            carryOut(input[next].arrival);
+            result.sentByTeam[input[next].team] += isCounted(input[next]) ? 1 : 0;
+        }
         std::erase_if(engine.running(), [&](Progress &progress) {
             if (progress.promptLeft > 0) {
                 return false;
@@ -334,6 +338,7 @@
             }
             return true;
         });
+        carryOut(now);
     }
     std::size_t counted = 0;
     for (const auto &request : input) {
