Leave a margin of 15 % between tokens for short answers

Cause: the limit settled where the 95th percentile over all tokens is 90 % of its target. An answer of 20 to 50 tokens has its own percentile, which two long steps move above the target.

Ruled out: 0.80.

--- a/modules/hornbeamlane_admission/concurrency/AdaptiveConcurrency.h
+++ b/modules/hornbeamlane_admission/concurrency/AdaptiveConcurrency.h
@@ -24,8 +24,11 @@
         std::uint32_t maximum = 2;
         /** The limit changes at most this often. */
         Duration window = std::chrono::milliseconds(500);
-        /** The limit settles where the worse 95th percentile is this fraction of its target. */
-        double targetFraction = 0.9;
+        /**
+            The limit settles where the worse 95th percentile is this fraction of its target. Short answers meet their
+            own 95th percentile only with this margin: with 0.9, up to 2.3 % of the accepted ones were late.
+        */
+        double targetFraction = 0.85;
         /** New limit from the old one and target over observed time; empty for the gradient. */
         std::function<double(double limit, double gradient)> adapt;
     };
