Look only at lease books that are due

Cause: takeActions() visited every lease book of the server after every event, so a step grew with the number of teams that hold leases.

Ruled out: a timer checked only by the agent's loop. A demand noted by a refusal has to reach the table with the same call of takeActions().

Before: O(leased teams) a step.

--- a/modules/hornbeamlane_admission/teams/TeamLimits.cpp
+++ b/modules/hornbeamlane_admission/teams/TeamLimits.cpp
@@ -106,12 +106,17 @@
         std::sort(team.versions.begin(), team.versions.end(),
                   [](const auto &left, const auto &right) { return left.first < right.first; });
         team.versions.shrink_to_fit();
+        if (team.book && team.book->isIdle(now)) {
+            team.book.reset();
+        }
         if (team.versions.empty() && team.used == 0 && !team.book) {
+            schedule(position->first, team);
             position = teams_.erase(position);
             continue;
         }
         const auto floorBefore = team.share.floor;
         combine(team);
+        schedule(position->first, team);
         if (team.share.floor != floorBefore) {
             noteChange(position->first);
         }
@@ -211,9 +216,9 @@
     if (!team.book) {
         team.book = std::make_unique<TeamLeaseBook>(id, server_, agent_, options_.leases);
         team.book->setRemainder(team.share.remainder);
-        leased_.insert(id);
     }
     team.book->noteDemand(amount);
+    schedule(id, team);
 }
 
 std::optional<Refusal> TeamLimits::refuseByRate(const Team &team, std::uint32_t tokens) const
@@ -333,25 +338,42 @@
     });
 }
 
+void TeamLimits::schedule(const TeamId &id, Team &team)
+{
+    const auto timer = team.book ? team.book->nextTimer(extraInUse(team)) : std::nullopt;
+    if (timer == team.tableTimer) {
+        return;
+    }
+    if (team.tableTimer) {
+        tableTimers_.erase({*team.tableTimer, id});
+    }
+    if (timer) {
+        tableTimers_.emplace(*timer, id);
+    }
+    team.tableTimer = timer;
+}
+
 std::vector<TeamLimits::TableAction> TeamLimits::takeTableActions(TimePoint now)
 {
     std::vector<TableAction> actions;
-    for (auto id = leased_.begin(); id != leased_.end();) {
-        auto &team = teams_.at(*id);
+    std::vector<TeamId> due;
+    for (auto timer = tableTimers_.begin(); timer != tableTimers_.end() && timer->first <= now; ++timer) {
+        due.push_back(timer->second);
+    }
+    for (const auto &id : due) {
+        auto &team = teams_.at(id);
         const auto before = team.book->usable(now);
         if (auto action = team.book->nextAction(now, extraInUse(team))) {
-            actions.push_back({.team = *id, .action = std::move(*action)});
+            actions.push_back({.team = id, .action = std::move(*action)});
         }
         if (team.book->usable(now) != before) {
-            noteChange(*id);
+            noteChange(id);
         }
         if (team.book->isIdle(now)) {
             advanceBuckets(team, now);
             team.book.reset();
-            id = leased_.erase(id);
-        } else {
-            ++id;
         }
+        schedule(id, team);
     }
     return actions;
 }
@@ -361,6 +383,7 @@
     auto &team = teams_.at(id);
     advanceBuckets(team, now);
     team.book->readFinished(reply, now);
+    schedule(id, team);
     noteChange(id);
 }
 
@@ -369,20 +392,13 @@
     auto &team = teams_.at(id);
     advanceBuckets(team, now);
     team.book->writeFinished(reply, now);
+    schedule(id, team);
     noteChange(id);
 }
 
 std::optional<TimePoint> TeamLimits::nextTimer() const
 {
-    std::optional<TimePoint> next;
-    for (const auto &id : leased_) {
-        const auto &team = teams_.at(id);
-        const auto timer = team.book->nextTimer(extraInUse(team));
-        if (timer && (!next || *timer < *next)) {
-            next = timer;
-        }
-    }
-    return next;
+    return tableTimers_.empty() ? std::nullopt : std::optional(tableTimers_.begin()->first);
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_admission/teams/TeamLimits.h
+++ b/modules/hornbeamlane_admission/teams/TeamLimits.h
@@ -111,6 +111,8 @@
         std::uint32_t leaseInBuckets = 0;
         bool hasBuckets = false;
         std::unique_ptr<TeamLeaseBook> book;
+        /** Its place in tableTimers_. */
+        std::optional<TimePoint> tableTimer;
     };
 
     struct Rates
@@ -130,6 +132,7 @@
     void noteDemand(const TeamId &id, Team &team, std::uint32_t amount);
     std::optional<Refusal> refuseByRate(const Team &team, std::uint32_t tokens) const;
     void noteChange(const TeamId &team);
+    void schedule(const TeamId &id, Team &team);
 
     ServerId server_;
     Incarnation agent_;
@@ -140,8 +143,8 @@
     CatalogueVersion settled_;
     std::uint32_t leftovers_ = 0;
     std::set<TeamId> changed_;
-    /** Teams with a lease book. */
-    std::set<TeamId> leased_;
+    /** When the lease books of the teams may have something to send. */
+    std::set<std::pair<TimePoint, TeamId>> tableTimers_;
 };
 
 } // namespace hornbeamlane
