--- a/programs/measure/main.cpp
+++ b/programs/measure/main.cpp
@@ -1,5 +1,6 @@
 #include "measure/MeasureDeparture.h"
 #include "measure/MeasureRouting.h"
+#include "measure/MeasureOverload.h"
 #include "measure/Measurement.h"
 
 #include <gflags/gflags.h>
@@ -69,6 +70,7 @@
         const auto part = measure(options);
         measurements.insert(measurements.end(), part.begin(), part.end());
     }
+    Measurements measurements = measureOverload(options);
     if (FLAGS_decisions_only) {
         std::erase_if(measurements, [](const Measurement &measurement) { return measurement.isCost; });
     }
