--- a/tests/routing/SpillPolicyTest.cpp
+++ b/tests/routing/SpillPolicyTest.cpp
@@ -69,7 +69,7 @@
 // Guards against low classes that displace high ones when capacity is short.
 TEST_F(SpillPolicyTest, ShedsTheLowestClassFirst)
 {
-    SpillPolicy policy(view_);
+    SpillPolicy policy(view_, {.shedFrom = 0.9, .shedAllAt = 1.2});
     for (const std::uint32_t load : {80U, 96U, 102U, 112U, 119U}) {
         setLoads({load, load, load});
         const int high = spread(policy, 0)[-1];
