Shed from 90 % and fully at 110 % of the capacity

Cause: shedding from 85 % also refuses in plain service at high load, which the departure measure did not show.

--- a/modules/hornbeamlane_routing/departure/SpillPolicy.h
+++ b/modules/hornbeamlane_routing/departure/SpillPolicy.h
@@ -30,9 +30,9 @@
         /** Load over capacity up to which a data centre takes requests of others; keeps room for its own callers. */
         double spillTo = 0.85;
         /** Load over capacity of all data centres at which the lowest class is shed first. */
-        double shedFrom = 0.85;
+        double shedFrom = 0.9;
         /** Load over capacity at which even the highest class is shed; above 1, because agents queue a little. */
-        double shedAllAt = 1.05;
+        double shedAllAt = 1.1;
         /** Entries that send requests by the same reports. */
         std::uint32_t entryCount = 1;
         /** Time after which the free capacity seen in reports is shared out anew. */
