Narrow the header of the crash world

Cause: the header of the scenario showed its whole inner state to the cells, which use faults and outcome only.

--- a/testing/fault_matrix/RoutingFaultCells.cpp
+++ b/testing/fault_matrix/RoutingFaultCells.cpp
@@ -1,6 +1,7 @@
 #include "fault_matrix/RoutingFaultCells.h"
 
 #include "fault_matrix/CrashWorld.h"
+#include "hornbeamlane_routing/hornbeamlane_routing.h"
 
 #include <array>
 
@@ -16,14 +17,14 @@
 constexpr int firstUpdateTick = firstLossTick;
 constexpr int lastUpdateTick = 12;
 
-using Check = std::function<std::string(const CrashWorld::Outcome &)>;
+using Check = std::function<std::string(const CrashOutcome &)>;
 
-std::string losesAtMostTwo(const CrashWorld::Outcome &outcome)
+std::string losesAtMostTwo(const CrashOutcome &outcome)
 {
     return outcome.lostToCrasher <= 2 ? "" : std::to_string(outcome.lostToCrasher) + " servers lost";
 }
 
-std::string servesOthers(const CrashWorld::Outcome &outcome)
+std::string servesOthers(const CrashOutcome &outcome)
 {
     if (outcome.refusedOthers > 0 || outcome.unfinishedOthers > 0) {
         return std::to_string(outcome.refusedOthers) + " others refused, " + std::to_string(outcome.unfinishedOthers)
@@ -32,12 +33,12 @@
     return "";
 }
 
-std::string servesOthersWithoutOwnLosses(const CrashWorld::Outcome &outcome)
+std::string servesOthersWithoutOwnLosses(const CrashOutcome &outcome)
 {
     return outcome.refusedWithoutCause == 0 ? "" : "refused without two lost servers of its own";
 }
 
-std::string tellsTheTruth(const CrashWorld::Outcome &outcome)
+std::string tellsTheTruth(const CrashOutcome &outcome)
 {
     return outcome.falseNotRun == 0 ? "" : "a quarantine refusal says that nothing ran";
 }
@@ -50,11 +51,10 @@
 };
 
 /** Runs the world with each of the faults and reports the first that breaks the check. */
-CellResult runWorlds(const std::vector<CrashWorld::Faults> &faults, const Check &check,
-                     const DisabledMechanisms &disabled)
+CellResult runWorlds(const std::vector<CrashFaults> &faults, const Check &check, const DisabledMechanisms &disabled)
 {
     for (const auto &fault : faults) {
-        const auto seen = check(CrashWorld(fault, disabled).run());
+        const auto seen = check(runCrashWorld(fault, disabled));
         if (!seen.empty()) {
             return {.detail = seen + ", update fault at tick " + std::to_string(fault.updateAt)};
         }
@@ -63,7 +63,7 @@
 }
 
 void addWorldCells(FaultCells &cells, const std::string &step, const std::string &fault,
-                   const std::vector<CrashWorld::Faults> &faults, const std::vector<CheckRow> &rows)
+                   const std::vector<CrashFaults> &faults, const std::vector<CheckRow> &rows)
 {
     for (const auto &row : rows) {
         cells.push_back({.invariant = row.invariant,
@@ -103,7 +103,6 @@
 
 void addResendCells(FaultCells &cells)
 {
-    using UpdateFault = CrashWorld::UpdateFault;
     const std::array<std::pair<UpdateFault, std::string>, 4> updateFaults = {{
         {UpdateFault::None, ""},
         {UpdateFault::Lost, ", update lost"},
@@ -113,7 +112,7 @@
     for (int tick = 0; tick <= lastResendTick; ++tick) {
         for (const std::size_t entry : {0U, 1U}) {
             for (const auto &[updateFault, name] : updateFaults) {
-                std::vector<CrashWorld::Faults> faults;
+                std::vector<CrashFaults> faults;
                 const int last = updateFault == UpdateFault::None ? firstUpdateTick : lastUpdateTick;
                 for (int updateTick = firstUpdateTick; updateTick <= last; ++updateTick) {
                     faults.push_back({.resendAt = tick,
@@ -130,7 +129,7 @@
                                {"C5 true refusals", tellsTheTruth, {"quarantine-execution-state"}}});
             }
         }
-        const CrashWorld::Faults alone{.resendAt = tick, .resendRunTicks = 14, .isAlone = true};
+        const CrashFaults alone{.resendAt = tick, .resendRunTicks = 14, .isAlone = true};
         std::vector<std::string> service = {"team-in-fingerprint"};
         std::vector<std::string> losses = {"crash-quarantine"};
         // Two copies are in flight when the first server is lost only if the resend came before.
@@ -143,7 +142,7 @@
                       {{"5.7 at most two servers lost", losesAtMostTwo, losses},
                        {"5.7 others are served", servesOthers, service}});
         for (const std::size_t server : {0U, 1U, 2U, 4U}) {
-            const CrashWorld::Faults lost{.loseServerAt = tick, .lostServer = server};
+            const CrashFaults lost{.loseServerAt = tick, .lostServer = server};
             addWorldCells(cells, "crash, tick " + std::to_string(tick), "server " + std::to_string(server) + " lost",
                           {lost},
                           {{"5.7 at most two servers lost", losesAtMostTwo, {"crash-quarantine"}},
