Compare four holders of a prompt's prefix

Cause: the two holders of the longest prefix are often busy at high load while others hold it too. Still no allocation and at most 12 servers examined.

--- a/modules/hornbeamlane_routing/choice/ServerChooser.h
+++ b/modules/hornbeamlane_routing/choice/ServerChooser.h
@@ -31,7 +31,7 @@
         /** Random candidates that are compared. */
         std::size_t randomCandidates = 2;
         /** Known holders of the prompt's prefix that are compared as well. */
-        std::size_t cacheCandidates = 2;
+        std::size_t cacheCandidates = 4;
         /** Home servers of the team that are compared as well. */
         std::size_t homeCandidates = 2;
         /** Time in which a report loses half of its weight against unreportedLoad. */
