Reuse the place of removed servers and drop removed teams in the server view

Before: no upper bound. After: the index of a removed server is used for the next new one, and teams that the catalogue no longer holds are dropped with their budgets. Conclusion: a test replaces one server ten times in place. Indices that the prefix view holds stay safe, because it forgets an index with each new incarnation.

--- a/modules/hornbeamlane_routing/view/ServerState.h
+++ b/modules/hornbeamlane_routing/view/ServerState.h
@@ -8,7 +8,7 @@
 
 namespace hornbeamlane {
 
-/** Position of a server in a ServerView; stays the same while the catalogue holds the server. */
+/** Position of a server in a ServerView; the same while the catalogue holds the server, then used again. */
 using ServerIndex = std::uint32_t;
 
 /** Position of a data centre in a ServerView. */
--- a/modules/hornbeamlane_routing/view/ServerView.cpp
+++ b/modules/hornbeamlane_routing/view/ServerView.cpp
@@ -60,17 +60,20 @@
 {
     for (auto &slot : slots_) {
         withdraw(slot);
-        slot.isInCatalogue = false;
+        if (slot.isInCatalogue && !catalogue.servers.contains(slot.state.id)) {
+            remove(slot);
+        }
     }
     for (const auto &[id, entry] : catalogue.dataCentres) {
         internDataCentre(id);
     }
+    std::erase_if(teams_, [&](const auto &item) {
+        const bool isRemoved = !catalogue.teams.contains(item.first);
+        budgetCount_ -= isRemoved ? item.second.budgets.size() : 0;
+        return isRemoved;
+    });
     for (const auto &[id, entry] : catalogue.servers) {
-        const auto [position, isNew] = serverIndices_.try_emplace(id, static_cast<ServerIndex>(slots_.size()));
-        if (isNew) {
-            slots_.emplace_back();
-        }
-        auto &slot = slots_[position->second];
+        auto &slot = findOrAdd(id);
         slot.isInCatalogue = true;
         slot.state.id = id;
         slot.state.host = entry.host;
@@ -87,19 +90,13 @@
             slot.state.targets.push_back(internTarget(WorkKind::Service, service.name()));
         }
     }
-    for (auto &slot : slots_) {
-        updateDrained(slot);
-        refresh(slot);
-    }
+    refreshAll();
 }
 
 void ServerView::applyDrains(const std::vector<DrainRecord> &drains)
 {
     drains_ = drains;
-    for (auto &slot : slots_) {
-        updateDrained(slot);
-        refresh(slot);
-    }
+    refreshAll();
 }
 
 void ServerView::setHomeServers(const TeamId &team, const std::vector<ServerId> &servers)
@@ -271,6 +268,30 @@
     return &slots_[*index];
 }
 
+ServerView::Slot &ServerView::findOrAdd(const ServerId &server)
+{
+    const auto next = static_cast<ServerIndex>(freeSlots_.empty() ? slots_.size() : freeSlots_.back());
+    const auto [position, isNew] = serverIndices_.try_emplace(server, next);
+    if (isNew && freeSlots_.empty()) {
+        slots_.emplace_back();
+    } else if (isNew) {
+        freeSlots_.pop_back();
+    }
+    return slots_[position->second];
+}
+
+void ServerView::remove(Slot &slot)
+{
+    const auto index = indexOf(slot);
+    forgetBudgets(index);
+    for (auto &[team, state] : teams_) {
+        std::erase(state.homes, index);
+    }
+    serverIndices_.erase(slot.state.id);
+    slot = Slot{};
+    freeSlots_.push_back(index);
+}
+
 ServerIndex ServerView::indexOf(const Slot &slot) const
 {
     return static_cast<ServerIndex>(&slot - slots_.data());
@@ -298,7 +319,7 @@
 
 bool ServerView::mayTakeWork(const Slot &slot) const
 {
-    return slot.isInCatalogue && slot.state.isConnected && !options_.isExcludedByDrain(slot.state)
+    return slot.state.isConnected && !options_.isExcludedByDrain(slot.state)
         && !options_.isExcludedByLeaving(slot.state);
 }
 
@@ -346,12 +367,18 @@
     slot.countedLoad = load;
 }
 
-void ServerView::updateDrained(Slot &slot) const
+void ServerView::refreshAll()
 {
-    const auto &dataCentre = dataCentres_[slot.state.dataCentre];
-    slot.state.isDrained = std::any_of(drains_.begin(), drains_.end(), [&slot, &dataCentre](const DrainRecord &drain) {
-        return applies(drain, slot.state, dataCentre);
-    });
+    for (auto &slot : slots_) {
+        if (slot.isInCatalogue) {
+            const auto &dataCentre = dataCentres_[slot.state.dataCentre];
+            slot.state.isDrained =
+                std::any_of(drains_.begin(), drains_.end(), [&slot, &dataCentre](const DrainRecord &drain) {
+                    return applies(drain, slot.state, dataCentre);
+                });
+            refresh(slot);
+        }
+    }
 }
 
 void ServerView::storeBudget(ServerIndex server, const TeamBudget &budget)
--- a/modules/hornbeamlane_routing/view/ServerView.h
+++ b/modules/hornbeamlane_routing/view/ServerView.h
@@ -52,7 +52,12 @@
     ServerView();
     explicit ServerView(Options options);
 
-    /** Takes over servers, models and services; what is known of servers that stay is kept. */
+    /**
+        Takes over servers, models, services and teams; what is known of those that stay is kept.
+
+        The index of a removed server is used again, so PrefixCacheView::forget() has to follow each onLinkUp() that
+        brings a new incarnation.
+    */
     void applyCatalogue(const Catalogue &catalogue);
 
     /** Replaces the drains in force. */
@@ -110,18 +115,21 @@
     };
 
     Slot *currentSlot(const ServerId &server, Incarnation incarnation);
+    Slot &findOrAdd(const ServerId &server);
+    void remove(Slot &slot);
     ServerIndex indexOf(const Slot &slot) const;
     DataCentreIndex internDataCentre(const DataCentreId &dataCentre);
     TargetIndex internTarget(WorkKind kind, const std::string &name);
     bool mayTakeWork(const Slot &slot) const;
     void withdraw(Slot &slot);
     void refresh(Slot &slot);
-    void updateDrained(Slot &slot) const;
+    void refreshAll();
     void storeBudget(ServerIndex server, const TeamBudget &budget);
     void forgetBudgets(ServerIndex server);
 
     Options options_;
     std::vector<Slot> slots_;
+    std::vector<ServerIndex> freeSlots_;
     std::unordered_map<ServerId, ServerIndex> serverIndices_;
     std::vector<DataCentreId> dataCentres_;
     std::unordered_map<DataCentreId, DataCentreIndex> dataCentreIndices_;
--- a/testing/fault_matrix/RoutingFaultCells.cpp
+++ b/testing/fault_matrix/RoutingFaultCells.cpp
@@ -165,6 +165,7 @@
             catalogue.servers[ServerId("s" + number)] = {
                 .dataCentre = dataCentre, .host = HostId("h" + number), .models = {ModelId("m")}};
         }
+        catalogue.teams[TeamId("t")];
         view.applyCatalogue(catalogue);
         for (const std::size_t i : {0U, 1U, 2U}) {
             view.onLinkUp(ServerId("s" + std::to_string(i)), Incarnation(10 + i));
--- a/tests/routing/ServerChooserTest.cpp
+++ b/tests/routing/ServerChooserTest.cpp
@@ -169,6 +169,31 @@
     EXPECT_TRUE(view_.isUsable(*view_.findServer(id)));
 }
 
+// Guards against memory that grows with each replaced server, and against a new server that inherits the old one's
+// state.
+TEST_F(ServerChooserTest, ReusesThePlaceOfARemovedServer)
+{
+    auto catalogue = catalogue_;
+    const auto index = *view_.findServer(ServerId("s3"));
+    catalogue.teams[TeamId("t")];
+    view_.setHomeServers(TeamId("t"), {ServerId("s3"), ServerId("s1")});
+    view_.setHomeServers(TeamId("removed"), {ServerId("s1")});
+    for (int i = 20; i < 30; ++i) {
+        auto entry =
+            catalogue.servers.extract(catalogue.servers.find(ServerId(i == 20 ? "s3" : "s" + std::to_string(i - 1))));
+        entry.key() = ServerId("s" + std::to_string(i));
+        catalogue.servers.insert(std::move(entry));
+        view_.applyCatalogue(catalogue);
+        EXPECT_EQ(view_.findServer(ServerId("s" + std::to_string(i))), index);
+        EXPECT_FALSE(view_.isUsable(index)) << "not connected yet";
+        view_.onLinkUp(ServerId("s" + std::to_string(i)), Incarnation(1));
+        EXPECT_TRUE(view_.isUsable(index));
+    }
+    EXPECT_EQ(view_.findServer(ServerId("s3")), std::nullopt);
+    EXPECT_EQ(view_.findTeam(TeamId("t"))->homes.size(), 1U);
+    EXPECT_EQ(view_.findTeam(TeamId("removed")), nullptr);
+}
+
 // Guards against sums of a data centre that drift from its servers, which would misdirect spillover.
 TEST_F(ServerChooserTest, KeepsSumsEqualToTheServers)
 {
