Measure the cost of the metrics registry

Cause: each token of a node passes through the registry, at the target size about 4,200 a second and node.

--- a/programs/measure/MeasureRouting.cpp
+++ b/programs/measure/MeasureRouting.cpp
@@ -1,5 +1,6 @@
 #include "measure/MeasureRouting.h"
 
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
 #include "measure/AllocationCounter.h"
 #include "measure/RoutingLoad.h"
 
@@ -146,6 +147,45 @@
             .isCost = true};
 }
 
+/** Recording latencies of all teams of the target size, of which a few have series of their own. */
+Measurement measureMetrics(std::uint64_t seed)
+{
+    constexpr int teams = 9700;
+    constexpr int observations = 200000;
+    RandomSource random(seed);
+    std::vector<TeamId> teamIds;
+    teamIds.reserve(teams);
+    for (int i = 0; i < teams; ++i) {
+        teamIds.emplace_back("team" + std::to_string(i));
+    }
+    const std::vector<ClassId> classes = {ClassId("gold"), ClassId("silver"), ClassId("bronze")};
+    const auto bytesBefore = allocationCounts().liveBytes;
+    MetricsRegistry metrics;
+    const auto observe = [&] {
+        const auto latency = std::chrono::microseconds(20000 + random.below(30000));
+        metrics.onFirstToken(teamIds[random.below(teams)], classes[random.below(classes.size())], latency);
+    };
+    for (int i = 0; i < teams; ++i) {
+        observe();
+    }
+    metrics.reselectTeams();
+    const auto allocations = allocationCounts().allocations;
+    const auto start = Clock::now();
+    for (int i = 0; i < observations; ++i) {
+        observe();
+    }
+    const std::chrono::duration<double, std::nano> spent = Clock::now() - start;
+    const auto made = allocationCounts().allocations - allocations;
+    return {.measure = "metrics_cost",
+            .policy = "9700_teams",
+            .seed = seed,
+            .figures = {{"ns_per_observation", spent.count() / observations},
+                        {"allocations_per_observation", static_cast<double>(made) / observations},
+                        {"bytes", static_cast<double>(allocationCounts().liveBytes - bytesBefore)},
+                        {"series", static_cast<double>(metrics.seriesCount())}},
+            .isCost = true};
+}
+
 } // namespace
 
 Measurements measureRouting(const Options &options)
@@ -167,6 +207,7 @@
                                 .figures = {{"ns_per_further_server", (nanoseconds[2] - nanoseconds[1]) / 1700}},
                                 .isCost = true});
         measurements.push_back(measureMemory(seed));
+        measurements.push_back(measureMetrics(seed));
     }
     return measurements;
 }
