--- a/modules/hornbeamlane_routing/departure/SpillPolicy.h
+++ b/modules/hornbeamlane_routing/departure/SpillPolicy.h
@@ -32,7 +32,7 @@
         /** Load over capacity of all data centres at which the lowest class is shed first. */
         double shedFrom = 0.9;
         /** Load over capacity at which even the highest class is shed; above 1, because agents queue a little. */
-        double shedAllAt = 1.2;
+        double shedAllAt = 1.1;
         /** Entries that send requests by the same reports. */
         std::uint32_t entryCount = 1;
         /** Time after which the free capacity seen in reports is shared out anew. */
