Put catalogue propagation, drains and apply into the fault matrix

Cause: the keepers had no run under faults. 156 cells strike each occurrence of each message and table request with each fault, in pairs, and cut off, restart or freeze processes and data centres. Found on the way and mended: an agent that became ready before any entry knew the drains never learned that there are none, because an empty set and an unknown one had the same digest; an undrain that read an old row reported that there was no such drain; an apply whose read-back kept returning an old row repeated without end. Ruled out: three reports of work on a drained server that came from the checks themselves, which counted from the operator's reply or in places that no news could reach. Before: 0 cells.

--- a/modules/hornbeamlane_membership/drains/DrainKeeper.cpp
+++ b/modules/hornbeamlane_membership/drains/DrainKeeper.cpp
@@ -70,7 +70,7 @@
 KeeperActions DrainKeeper::onHeartbeat(const std::string &peer, const Heartbeat &heartbeat, TimePoint now)
 {
     const auto match = peers_.find(peer);
-    if (match == peers_.end() || heartbeat.drainVersion == set_.digest()) {
+    if (match == peers_.end() || heartbeat.drainVersion == version()) {
         return {};
     }
     if (match->second.repaired && now - *match->second.repaired < options_.repairInterval) {
@@ -107,7 +107,7 @@
     if (options_.merge(set_, *row)) {
         actions = announce({}, now);
     }
-    if (!stored_.contains(set_)) {
+    if (!stored_.contains(set_) && (options_.retriesWrite() || writing_ != set_)) {
         pendingSince_ = now;
         writing_ = set_;
         actions.emplace_back(
@@ -119,8 +119,8 @@
 KeeperActions DrainKeeper::onWritten(const TableReply &reply, TimePoint now)
 {
     pendingSince_.reset();
-    if (reply.status == TableStatus::Ok || !options_.retriesWrite()) {
-        stored_ = writing_;
+    if (reply.status == TableStatus::Ok && writing_) {
+        stored_ = *writing_;
         return {};
     }
     if (reply.status == TableStatus::Conflict) {
--- a/modules/hornbeamlane_membership/drains/DrainKeeper.h
+++ b/modules/hornbeamlane_membership/drains/DrainKeeper.h
@@ -30,7 +30,7 @@
         };
         /** Whether changes are sent to linked processes and differing digests in heartbeats are repaired. */
         std::function<bool()> gossips = [] { return true; };
-        /** Whether a write that failed or got no reply is repeated. */
+        /** Whether a set that is not in the row after a first attempt is written again. */
         std::function<bool()> retriesWrite = [] { return true; };
         /** Whether new work is refused where the drain set says so. */
         std::function<bool()> refusesDrained = [] { return true; };
@@ -67,6 +67,12 @@
         return isReady_;
     }
 
+    /** Value for Heartbeat::drainVersion: 0 before isReady(), so that peers send even an empty set. */
+    std::uint64_t version() const
+    {
+        return isReady_ ? set_.digest() : 0;
+    }
+
     const DrainSet &set() const
     {
         return set_;
@@ -93,7 +99,7 @@
     DrainSet local_;
     /** The row as last read or written. */
     DrainSet stored_;
-    DrainSet writing_;
+    std::optional<DrainSet> writing_;
     bool isReady_ = false;
     std::map<std::string, Peer> peers_;
     std::optional<TimePoint> lastPoll_;
--- a/modules/hornbeamlane_membership/drains/DrainSet.cpp
+++ b/modules/hornbeamlane_membership/drains/DrainSet.cpp
@@ -103,7 +103,15 @@
 
 std::uint64_t DrainSet::digest() const
 {
-    return added_.empty() && removed_.empty() ? 0 : hash64(toRowValue());
+    // Heartbeats carry the digest, so it is made from the ids alone; an id always names the same drain.
+    std::string ids;
+    for (const auto &[id, record] : added_) {
+        ids += "+" + id.name();
+    }
+    for (const auto &id : removed_) {
+        ids += "-" + id.name();
+    }
+    return std::max<std::uint64_t>(hash64(ids), 1);
 }
 
 DrainUpdate DrainSet::toUpdate() const
--- a/modules/hornbeamlane_membership/drains/DrainSet.h
+++ b/modules/hornbeamlane_membership/drains/DrainSet.h
@@ -49,7 +49,7 @@
     /** Ids of the drains in force with this scope and name. */
     std::vector<DrainId> find(DrainScope scope, const std::string &name) const;
 
-    /** Hash of the content, for Heartbeat::drainVersion; equal sets have equal values, and the empty set has 0. */
+    /** Hash of the ids; equal sets have equal values. Never 0, not even for the empty set. */
     std::uint64_t digest() const;
 
     DrainUpdate toUpdate() const;
--- a/modules/hornbeamlane_membership/operator/ApplyOperation.cpp
+++ b/modules/hornbeamlane_membership/operator/ApplyOperation.cpp
@@ -181,12 +181,17 @@
         finish(mayHaveMovedHead_ ? ApplyStatus::OutcomeUnknown : ApplyStatus::Conflict);
     } else if (*wasAccepted) {
         finish(ApplyStatus::Accepted);
-    } else if (row == headRow_ || !options_.conditionsHeadWrite()) {
-        // The same condition again: a first write that is still under way makes this one conflict.
-        headRow_ = row;
-        state_ = State::WriteHead;
     } else {
-        finish(ApplyStatus::Conflict);
+        // Bounded, because replies that are older than the row would repeat this without end.
+        const bool isSameRow = row == headRow_;
+        const bool mayRepeat = isSameRow && ++failures_ < options_.maxFailures;
+        if (mayRepeat || !options_.conditionsHeadWrite()) {
+            // The same condition again: a first write that is still under way makes this one conflict.
+            headRow_ = row;
+            state_ = State::WriteHead;
+        } else {
+            finish(isSameRow && mayHaveMovedHead_ ? ApplyStatus::OutcomeUnknown : ApplyStatus::Conflict);
+        }
     }
 }
 
--- a/modules/hornbeamlane_membership/operator/DrainOperation.cpp
+++ b/modules/hornbeamlane_membership/operator/DrainOperation.cpp
@@ -48,7 +48,7 @@
     } else if (!write_) {
         onRead(reply);
     } else if (reply.status == TableStatus::Ok) {
-        outcome_ = DrainStatus::Stored;
+        outcome_ = isUnchanged_ ? DrainStatus::NothingToDo : DrainStatus::Stored;
     } else {
         write_.reset();
     }
@@ -74,11 +74,8 @@
         change_.add(options_.record);
         ids_ = {options_.record.id};
     }
-    if (row->contains(change_)) {
-        outcome_ = mayHaveWritten_ ? DrainStatus::Stored : DrainStatus::NothingToDo;
-        return;
-    }
-    row->merge(change_);
+    // A row that needs no change is written all the same: the condition fails if the reply was older than the row.
+    isUnchanged_ = !row->merge(change_) && !mayHaveWritten_;
     write_ = WriteRow{.write = {.key = drainsRowKey,
                                 .expectedVersion = reply.row ? reply.row->version : RowVersion(),
                                 .value = row->toRowValue()}};
--- a/modules/hornbeamlane_membership/operator/DrainOperation.h
+++ b/modules/hornbeamlane_membership/operator/DrainOperation.h
@@ -60,6 +60,7 @@
     std::vector<DrainId> ids_;
     std::optional<WriteRow> write_;
     bool mayHaveWritten_ = false;
+    bool isUnchanged_ = false;
     int failures_ = 0;
     std::optional<DrainStatus> outcome_;
 };
--- a/testing/fault_matrix/AllFaultCells.cpp
+++ b/testing/fault_matrix/AllFaultCells.cpp
@@ -1,10 +1,12 @@
 #include "fault_matrix/FaultCell.h"
+#include "fault_matrix/MembershipFaultCells.h"
 
 namespace hornbeamlane::testing {
 
 FaultCells allFaultCells()
 {
     FaultCells cells;
+    addMembershipFaultCells(cells);
     return cells;
 }
 
