--- a/testing/fault_matrix/MembershipFaultCells.cpp
+++ b/testing/fault_matrix/MembershipFaultCells.cpp
@@ -165,8 +165,8 @@
 
 /** Something is wrong from 4 s to 14 s while everything changes. */
 Scenario during(
-    std::function<void(MembershipWorld &, bool isBegin)> disturb,
-    std::function<void(MembershipWorld &)> check = [](MembershipWorld &) {})
+    const std::function<void(MembershipWorld &, bool isBegin)> &disturb,
+    const Scenario &check = [](MembershipWorld &) {})
 {
     return [disturb, check](MembershipWorld &world) {
         changeEverything(world);
