--- a/programs/ctl/Commands.cpp
+++ b/programs/ctl/Commands.cpp
@@ -145,7 +145,9 @@
         if (line_.printsJson) {
             result_["faults"] = array;
         }
-        code = finish(ExitCode::FaultyCatalogue, std::to_string(faults.size()) + " faults in '" + directory + "'");
+        code = finish(ExitCode::FaultyCatalogue,
+                      std::to_string(faults.size()) + (faults.size() == 1 ? " fault in '" : " faults in '") + directory
+                          + "'");
         return std::nullopt;
     }
     if (loaded->document.size() + 1024 > maxFrameBytes) {
