Settle a catalogue version only when every server has had it in force

Cause: a server that went from version 3 to 7 counted as having confirmed 5, so 5 could settle although this server never bounded its floors by it. Another server that then drops 3 could take, with this one, more than the limit of a team. Ruled out: counting confirmations of each version by itself, because the row holds only the newest version of each process. Before: "confirmed at least". After: all servers name the same version at once; the keeper holds every catalogue from the settled one to the newest and asks for the settled document if it has not arrived.

--- a/modules/hornbeamlane_membership/catalogue/CatalogueKeeper.cpp
+++ b/modules/hornbeamlane_membership/catalogue/CatalogueKeeper.cpp
@@ -132,6 +132,10 @@
     }
     inForce_ = candidate_;
     inForceSince_ = now;
+    history_[inForce_.version] = inForce_;
+    if (history_.size() > options_.maxHistory) {
+        history_.erase(history_.begin());
+    }
     if (inForce_.version == settledVersion_) {
         settled_ = inForce_;
     }
@@ -285,8 +289,15 @@
     if (options_.hasTable && (!isReady() || isReader(now))) {
         readRow(catalogueHeadKey, now, actions);
     }
-    if (options_.hasTable && isReady() && settledVersion_ != settled_.version && settledVersion_ < inForce_.version) {
-        readRow(catalogueRowKey(settledVersion_), now, actions);
+    if (isReady() && !hasSettledCatalogue() && settledVersion_ < inForce_.version) {
+        const auto entry =
+            std::find_if(peers_.begin(), peers_.end(), [this](const auto &item) { return isEntryHere(item.second); });
+        if (options_.hasTable) {
+            readRow(catalogueRowKey(settledVersion_), now, actions);
+        } else if (entry != peers_.end()) {
+            // A request that names no known version is answered with the newest and the settled document.
+            actions.emplace_back(SendToPeer{.peer = entry->first, .message = CatalogueRequest{}});
+        }
     }
     if (!isReady()) {
         for (const auto &[name, peer] : peers_) {
@@ -306,9 +317,22 @@
         return;
     }
     settledVersion_ = version;
-    if (inForce_.version == version) {
-        settled_ = inForce_;
+    if (const auto match = history_.find(version); match != history_.end()) {
+        settled_ = match->second;
+    }
+    history_.erase(history_.begin(), history_.lower_bound(version));
+}
+
+std::vector<std::shared_ptr<const Catalogue>> CatalogueKeeper::unsettledCatalogues() const
+{
+    std::vector<std::shared_ptr<const Catalogue>> catalogues;
+    if (settled_.catalogue && !history_.contains(settled_.version)) {
+        catalogues.push_back(settled_.catalogue);
+    }
+    for (const auto &[version, held] : history_) {
+        catalogues.push_back(held.catalogue);
     }
+    return catalogues;
 }
 
 bool CatalogueKeeper::isReader(TimePoint now) const
--- a/modules/hornbeamlane_membership/catalogue/CatalogueKeeper.h
+++ b/modules/hornbeamlane_membership/catalogue/CatalogueKeeper.h
@@ -55,6 +55,9 @@
         /** Time in which a starting process waits for links to the entries that it knows of. */
         Duration startGrace = std::chrono::seconds(2);
 
+        /** Catalogues kept since the settled one. A version this far behind the newest is no longer settled on. */
+        std::size_t maxHistory = 64;
+
         /** Whether an offered version replaces the one in force. */
         std::function<bool(CatalogueVersion current, CatalogueVersion offered)> isNewer =
             [](CatalogueVersion current, CatalogueVersion offered) { return offered > current; };
@@ -114,12 +117,15 @@
         return settledVersion_;
     }
 
-    /** The settled catalogue, whose floors bound those in force; null if its document has not arrived. */
-    const std::shared_ptr<const Catalogue> &settledCatalogue() const
+    /** Whether the settled catalogue has arrived; until then the floors of unsettledCatalogues() are not bounded. */
+    bool hasSettledCatalogue() const
     {
-        return settled_.catalogue;
+        return settledVersion_ == settled_.version;
     }
 
+    /** The settled catalogue, if it has arrived, and all that were in force here since; the newest is the last. */
+    std::vector<std::shared_ptr<const Catalogue>> unsettledCatalogues() const;
+
     /** Raises the settled version; a lower one is ignored. */
     void setSettledVersion(CatalogueVersion version);
 
@@ -169,6 +175,8 @@
     /** Newest version that has arrived and may not be in force yet. */
     Held candidate_;
     Held settled_;
+    /** Catalogues that were in force here, from the settled one on. */
+    std::map<CatalogueVersion, Held> history_;
     CatalogueVersion settledVersion_;
     CatalogueVersion unreadableVersion_;
     bool hasReadTable_ = false;
--- a/modules/hornbeamlane_membership/catalogue/SettlementTracker.cpp
+++ b/modules/hornbeamlane_membership/catalogue/SettlementTracker.cpp
@@ -33,19 +33,24 @@
     if (missingVersion(head)) {
         return settled_;
     }
-    auto confirmed = head.version();
+    // A server that skipped a version does not bound its floors by it. So a version settles only while every server
+    // names exactly this one; a higher one does not count.
+    std::optional<CatalogueVersion> common;
     for (const auto &[version, servers] : servers_) {
         for (const auto &server : servers) {
+            if (options_.isLost(server)) {
+                continue;
+            }
             const auto match = confirmations.find(server.name());
-            if (!options_.isLost(server)) {
-                confirmed = std::min(confirmed, match == confirmations.end() ? CatalogueVersion() : match->second);
+            if (match == confirmations.end() || (common && *common != match->second)) {
+                return settled_;
             }
+            common = match->second;
         }
     }
-    for (const auto &[version, servers] : servers_) {
-        if (version <= confirmed) {
-            settled_ = std::max(settled_, version);
-        }
+    const auto confirmed = common.value_or(head.version());
+    if (servers_.contains(confirmed)) {
+        settled_ = std::max(settled_, confirmed);
     }
     // The settled version itself stays: its servers have to confirm its successors.
     std::erase_if(servers_, [this](const auto &item) { return item.first < settled_; });
--- a/modules/hornbeamlane_membership/catalogue/SettlementTracker.h
+++ b/modules/hornbeamlane_membership/catalogue/SettlementTracker.h
@@ -12,7 +12,8 @@
 namespace hornbeamlane {
 
 /**
-    Finds the settled version: the newest one that every backend server of all older versions has confirmed.
+    Finds the settled version: the newest one that every backend server of it and of all older versions has had in
+    force, so that every server bounds its floors by it.
 
     Needs the servers of each accepted version since the settled one, because a server that existed only in a version
     in between may still use the floors of that version.
