--- a/testing/fault_matrix/MembershipFaultCells.cpp
+++ b/testing/fault_matrix/MembershipFaultCells.cpp
@@ -16,7 +16,9 @@
 using Scenario = std::function<void(MembershipWorld &)>;
 
 constexpr const char *everyCondition = "C9 versions reach everyone and never revert, C3 C7 drains hold";
-constexpr Time runLength = 22s;
+/** Long enough for a fault within the window and the 6 s after it; scenarios disturb for longer. */
+constexpr Time strikeLength = 17s;
+constexpr Time scenarioLength = 22s;
 
 struct NamedKind
 {
@@ -76,11 +78,11 @@
 }
 
 /** Runs the scenario once; returns what was violated, or nothing. */
-std::string runOnce(const DisabledMechanisms &disabled, const Faults &faults, const Scenario &scenario)
+std::string runOnce(const DisabledMechanisms &disabled, const Faults &faults, const Scenario &scenario, Time length)
 {
     MembershipWorld world(disabled, faults);
     scenario(world);
-    world.run(runLength);
+    world.run(length);
     world.finish();
     return world.violation().empty() ? "" : describe(faults) + world.violation();
 }
@@ -96,7 +98,7 @@
     static const auto counted = [] {
         MembershipWorld world({}, {});
         changeEverything(world);
-        world.run(runLength);
+        world.run(strikeLength);
         return world.occurrences();
     }();
     return counted;
@@ -115,7 +117,8 @@
         return resultOf("the step '" + step + "' never occurs");
     }
     for (std::size_t i = 0; i < occurrencesOf(step); ++i) {
-        const auto violation = runOnce(disabled, {{.kind = kind, .step = step, .occurrence = i}}, changeEverything);
+        const auto violation =
+            runOnce(disabled, {{.kind = kind, .step = step, .occurrence = i}}, changeEverything, strikeLength);
         if (!violation.empty()) {
             return resultOf(violation);
         }
@@ -136,7 +139,7 @@
     constexpr int pairs = 12;
     for (int i = 0; i < pairs; ++i) {
         const Faults faults = {point(first, random), point(second, random)};
-        const auto violation = runOnce(disabled, faults, changeEverything);
+        const auto violation = runOnce(disabled, faults, changeEverything, strikeLength);
         if (!violation.empty()) {
             return resultOf(violation);
         }
@@ -346,14 +349,15 @@
         const bool isOperators = std::string_view(step).find("catalogue") != std::string_view::npos;
         for (std::size_t occurrence = 0; isOperators && occurrence < 4; ++occurrence) {
             for (Time offset = 0ms; offset < 9ms; offset += 1ms) {
-                const auto violation =
-                    runOnce(disabled, {{.kind = kind, .step = step, .occurrence = occurrence}},
-                            [offset](MembershipWorld &world) {
-                                // Keepers poll at other times, so the window holds the operators' requests only.
-                                world.setWindow(5s, 5s + 20ms);
-                                world.at(5s, [&world] { world.apply(CatalogueVersion(1), "first"); });
-                                world.at(5s + offset, [&world] { world.apply(CatalogueVersion(1), "second"); });
-                            });
+                const auto violation = runOnce(
+                    disabled, {{.kind = kind, .step = step, .occurrence = occurrence}},
+                    [offset](MembershipWorld &world) {
+                        // Short, so that most requests in the window are the operators'.
+                        world.setWindow(5s, 5s + 20ms);
+                        world.at(5s, [&world] { world.apply(CatalogueVersion(1), "first"); });
+                        world.at(5s + offset, [&world] { world.apply(CatalogueVersion(1), "second"); });
+                    },
+                    strikeLength);
                 if (!violation.empty()) {
                     return resultOf("offset " + std::to_string(offset.count()) + " ms: " + violation);
                 }
@@ -367,15 +371,18 @@
 CellResult raceDrains(const DisabledMechanisms &disabled)
 {
     for (Time offset = 0ms; offset < 1200ms; offset += 50ms) {
-        const auto violation = runOnce(disabled, {}, [offset](MembershipWorld &world) {
-            const auto host = [](const char *name) {
-                return DrainRecord{.id = DrainId(name), .scope = DrainScope::Host, .name = name};
-            };
-            world.at(5s, [=, &world] { world.drain(host("host-sa")); });
-            world.at(5001ms, [=, &world] { world.drain(host("host-x")); });
-            world.at(5s + offset, [=, &world] { world.drainAtEntry("a3", host("host-sb")); });
-            world.at(5s + 2 * offset, [=, &world] { world.drainAtEntry("b3", host("host-y")); });
-        });
+        const auto violation = runOnce(
+            disabled, {},
+            [offset](MembershipWorld &world) {
+                const auto host = [](const char *name) {
+                    return DrainRecord{.id = DrainId(name), .scope = DrainScope::Host, .name = name};
+                };
+                world.at(5s, [=, &world] { world.drain(host("host-sa")); });
+                world.at(5001ms, [=, &world] { world.drain(host("host-x")); });
+                world.at(5s + offset, [=, &world] { world.drainAtEntry("a3", host("host-sb")); });
+                world.at(5s + 2 * offset, [=, &world] { world.drainAtEntry("b3", host("host-y")); });
+            },
+            strikeLength);
         if (!violation.empty()) {
             return resultOf("offset " + std::to_string(offset.count()) + " ms: " + violation);
         }
@@ -497,7 +504,7 @@
     }
     for (const auto &scenario : scenarios()) {
         add(scenario.invariant, scenario.step, scenario.fault, [&scenario](const DisabledMechanisms &disabled) {
-            return resultOf(runOnce(disabled, scenario.faults, scenario.scenario));
+            return resultOf(runOnce(disabled, scenario.faults, scenario.scenario, scenarioLength));
         });
     }
     for (const auto &kind : tableKinds) {
--- a/testing/fault_matrix/MembershipWorld.cpp
+++ b/testing/fault_matrix/MembershipWorld.cpp
@@ -26,26 +26,17 @@
 
 std::string stepOf(const Message &message)
 {
-    return std::visit(
-        [](const auto &content) -> std::string {
-            using Type = std::decay_t<decltype(content)>;
-            if constexpr (std::is_same_v<Type, Heartbeat>) {
-                return "Heartbeat";
-            } else if constexpr (std::is_same_v<Type, Dispatch>) {
-                return "Dispatch";
-            } else if constexpr (std::is_same_v<Type, CatalogueUpdate>) {
-                return "CatalogueUpdate";
-            } else if constexpr (std::is_same_v<Type, CatalogueRequest>) {
-                return "CatalogueRequest";
-            } else if constexpr (std::is_same_v<Type, CatalogueConfirm>) {
-                return "CatalogueConfirm";
-            } else if constexpr (std::is_same_v<Type, DrainUpdate>) {
-                return "DrainUpdate";
-            } else {
-                return "other";
-            }
-        },
-        message);
+    static const std::vector<std::pair<std::size_t, const char *>> names = {
+        {Message(Heartbeat()).index(), "Heartbeat"},
+        {Message(Dispatch()).index(), "Dispatch"},
+        {Message(CatalogueUpdate()).index(), "CatalogueUpdate"},
+        {Message(CatalogueRequest()).index(), "CatalogueRequest"},
+        {Message(CatalogueConfirm()).index(), "CatalogueConfirm"},
+        {Message(DrainUpdate()).index(), "DrainUpdate"},
+    };
+    const auto match = std::find_if(names.begin(), names.end(),
+                                    [&message](const auto &name) { return name.first == message.index(); });
+    return match == names.end() ? "other" : match->second;
 }
 
 std::string stepOf(const TableStep &step)
@@ -401,11 +392,13 @@
     faultsEnd_ = std::max(faultsEnd_, time_);
 }
 
+bool MembershipWorld::isInWindow() const
+{
+    return time_ >= windowBegin_ && time_ < windowEnd_;
+}
+
 const MembershipFault *MembershipWorld::strike(const std::string &step)
 {
-    if (time_ < windowBegin_ || time_ >= windowEnd_) {
-        return nullptr;
-    }
     const auto occurrence = occurrences_[step]++;
     const auto match = std::find_if(faults_.begin(), faults_.end(), [&](const auto &fault) {
         return fault.step == step && fault.occurrence == occurrence;
@@ -418,7 +411,7 @@
     if (!from.links.contains(to.name) || !isReachable(from, to)) {
         return;
     }
-    const auto *fault = strike(stepOf(message));
+    const auto *fault = isInWindow() ? strike(stepOf(message)) : nullptr;
     auto latency = Time(linkLatency);
     const auto shared = std::make_shared<const Message>(message);
     const auto arrive = [this, &from, &to, shared, incarnation = to.incarnation](Time time) {
@@ -643,7 +636,7 @@
         reply(time_ + requestTimeout, {.status = TableStatus::NoReply});
         return;
     }
-    const auto *fault = strike(stepOf(step));
+    const auto *fault = isInWindow() ? strike(stepOf(step)) : nullptr;
     const auto kind = fault != nullptr ? std::optional(fault->kind) : std::nullopt;
     if (isTableDown_ || kind == MembershipFaultKind::TableRefuses) {
         reply(time_ + tableLatency, {.status = TableStatus::Unavailable});
--- a/testing/fault_matrix/MembershipWorld.h
+++ b/testing/fault_matrix/MembershipWorld.h
@@ -154,6 +154,7 @@
     void checkApplied();
     void checkProcess(const Process &process);
     void tick(Process &process);
+    bool isInWindow() const;
     const MembershipFault *strike(const std::string &step);
     TableReply access(const TableStep &step, Time staleness);
     void request(bool isCut, const TableStep &step, const std::function<void(const TableReply &)> &handler);
