--- a/testing/fault_matrix/AllFaultCells.cpp
+++ b/testing/fault_matrix/AllFaultCells.cpp
@@ -2,6 +2,7 @@
 #include "fault_matrix/FaultCell.h"
 #include "fault_matrix/OrderFaultCells.h"
 #include "fault_matrix/RoutingFaultCells.h"
+#include "fault_matrix/MembershipFaultCells.h"
 
 namespace hornbeamlane::testing {
 
@@ -11,6 +12,7 @@
     addOrderFaultCells(cells);
     addAdmissionFaultCells(cells);
     addRoutingFaultCells(cells);
+    addMembershipFaultCells(cells);
     return cells;
 }
 
