--- a/modules/hornbeamlane_groups/hornbeamlane_groups.h
+++ b/modules/hornbeamlane_groups/hornbeamlane_groups.h
@@ -6,6 +6,9 @@
 */
 #pragma once
 
+#include "hornbeamlane_groups/mapswitch/FencingGuard.h"
+#include "hornbeamlane_groups/mapswitch/MapSwitchController.h"
+#include "hornbeamlane_groups/mapswitch/RankGate.h"
 #include "hornbeamlane_groups/placement/ExpertMap.h"
 #include "hornbeamlane_groups/placement/ExpertPlacement.h"
 #include "hornbeamlane_groups/placement/ExpertPopularity.h"
--- a/modules/hornbeamlane_messages/codec/FieldCodec.h
+++ b/modules/hornbeamlane_messages/codec/FieldCodec.h
@@ -185,13 +185,14 @@
 template <class V> void visitFields(V &v, MapOrder &m)
 {
     v.field("group", m.group); v.field("rank", m.rank); v.field("token", m.token); v.field("kind", m.kind);
-    v.field("map", m.map); v.field("step", m.step); v.field("experts", m.experts);
+    v.field("engine", m.engine); v.field("map", m.map); v.field("step", m.step); v.field("experts", m.experts);
 }
 template <class V> void visitFields(V &v, MapStatus &m)
 {
     v.field("group", m.group); v.field("rank", m.rank); v.field("token", m.token); v.field("accepted", m.isAccepted);
     v.field("step", m.currentStep); v.field("active", m.activeMap); v.field("staged", m.stagedMap);
     v.field("armed", m.armedMap); v.field("armedStep", m.armedStep); v.field("go", m.hasGo);
+    v.field("engine", m.engine); v.field("joining", m.isJoining);
 }
 // clang-format on
 
