List the protecting mechanisms of the group cells and add lease cells

Before: the cells for map switches passed with an empty protectedBy. With each mechanism off in turn the failing cells were recorded, and each cell now names exactly these.

Conclusion: an agent's guard is needed in one pair only (read the row after a restart) and one triple only (one order at a time), but both end in two maps in one step.

--- a/testing/fault_matrix/GroupFaultCells.cpp
+++ b/testing/fault_matrix/GroupFaultCells.cpp
@@ -109,46 +109,134 @@
     const std::vector<int> aroundTakeover{150, 345, 370, 450};
     const std::vector<int> aroundSecondSwitch{85, 95, 100, 105, 110, 115, 120, 130};
     return {
-        {.faults = {lost}},
+        {.faults = {lost},
+         .protectedIfChecked = {"hold-before-step", "go-after-all-armed"},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed"}},
         {.faults = {doubled}},
         {.faults = {doubledLate}, .durations = aroundSecondSwitch, .hasSecondSwitch = true},
-        {.faults = {delayed}, .durations = aroundSecondSwitch, .hasSecondSwitch = true},
-        {.faults = {reordered}},
-        {.faults = {rankKilled}},
+        {.faults = {delayed},
+         .durations = aroundSecondSwitch,
+         .hasSecondSwitch = true,
+         .protectedIfChecked = {"hold-before-step", "go-after-all-armed"},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed"}},
+        {.faults = {reordered},
+         .protectedIfChecked = {"hold-before-step", "go-after-all-armed"},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed"}},
+        {.faults = {rankKilled},
+         .protectedIfChecked = {"order-names-arm", "hold-before-join"},
+         .protectedIfIgnored = {"order-names-arm", "hold-before-join"}},
         {.faults = {rankStalled}, .durations = {20, 150, 450}},
-        {.faults = {controllerKilled}},
-        {.faults = {controllerPaused}, .durations = aroundTakeover},
-        {.faults = {agentRestarted}},
+        {.faults = {controllerKilled},
+         .protectedIfChecked = {"hold-before-step", "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "recovery-completes-switch"}},
+        {.faults = {controllerPaused},
+         .durations = aroundTakeover,
+         .protectedIfChecked = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"}},
+        {.faults = {agentRestarted}, .protectedIfIgnored = {"hold-before-step", "go-after-all-armed"}},
         {.faults = {tableDown}, .durations = {100, 500}},
         {.faults = {writeReplyLost}},
-        {.faults = {slowAtEngine}},
-        {.faults = {lost, controllerKilled}, .distances = near},
-        {.faults = {lost, controllerPaused}, .distances = near, .durations = {345, 450}},
-        {.faults = {delayed, controllerKilled}, .distances = near, .durations = {150, 345}},
-        {.faults = {delayed, rankKilled}, .distances = near},
-        {.faults = {rankKilled, controllerKilled}, .distances = near},
-        {.faults = {rankKilled, controllerPaused}, .distances = near, .durations = {345, 450}},
-        {.faults = {rankKilled, otherRankKilled}, .distances = near},
+        {.faults = {slowAtEngine},
+         .protectedIfChecked = {"hold-before-step", "go-after-all-armed"},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed"}},
+        {.faults = {lost, controllerKilled},
+         .distances = near,
+         .protectedIfChecked = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"}},
+        {.faults = {lost, controllerPaused},
+         .distances = near,
+         .durations = {345, 450},
+         .protectedIfChecked = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"}},
+        {.faults = {delayed, controllerKilled},
+         .distances = near,
+         .durations = {150, 345},
+         .protectedIfChecked = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"}},
+        {.faults = {delayed, rankKilled},
+         .distances = near,
+         .protectedIfChecked = {"order-names-arm", "hold-before-step", "hold-before-join", "go-after-all-armed"},
+         .protectedIfIgnored = {"order-names-arm", "hold-before-step", "hold-before-join", "go-after-all-armed"}},
+        {.faults = {rankKilled, controllerKilled},
+         .distances = near,
+         .protectedIfChecked = {"order-names-arm", "hold-before-join", "recovery-completes-switch"},
+         .protectedIfIgnored = {"order-names-arm", "hold-before-join", "recovery-completes-switch"}},
+        {.faults = {rankKilled, controllerPaused},
+         .distances = near,
+         .durations = {345, 450},
+         .protectedIfChecked = {"order-names-arm", "hold-before-join", "recovery-completes-switch"},
+         .protectedIfIgnored = {"order-names-arm", "hold-before-join", "recovery-completes-switch"}},
+        {.faults = {rankKilled, otherRankKilled},
+         .distances = near,
+         .protectedIfChecked = {"order-names-arm", "hold-before-join"},
+         .protectedIfIgnored = {"order-names-arm", "hold-before-join"}},
         {.faults = {rankKilledOrdersDoubled, rankKilled},
          .distances = far,
          .durations = {60, 80, 100},
          .hasSecondSwitch = true,
-         .points = 9},
-        {.faults = {rankStalled, controllerKilled}, .distances = near, .durations = {150, 450}},
-        {.faults = {controllerPaused, rankStalled}, .distances = near, .durations = {330, 450}},
-        {.faults = {rankStalled, rankKilled}, .distances = near},
-        {.faults = {controllerPaused, agentRestarted}, .distances = far, .durations = {345, 370}},
-        {.faults = {slowAtEngine, controllerKilled}, .distances = {0, 1, 2}, .durations = {150, 330, 345}},
-        {.faults = {tableDown, rankKilled}, .distances = near, .durations = {500}},
-        {.faults = {tableDown, controllerKilled}, .distances = near, .durations = {500}},
-        {.faults = {tableDown, agentRestarted}, .distances = near, .durations = {500}},
-        {.faults = {pausedUnanswered, resumed}, .distances = following, .firstPoint = 9, .points = 9},
-        {.faults = {pausedUnanswered, resumedAtRestart}, .distances = following, .firstPoint = 9, .points = 9},
+         .points = 9,
+         .protectedIfChecked = {"engine-incarnation", "order-names-arm", "hold-before-join"},
+         .protectedIfIgnored = {"engine-incarnation", "order-names-arm", "hold-before-join"}},
+        {.faults = {rankStalled, controllerKilled},
+         .distances = near,
+         .durations = {150, 450},
+         .protectedIfChecked = {"hold-before-step", "fence-all-before-recovery", "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "fence-all-before-recovery", "recovery-completes-switch"}},
+        {.faults = {controllerPaused, rankStalled},
+         .distances = near,
+         .durations = {330, 450},
+         .protectedIfChecked = {"fencing-token", "hold-before-step", "fence-all-before-recovery",
+                                "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "agent-fencing-guard", "fence-all-before-recovery",
+                                "recovery-completes-switch"}},
+        {.faults = {rankStalled, rankKilled},
+         .distances = near,
+         .protectedIfChecked = {"order-names-arm", "hold-before-join"},
+         .protectedIfIgnored = {"order-names-arm", "hold-before-join"}},
+        {.faults = {controllerPaused, agentRestarted},
+         .distances = far,
+         .durations = {345, 370},
+         .protectedIfChecked = {"hold-before-step", "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"}},
+        {.faults = {slowAtEngine, controllerKilled},
+         .distances = {0, 1, 2},
+         .durations = {150, 330, 345},
+         .protectedIfChecked = {"hold-before-step", "fence-all-before-recovery", "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "fence-all-before-recovery", "recovery-completes-switch"}},
+        {.faults = {tableDown, rankKilled},
+         .distances = near,
+         .durations = {500},
+         .protectedIfChecked = {"order-names-arm", "hold-before-join"},
+         .protectedIfIgnored = {"order-names-arm", "hold-before-join"}},
+        {.faults = {tableDown, controllerKilled},
+         .distances = near,
+         .durations = {500},
+         .protectedIfChecked = {"hold-before-step", "recovery-completes-switch"},
+         .protectedIfIgnored = {"hold-before-step", "recovery-completes-switch"}},
+        {.faults = {tableDown, agentRestarted},
+         .distances = near,
+         .durations = {500},
+         .protectedIfIgnored = {"hold-before-step", "go-after-all-armed", "recovery-completes-switch"}},
+        {.faults = {pausedUnanswered, resumed},
+         .distances = following,
+         .firstPoint = 9,
+         .points = 9,
+         .protectedIfChecked = {"fencing-token", "go-after-all-armed"},
+         .protectedIfIgnored = {"agent-fencing-guard", "go-after-all-armed"}},
+        {.faults = {pausedUnanswered, resumedAtRestart},
+         .distances = following,
+         .firstPoint = 9,
+         .points = 9,
+         .protectedIfChecked = {"fencing-token", "go-after-all-armed"},
+         .protectedIfIgnored = {"hold-before-step", "agent-fencing-guard", "read-row-after-restart",
+                                "go-after-all-armed", "fence-all-before-recovery"}},
         {.faults = {lost, slowAndKilled, orderArrives},
          .distances = {3, 4, 5, 6, 7, 8, 9, 10, 11, 12},
          .lastDistances = following,
          .firstPoint = 12,
-         .points = 1},
+         .points = 1,
+         .protectedIfChecked = {"fencing-token", "go-after-all-armed", "fence-all-before-recovery"},
+         .protectedIfIgnored = {"one-order-at-a-time", "go-after-all-armed", "fence-all-before-recovery"}},
     };
 }
 
@@ -195,10 +283,128 @@
     return {};
 }
 
+constexpr TimePoint leaseStart{Duration(std::chrono::hours(1))};
+
+/** Fault of the first holder of a lease, at the given tick after its acquisition. */
+enum class LeaseFault { TableUnreachable, RepliesLate, RepliesLost, Paused, Killed };
+
+/** Two keepers compete for one row with ticks of 100 ms; the first one suffers the fault from the given tick on. */
+std::string runLease(LeaseFault leaseFault, int strike, int length, const DisabledMechanisms &disabled)
+{
+    FakeTable table;
+    std::vector<LeaseKeeper> keepers;
+    for (const std::uint64_t holder : {1, 2}) {
+        LeaseKeeper::Options options{.key = "lease", .holder = Incarnation(holder)};
+        if (disabled.contains("lease-holder-stops-first")) {
+            options.holdTime = [](Duration duration) { return duration * 100; };
+        }
+        if (disabled.contains("lease-contender-waits")) {
+            options.takeoverWait = [](Duration) { return Duration::zero(); };
+        }
+        if (disabled.contains("lease-counts-from-sending")) {
+            options.holdStart = [](TimePoint, TimePoint answeredAt) { return answeredAt; };
+        }
+        keepers.emplace_back(std::move(options));
+    }
+    struct LateReply
+    {
+        TableReply reply;
+        int dueAt = 0;
+    };
+    std::optional<LateReply> late;
+    FencingToken newest;
+    for (int tick = 0; tick < 1000; ++tick) {
+        const auto now = leaseStart + tick * std::chrono::milliseconds(100);
+        const bool isStruck = tick >= strike && tick < strike + length;
+        for (std::size_t i = 0; i < keepers.size(); ++i) {
+            if (i == 0 && isStruck && (leaseFault == LeaseFault::Paused || leaseFault == LeaseFault::Killed)) {
+                continue;
+            }
+            if (i == 0 && late) {
+                if (tick < late->dueAt) {
+                    continue;
+                }
+                keepers[0].handleReply(std::exchange(late, std::nullopt)->reply, now);
+            }
+            if (i == 1 && tick == 0) {
+                continue; // The first keeper is the first holder.
+            }
+            while (const auto request = keepers[i].poll(now)) {
+                TableReply reply{.status = TableStatus::Unavailable, .row = std::nullopt};
+                if (i != 0 || !isStruck || leaseFault != LeaseFault::TableUnreachable) {
+                    reply = table.apply(*request);
+                }
+                if (i == 0 && isStruck && leaseFault == LeaseFault::RepliesLost) {
+                    reply = {.status = TableStatus::NoReply, .row = std::nullopt};
+                }
+                if (i == 0 && isStruck && leaseFault == LeaseFault::RepliesLate) {
+                    late = LateReply{.reply = reply, .dueAt = strike + length};
+                    break;
+                }
+                keepers[i].handleReply(reply, now);
+            }
+        }
+        const auto first = keepers[0].token(now);
+        const auto second = keepers[1].token(now);
+        const bool isFirstDead = leaseFault == LeaseFault::Killed && isStruck;
+        if (first && second && !isFirstDead) {
+            return "two holders at tick " + std::to_string(tick) + " after a fault at tick " + std::to_string(strike);
+        }
+        for (const auto &token : {first, second}) {
+            if (token && *token < newest && !isFirstDead) {
+                return "an older token is active at tick " + std::to_string(tick);
+            }
+            newest = std::max(newest, token.value_or(newest));
+        }
+    }
+    return newest == FencingToken() ? "nobody holds the lease" : "";
+}
+
+void addLeaseCells(FaultCells &cells)
+{
+    struct LeaseCell
+    {
+        LeaseFault leaseFault;
+        std::string name;
+        std::vector<std::string> protectedBy;
+    };
+    const std::vector<LeaseCell> leaseCells{
+        {LeaseFault::TableUnreachable,
+         "table unreachable for the holder",
+         {"lease-contender-waits", "lease-holder-stops-first"}},
+        {LeaseFault::RepliesLate,
+         "replies to the holder late",
+         {"lease-contender-waits", "lease-counts-from-sending", "lease-holder-stops-first"}},
+        {LeaseFault::RepliesLost,
+         "writes applied, replies lost",
+         {"lease-contender-waits", "lease-counts-from-sending", "lease-holder-stops-first"}},
+        {LeaseFault::Paused, "holder paused, resumed late", {"lease-contender-waits", "lease-holder-stops-first"}},
+        {LeaseFault::Killed, "holder killed", {"lease-contender-waits"}},
+    };
+    for (const auto &cell : leaseCells) {
+        cells.push_back({.invariant = "C1 one controller a group",
+                         .step = "each tenth of a second of a lease's renewal",
+                         .fault = cell.name,
+                         .protectedBy = cell.protectedBy,
+                         .run = [leaseFault = cell.leaseFault](const DisabledMechanisms &disabled) {
+                             for (int strike = 1; strike < 45; ++strike) {
+                                 for (const int length : {5, 50, 90, 120, 160, 200, 400}) {
+                                     const auto violation = runLease(leaseFault, strike, length, disabled);
+                                     if (!violation.empty()) {
+                                         return CellResult{.hasPassed = false, .detail = violation};
+                                     }
+                                 }
+                             }
+                             return CellResult{.hasPassed = true, .detail = {}};
+                         }});
+    }
+}
+
 } // namespace
 
 void addGroupFaultCells(FaultCells &cells)
 {
+    addLeaseCells(cells);
     for (const bool enforces : {true, false}) {
         for (const auto &scenario : allScenarios()) {
             std::string name;
