--- a/programs/measure/main.cpp
+++ b/programs/measure/main.cpp
@@ -1,3 +1,4 @@
+#include "measure/MeasureGroups.h"
 #include "measure/Measurement.h"
 
 #include <gflags/gflags.h>
@@ -62,7 +63,7 @@
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
         options.seeds.push_back(FLAGS_seed + i);
     }
-    Measurements measurements;
+    Measurements measurements = measureGroups(options);
     if (FLAGS_decisions_only) {
         std::erase_if(measurements, [](const Measurement &measurement) { return measurement.isCost; });
     }
