--- a/modules/hornbeamlane_groups/placement/ExpertPlacement.h
+++ b/modules/hornbeamlane_groups/placement/ExpertPlacement.h
@@ -24,7 +24,7 @@
         /** Copies that one round may load, summed over all layers. */
         std::size_t movesPerRound = 256;
         /** A move must lower the larger of the loads involved by this part of the mean, or it is not worth it. */
-        double smallestGain = 0.05;
+        double smallestGain = 0.01;
         /** Decides the next map; replaces the placement. For baselines. */
         std::function<ExpertMap(const ExpertMap &current, const ExpertShares &shares)> decide;
     };
