--- a/modules/hornbeamlane_groups/hornbeamlane_groups.h
+++ b/modules/hornbeamlane_groups/hornbeamlane_groups.h
@@ -6,7 +6,12 @@
 */
 #pragma once
 
+#include "hornbeamlane_groups/mapswitch/FencingGuard.h"
+#include "hornbeamlane_groups/mapswitch/MapSwitchController.h"
+#include "hornbeamlane_groups/mapswitch/RankGate.h"
+#include "hornbeamlane_groups/models/ModelPlacement.h"
 #include "hornbeamlane_groups/placement/ExpertMap.h"
 #include "hornbeamlane_groups/placement/ExpertPlacement.h"
 #include "hornbeamlane_groups/placement/ExpertPopularity.h"
 #include "hornbeamlane_groups/placement/RebalancePolicy.h"
+#include "hornbeamlane_groups/stragglers/StragglerDetector.h"
--- a/programs/measure/main.cpp
+++ b/programs/measure/main.cpp
@@ -1,6 +1,7 @@
 #include "measure/MeasureDeparture.h"
 #include "measure/MeasureRouting.h"
 #include "measure/MeasureOverload.h"
+#include "measure/MeasureGroups.h"
 #include "measure/Measurement.h"
 
 #include <gflags/gflags.h>
@@ -71,6 +72,7 @@
         measurements.insert(measurements.end(), part.begin(), part.end());
     }
     Measurements measurements = measureOverload(options);
+    Measurements measurements = measureGroups(options);
     if (FLAGS_decisions_only) {
         std::erase_if(measurements, [](const Measurement &measurement) { return measurement.isCost; });
     }
--- a/testing/fault_matrix/AllFaultCells.cpp
+++ b/testing/fault_matrix/AllFaultCells.cpp
@@ -4,6 +4,8 @@
 #include "fault_matrix/RoutingFaultCells.h"
 #include "fault_matrix/MembershipFaultCells.h"
 
+#include "fault_matrix/GroupFaultCells.h"
+
 namespace hornbeamlane::testing {
 
 FaultCells allFaultCells()
@@ -13,6 +15,7 @@
     addAdmissionFaultCells(cells);
     addRoutingFaultCells(cells);
     addMembershipFaultCells(cells);
+    addGroupFaultCells(cells);
     return cells;
 }
 
