--- a/modules/hornbeamlane_agent/Agent.cpp
+++ b/modules/hornbeamlane_agent/Agent.cpp
@@ -63,6 +63,11 @@
     return true;
 }
 
+std::uint16_t Agent::linkPort() const
+{
+    return listener_.port();
+}
+
 void Agent::shutDown(std::function<void()> done)
 {
     isLeaving_ = true;
@@ -403,9 +408,6 @@
 {
     const auto settled = membership_.settledVersion();
     appliedSettled_ = settled;
-    if (const auto &settledCatalogue = membership_.settledCatalogue()) {
-        admission_.applyCatalogue(settled, *settledCatalogue, settled, loop_.now());
-    }
     admission_.applyCatalogue(version, catalogue, settled, loop_.now());
     admission_.setDraining(!membership_.mayStartWork(settings_.host, settings_.server));
     fetchMissingVersions();
--- a/modules/hornbeamlane_agent/Agent.h
+++ b/modules/hornbeamlane_agent/Agent.h
@@ -24,6 +24,9 @@
     /** Starts to listen for entries; false if the address cannot be bound. */
     bool start();
 
+    /** Port in use after a successful start(). */
+    std::uint16_t linkPort() const;
+
     /** Takes no new work from now on; calls the handler when no attempt is running. */
     void shutDown(std::function<void()> done);
 
--- a/modules/hornbeamlane_base/failure/Refusal.cpp
+++ b/modules/hornbeamlane_base/failure/Refusal.cpp
@@ -17,8 +17,7 @@
 
 constexpr std::array reasonRows = {
     ReasonRow{RefusalReason::MalformedRequest, "malformed_request", 400},
-    ReasonRow{RefusalReason::BodyTooLarge, "body_too_large", 413},
-    ReasonRow{RefusalReason::HeadersTooLarge, "headers_too_large", 431},
+    ReasonRow{RefusalReason::RequestTooLarge, "request_too_large", 413},
     ReasonRow{RefusalReason::UnknownTeam, "unknown_team", 401},
     ReasonRow{RefusalReason::UnknownModel, "unknown_model", 404},
     ReasonRow{RefusalReason::UnknownService, "unknown_service", 404},
--- a/modules/hornbeamlane_base/failure/Refusal.h
+++ b/modules/hornbeamlane_base/failure/Refusal.h
@@ -12,8 +12,7 @@
 /** Why a request was not answered normally. Each reason has a fixed code name and HTTP status. */
 enum class RefusalReason {
     MalformedRequest,
-    BodyTooLarge,
-    HeadersTooLarge,
+    RequestTooLarge,
     UnknownTeam,
     UnknownModel,
     UnknownService,
--- a/modules/hornbeamlane_daemon/membership/MembershipNode.cpp
+++ b/modules/hornbeamlane_daemon/membership/MembershipNode.cpp
@@ -76,11 +76,6 @@
     return catalogueKeeper_.catalogue();
 }
 
-const std::shared_ptr<const Catalogue> &MembershipNode::settledCatalogue() const
-{
-    return catalogueKeeper_.settledCatalogue();
-}
-
 const DrainSet &MembershipNode::drains() const
 {
     return drainKeeper_.set();
--- a/modules/hornbeamlane_daemon/membership/MembershipNode.h
+++ b/modules/hornbeamlane_daemon/membership/MembershipNode.h
@@ -55,7 +55,6 @@
     CatalogueVersion version() const;
     CatalogueVersion settledVersion() const;
     const std::shared_ptr<const Catalogue> &catalogue() const;
-    const std::shared_ptr<const Catalogue> &settledCatalogue() const;
     const DrainSet &drains() const;
     const Confirmations &confirmations() const;
     bool mayStartWork(const HostId &host, const ServerId &server) const;
--- a/modules/hornbeamlane_entry/Entry.cpp
+++ b/modules/hornbeamlane_entry/Entry.cpp
@@ -25,6 +25,15 @@
     return {.status = status, .contentType = "text/plain", .body = std::move(text)};
 }
 
+/** Answer to a request that the HTTP library refuses before this entry sees it. */
+HttpResponse makeLibraryRefusal(int status)
+{
+    const bool isTooLarge = status == httpStatus(RefusalReason::RequestTooLarge);
+    return makeRefusalReply({.reason = isTooLarge ? RefusalReason::RequestTooLarge : RefusalReason::MalformedRequest,
+                             .execution = ExecutionState::NotRun,
+                             .detail = isTooLarge ? "the body or the headers are too large" : "not valid HTTP"});
+}
+
 /** Attempt that a message of an agent belongs to. */
 std::optional<AttemptId> attemptOf(const Message &message)
 {
@@ -46,7 +55,7 @@
     , random_(random)
     , settings_(std::move(settings))
     , incarnation_(random.incarnation())
-    , server_(loop, {}, [this](const Exchange &exchange) { handleHttp(exchange); })
+    , server_(loop, {.refusalPage = &makeLibraryRefusal}, [this](const Exchange &exchange) { handleHttp(exchange); })
     , table_(loop, {.address = settings_.platformAddress})
     , agents_(
           loop, random,
@@ -108,6 +117,11 @@
     return true;
 }
 
+std::uint16_t Entry::httpPort() const
+{
+    return server_.port();
+}
+
 void Entry::shutDown(std::function<void()> done)
 {
     isLeaving_ = true;
--- a/modules/hornbeamlane_entry/Entry.h
+++ b/modules/hornbeamlane_entry/Entry.h
@@ -25,6 +25,9 @@
     /** Starts to listen for callers and peers; false if an address cannot be bound. */
     bool start();
 
+    /** Port in use after a successful start(). */
+    std::uint16_t httpPort() const;
+
     /** Fails /readyz at once, then stops accepting, and calls the handler when no request is running. */
     void shutDown(std::function<void()> done);
 
--- a/modules/hornbeamlane_network/http/HttpServer.cpp
+++ b/modules/hornbeamlane_network/http/HttpServer.cpp
@@ -8,6 +8,8 @@
 #include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
 
+#include <charconv>
+
 namespace hornbeamlane {
 
 struct HttpExchange::Implementation
@@ -217,11 +219,62 @@
 
 struct HttpServer::Implementation
 {
+    EventLoop *loop = nullptr;
+    Options options;
+    bool isReplacingPage = false;
     evhttp *server = nullptr;
     evhttp_bound_socket *socket = nullptr;
     Handler handler;
     std::uint16_t port = 0;
 
+    /** Makes the stream of a new connection and watches what the library writes to it. */
+    bufferevent *makeStream()
+    {
+        auto *stream = bufferevent_socket_new(loop->base(), -1, 0);
+        evbuffer_add_cb(
+            bufferevent_get_output(stream),
+            [](evbuffer *output, const evbuffer_cb_info *change, void *context) {
+                if (change->n_added > 0) {
+                    static_cast<Implementation *>(context)->replaceLibraryPage(output);
+                }
+            },
+            this);
+        return stream;
+    }
+
+    /**
+        Replaces the HTML page that the library sends for a request that it refuses before any handler sees it.
+
+        The library offers no hook for it before version 2.2; head and page are written in one turn of the loop.
+    */
+    void replaceLibraryPage(evbuffer *output)
+    {
+        constexpr std::size_t maxPageBytes = 1024;
+        constexpr std::string_view pageEnd = "</HTML>\n";
+        const auto size = evbuffer_get_length(output);
+        if (isReplacingPage || !options.refusalPage || size > maxPageBytes) {
+            return;
+        }
+        const std::string_view text(reinterpret_cast<const char *>(evbuffer_pullup(output, -1)), size);
+        constexpr std::size_t statusAt = sizeof("HTTP/1.1 ") - 1;
+        if (!text.starts_with("HTTP/1.") || !text.ends_with(pageEnd)
+            || text.find("Content-Type: text/html") == std::string_view::npos) {
+            return;
+        }
+        int status = 0;
+        std::from_chars(text.data() + statusAt, text.data() + text.size(), status);
+        const auto page = options.refusalPage(status);
+        isReplacingPage = true;
+        evbuffer_drain(output, size);
+        evbuffer_add_printf(output, "HTTP/1.1 %d Refused\r\nContent-Type: %s\r\nContent-Length: %zu\r\n", page.status,
+                            page.contentType.c_str(), page.body.size());
+        for (const auto &[name, value] : page.headers) {
+            evbuffer_add_printf(output, "%s: %s\r\n", name.c_str(), value.c_str());
+        }
+        evbuffer_add_printf(output, "Connection: close\r\n\r\n%s", page.body.c_str());
+        isReplacingPage = false;
+    }
+
     void handle(evhttp_request *handle)
     {
         auto state = std::make_unique<HttpExchange::Implementation>();
@@ -243,9 +296,11 @@
     }
 };
 
-HttpServer::HttpServer(EventLoop &loop, Options options, Handler handler)
+HttpServer::HttpServer(EventLoop &loop, const Options &options, Handler handler)
     : implementation_(std::make_unique<Implementation>())
 {
+    implementation_->loop = &loop;
+    implementation_->options = options;
     implementation_->handler = std::move(handler);
     implementation_->server = evhttp_new(loop.base());
     HORNBEAMLANE_ASSERT(implementation_->server != nullptr);
@@ -255,6 +310,10 @@
     evhttp_set_allowed_methods(implementation_->server,
                                EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
                                    | EVHTTP_REQ_PATCH);
+    evhttp_set_bevcb(
+        implementation_->server,
+        [](event_base *, void *context) { return static_cast<Implementation *>(context)->makeStream(); },
+        implementation_.get());
     evhttp_set_gencb(
         implementation_->server,
         [](evhttp_request *handle, void *context) { static_cast<Implementation *>(context)->handle(handle); },
--- a/modules/hornbeamlane_network/http/HttpServer.h
+++ b/modules/hornbeamlane_network/http/HttpServer.h
@@ -59,15 +59,17 @@
     {
         /** Bound for the body; a larger one is answered with status 413. */
         std::size_t maxBodyBytes = 512 * 1024;
-        /** Bound for all headers together; larger ones are answered with status 400 or 431. */
+        /** Bound for all headers together; larger ones are answered with status 413. */
         std::size_t maxHeaderBytes = 16 * 1024;
         /** Time without any byte after which a connection is closed. */
         std::chrono::seconds idleTimeout{600};
+        /** Makes the answer to a request that the library refuses itself; empty keeps the library's HTML page. */
+        std::function<HttpResponse(int status)> refusalPage;
     };
 
     using Handler = std::function<void(const std::shared_ptr<HttpExchange> &)>;
 
-    HttpServer(EventLoop &loop, Options options, Handler handler);
+    HttpServer(EventLoop &loop, const Options &options, Handler handler);
     ~HttpServer();
 
     /** Starts to listen; port 0 takes a free port. False if the address cannot be bound. */
--- a/programs/measure/main.cpp
+++ b/programs/measure/main.cpp
@@ -1,7 +1,8 @@
 #include "measure/MeasureDeparture.h"
-#include "measure/MeasureRouting.h"
-#include "measure/MeasureOverload.h"
 #include "measure/MeasureGroups.h"
+#include "measure/MeasureOverload.h"
+#include "measure/MeasurePath.h"
+#include "measure/MeasureRouting.h"
 #include "measure/Measurement.h"
 
 #include <gflags/gflags.h>
@@ -67,12 +68,10 @@
         options.seeds.push_back(FLAGS_seed + i);
     }
     Measurements measurements;
-    for (const auto measure : {measureRouting, measureDeparture}) {
+    for (const auto measure : {measurePath, measureOverload, measureGroups, measureRouting, measureDeparture}) {
         const auto part = measure(options);
         measurements.insert(measurements.end(), part.begin(), part.end());
     }
-    Measurements measurements = measureOverload(options);
-    Measurements measurements = measureGroups(options);
     if (FLAGS_decisions_only) {
         std::erase_if(measurements, [](const Measurement &measurement) { return measurement.isCost; });
     }
