--- a/testing/fault_matrix/OrderWorld.cpp
+++ b/testing/fault_matrix/OrderWorld.cpp
@@ -299,7 +299,7 @@
         }
     }
 
-    void carryOut(const CallPointer &call, const WriteRow &action)
+    void carryOut(const CallPointer &call, const WriteClaimRow &action)
     {
         // Decoding the row would double the run time of a cell.
         const auto has = [&](const char *state) { return action.write.value.find(state) != std::string::npos; };
@@ -308,12 +308,12 @@
                      [this, write = action.write] { return writeTable(write); });
     }
 
-    void carryOut(const CallPointer &call, const ReadRow &action)
+    void carryOut(const CallPointer &call, const ReadClaimRow &action)
     {
         requestTable(call, action.operation, "row read", [this] { return readTable(); });
     }
 
-    void carryOut(const CallPointer &call, const RemoveRow &action)
+    void carryOut(const CallPointer &call, const RemoveClaimRow &action)
     {
         requestTable(call, action.operation, "claim removal", [this, action] {
             return writeTable({action.key, action.expectedVersion, ""});
