Name start-awaits-report for the agent restart during a table outage

Cause: the cell fails without that mechanism but did not list it.

Ruled out: nothing else; the failed cells of all 13 mechanisms were compared with the lists.

Before: one cell failed beyond the lists. After: each mechanism fails exactly the cells that name it; 24 cells pass.

--- a/testing/fault_matrix/AdmissionFaultCells.cpp
+++ b/testing/fault_matrix/AdmissionFaultCells.cpp
@@ -725,7 +725,7 @@
     addLimitsCell("holder cut off from the table, its clock slow by a third",
                   {.clockRate = 0.68, .isolatesHolder = true}, {race, "holder-stops-first", "lender-waits-longer"});
     addLimitsCell("agent restarts while the table is down", {.restartsAgent = true, .hasTableOutage = true},
-                  {race, "leftovers-counted"});
+                  {race, "leftovers-counted", "start-awaits-report"});
     for (std::size_t i = 0; i < 3; ++i) {
         addLimitsCell("catalogue version late at server " + std::to_string(i), {.lateServer = i},
                       {race, "confirm-within-shares", "settled-minimum"});
