Decline a reservation on a server that runs another suspect

Cause: an entry that runs a resent copy of the crashing request does not own its record, so its server was in no reservation. Another entry could run a neighbour there; the next crash then quarantined the neighbour. Ruled out: publishing the server of every copy, because the copy starts before anybody knows that it is a suspect. Before: a peer confirmed any reservation. After: it declines one on a server where it runs or, with the lower incarnation, has reserved another suspect, and the entry chooses another server.

--- a/modules/hornbeamlane_messages/codec/FieldCodec.h
+++ b/modules/hornbeamlane_messages/codec/FieldCodec.h
@@ -129,7 +129,7 @@
 {
     v.field("fingerprint", m.fingerprint); v.field("lost", m.lostServers); v.field("expiresIn", m.expiresIn);
     v.field("owner", m.owner); v.field("reserved", m.reservedServer); v.field("cleared", m.isCleared);
-    v.field("reply", m.isReply);
+    v.field("reply", m.isReply); v.field("declined", m.isReservationDeclined);
 }
 
 template <class V> void visitFields(V &v, Hello &m)
--- a/modules/hornbeamlane_messages/types/StateMessages.h
+++ b/modules/hornbeamlane_messages/types/StateMessages.h
@@ -62,6 +62,8 @@
     bool isCleared = false;
     /** Answers a record of the receiver and is not answered itself. */
     bool isReply = false;
+    /** The sender has another such request on the server that the receiver has reserved. */
+    bool isReservationDeclined = false;
 };
 
 struct QuarantineUpdate
--- a/modules/hornbeamlane_routing/quarantine/CrashQuarantine.cpp
+++ b/modules/hornbeamlane_routing/quarantine/CrashQuarantine.cpp
@@ -236,8 +236,13 @@
         if (isDue(record, state, now)) {
             state.sentAt = now;
             update.records.push_back(toMessage(record, false, now));
-        } else if (state.needsReply) {
+        }
+        if (state.needsReply) {
             update.records.push_back(toMessage(record, true, now));
+            if (state.declined != Incarnation()) {
+                update.records.back().reservedServer = state.declined;
+                update.records.back().isReservationDeclined = true;
+            }
         }
         state.needsReply = false;
     }
@@ -341,7 +346,9 @@
     }
     confirmIfEqual(record, received, from, now);
     if (!received.isReply) {
-        peerState(record, from).needsReply = true;
+        auto &state = peerState(record, from);
+        state.needsReply = true;
+        state.declined = mustDecline(received, from, now) ? received.reservedServer : Incarnation();
     }
 }
 
@@ -373,6 +380,14 @@
 
 void CrashQuarantine::confirmIfEqual(Record &record, const QuarantineRecord &received, Incarnation from, TimePoint now)
 {
+    if (received.isReservationDeclined) {
+        if (record.owner == self_ && received.reservedServer == record.reserved
+            && copiesInFlight(record.fingerprint) == 0) {
+            record.declined = record.reserved;
+            release(record, now);
+        }
+        return;
+    }
     auto &state = peerState(record, from);
     const bool hasEvidence =
         received.isCleared == record.isCleared && containsAll(received.lostServers, record.lostServers);
@@ -386,6 +401,24 @@
     }
 }
 
+bool CrashQuarantine::mustDecline(const QuarantineRecord &received, Incarnation from, TimePoint now)
+{
+    if (received.owner != from || received.reservedServer == Incarnation() || received.isCleared) {
+        return false;
+    }
+    // Suspects that run here for a caller that resent may be unknown to the peer, as may a reservation just made.
+    const auto work = servers_.find(received.reservedServer);
+    const bool runsHere = work != servers_.end()
+        && std::any_of(work->second.fingerprints.begin(), work->second.fingerprints.end(), [&](const auto &other) {
+                              return other != received.fingerprint && findSuspect(other, now) != nullptr;
+                          });
+    return runsHere || (self_ < from && std::any_of(records_.begin(), records_.end(), [&](const auto &item) {
+                            const auto &other = item.second;
+                            return item.first != received.fingerprint && other.owner == self_ && !other.isCleared
+                                && other.reserved == received.reservedServer && !isUnused(other, now);
+                        }));
+}
+
 void CrashQuarantine::resolveReservation(const Record &other, TimePoint now)
 {
     if (other.reservedByOwner == Incarnation()) {
--- a/modules/hornbeamlane_routing/quarantine/CrashQuarantine.h
+++ b/modules/hornbeamlane_routing/quarantine/CrashQuarantine.h
@@ -118,6 +118,8 @@
         Incarnation peer;
         bool hasConfirmed = false;
         bool needsReply = false;
+        /** Server on which the peer must not run the request, named in the reply. */
+        Incarnation declined;
         std::optional<TimePoint> sentAt;
     };
 
@@ -130,6 +132,8 @@
         Incarnation owner;
         /** Server reserved by this entry. */
         Incarnation reserved;
+        /** Server that a peer declined last. */
+        Incarnation declined;
         /** Server reserved by the owner, if that is another entry. */
         Incarnation reservedByOwner;
         bool isCleared = false;
@@ -157,6 +161,7 @@
     void mergeRecord(const QuarantineRecord &received, Incarnation from, TimePoint now);
     void mergeEvidence(Record &record, const QuarantineRecord &received, TimePoint now);
     void confirmIfEqual(Record &record, const QuarantineRecord &received, Incarnation from, TimePoint now);
+    bool mustDecline(const QuarantineRecord &received, Incarnation from, TimePoint now);
     void resolveReservation(const Record &other, TimePoint now);
     void changed(Record &record, TimePoint now);
     void release(Record &record, TimePoint now);
--- a/testing/fault_matrix/CrashWorld.cpp
+++ b/testing/fault_matrix/CrashWorld.cpp
@@ -12,6 +12,7 @@
 constexpr auto tickLength = std::chrono::milliseconds(50);
 constexpr int ticks = 100;
 constexpr std::size_t serverCount = 10;
+constexpr std::size_t entryCount = 3;
 constexpr int restartTicks = 30;
 constexpr int delayTicks = 12;
 const std::string crashingBody = "crash";
@@ -53,9 +54,9 @@
             servers_.emplace_back(Incarnation(100 + i));
             catalogue.servers[serverId(i)] = {.dataCentre = DataCentreId("dc"), .models = {ModelId("m")}};
         }
-        for (std::size_t i = 0; i < 2; ++i) {
+        for (std::size_t i = 0; i < entryCount; ++i) {
             auto &entry = entries_[i];
-            entry.incarnation = Incarnation(i + 1);
+            entry.incarnation = incarnationOf(i);
             entry.view.applyCatalogue(catalogue);
             // The calls choose where they go first, so that the suspects meet wherever nothing keeps them apart.
             const auto firstFit = [this](const ServerChooser &chooser,
@@ -72,7 +73,7 @@
                 std::make_unique<ServerChooser>(entry.view, entry.cache, ServerChooser::Options{.policy = firstFit});
             entry.quarantine = std::make_unique<CrashQuarantine>(entry.incarnation, quarantineOptions(disabled));
             if (!faults_.isAlone) {
-                entry.quarantine->setPeers({Incarnation(2 - i)});
+                entry.quarantine->setPeers(peersOf(i));
             }
             for (std::size_t k = 0; k < serverCount; ++k) {
                 entry.view.onLinkUp(serverId(k), servers_[k]);
@@ -151,6 +152,7 @@
 
     struct Update
     {
+        std::size_t from = 0;
         std::size_t to = 0;
         int arrivesAt = 0;
         QuarantineUpdate content;
@@ -253,31 +255,52 @@
 
     void sendUpdates()
     {
-        for (std::size_t from = 0; from < entries_.size(); ++from) {
-            const std::size_t to = 1 - from;
-            auto update = entries_[from].quarantine->updateFor(entries_[to].incarnation, now_);
-            if (!update || faults_.isAlone) {
-                continue;
-            }
-            const auto fault = tick_ == faults_.updateAt ? faults_.update : UpdateFault::None;
-            if (fault == UpdateFault::Lost) {
-                continue;
-            }
-            const int arrivesAt = tick_ + 1 + (fault == UpdateFault::Delayed ? delayTicks : 0);
-            if (fault == UpdateFault::Doubled) {
-                updates_.push_back({.to = to, .arrivesAt = arrivesAt + delayTicks, .content = *update});
+        for (std::size_t from = 0; from < entryCount; ++from) {
+            for (std::size_t to = 0; to < entryCount; ++to) {
+                if (from != to && !faults_.isAlone) {
+                    sendUpdate(from, to);
+                }
             }
-            updates_.push_back({.to = to, .arrivesAt = arrivesAt, .content = std::move(*update)});
         }
     }
 
+    void sendUpdate(std::size_t from, std::size_t to)
+    {
+        const auto update = entries_[from].quarantine->updateFor(entries_[to].incarnation, now_);
+        const auto fault = tick_ == faults_.updateAt ? faults_.update : UpdateFault::None;
+        if (!update || fault == UpdateFault::Lost) {
+            return;
+        }
+        const int arrivesAt = tick_ + 1 + (fault == UpdateFault::Delayed ? delayTicks : 0);
+        if (fault == UpdateFault::Doubled) {
+            updates_.push_back({.from = from, .to = to, .arrivesAt = arrivesAt + delayTicks, .content = *update});
+        }
+        updates_.push_back({.from = from, .to = to, .arrivesAt = arrivesAt, .content = *update});
+    }
+
     void deliverUpdates()
     {
         for (const auto &update : updates_) {
             if (update.arrivesAt == tick_) {
-                entries_[update.to].quarantine->merge(update.content, entries_[1 - update.to].incarnation, now_);
+                entries_[update.to].quarantine->merge(update.content, entries_[update.from].incarnation, now_);
+            }
+        }
+    }
+
+    Incarnation incarnationOf(std::size_t entry) const
+    {
+        return Incarnation(faults_.isReversed ? entryCount - entry : entry + 1);
+    }
+
+    std::vector<Incarnation> peersOf(std::size_t entry) const
+    {
+        std::vector<Incarnation> peers;
+        for (std::size_t i = 0; i < entryCount; ++i) {
+            if (i != entry) {
+                peers.emplace_back(incarnationOf(i));
             }
         }
+        return peers;
     }
 
     static ServerId serverId(std::size_t server)
@@ -286,7 +309,7 @@
     }
 
     CrashFaults faults_;
-    std::array<Entry, 2> entries_;
+    std::array<Entry, entryCount> entries_;
     std::vector<Call> calls_;
     std::vector<Update> updates_;
     std::vector<Incarnation> servers_;
--- a/testing/fault_matrix/CrashWorld.h
+++ b/testing/fault_matrix/CrashWorld.h
@@ -17,8 +17,10 @@
     int resendRunTicks = 3;
     UpdateFault update = UpdateFault::None;
     int updateAt = -1;
-    /** The second entry is cut off and all calls go to the first. */
+    /** The entries are cut off from each other and all calls go to the first. */
     bool isAlone = false;
+    /** The entry that is called first has the highest incarnation instead of the lowest, and so yields claims. */
+    bool isReversed = false;
     /** A server is lost without any fault of a request. */
     int loseServerAt = -1;
     std::size_t lostServer = 0;
@@ -36,7 +38,7 @@
     int falseNotRun = 0;
 };
 
-/** Runs two entries, ten servers and a request that crashes every server; virtual time advances in ticks. */
+/** Runs three entries, ten servers and a request that crashes every server; virtual time advances in ticks. */
 CrashOutcome runCrashWorld(const CrashFaults &faults, const DisabledMechanisms &disabled);
 
 } // namespace hornbeamlane::testing
--- a/testing/fault_matrix/RoutingFaultCells.cpp
+++ b/testing/fault_matrix/RoutingFaultCells.cpp
@@ -80,7 +80,7 @@
 {
     std::vector<std::string> names = {"crash-quarantine"};
     // Until the evidence reaches the other entry, only confirmation keeps both from running the request at once.
-    if (entry == 1 && tick <= (isUpdateLate ? secondLossTick : firstLossTick)) {
+    if (entry != 0 && tick <= (isUpdateLate ? secondLossTick : firstLossTick)) {
         names.emplace_back("suspect-confirmation");
     }
     return names;
@@ -91,11 +91,11 @@
     std::vector<std::string> names = {"team-in-fingerprint"};
     // A copy that was sent before the first loss takes the second server alone; then the crashing request meets no
     // other suspect in its own entry. The entry to which it was resent learns of the loss a tick later.
-    const bool hasCopy = tick < firstLossTick + static_cast<int>(entry);
+    const bool hasCopy = tick < firstLossTick + (entry == 0 ? 0 : 1);
     if (!hasCopy) {
         names.emplace_back("suspect-isolation");
     }
-    if (entry == 1 || !hasCopy) {
+    if (entry != 0 || !hasCopy) {
         names.emplace_back("suspect-confirmation");
     }
     return names;
@@ -110,16 +110,17 @@
         {UpdateFault::Delayed, ", update delayed"},
     }};
     for (int tick = 0; tick <= lastResendTick; ++tick) {
-        for (const std::size_t entry : {0U, 1U}) {
+        for (const std::size_t entry : {0U, 1U, 2U}) {
             for (const auto &[updateFault, name] : updateFaults) {
                 std::vector<CrashFaults> faults;
-                const int last = updateFault == UpdateFault::None ? firstUpdateTick : lastUpdateTick;
+                const int last = updateFault == UpdateFault::None ? firstUpdateTick + 1 : lastUpdateTick;
                 for (int updateTick = firstUpdateTick; updateTick <= last; ++updateTick) {
                     faults.push_back({.resendAt = tick,
                                       .resendTo = entry,
                                       .resendRunTicks = 14,
                                       .update = updateFault,
-                                      .updateAt = updateTick});
+                                      .updateAt = updateTick,
+                                      .isReversed = (tick + updateTick) % 2 == 1});
                 }
                 const bool isLate = updateFault == UpdateFault::Lost || updateFault == UpdateFault::Delayed;
                 addWorldCells(cells, "crash, tick " + std::to_string(tick),
