Answer oversized headers and bodies with a typed refusal

Cause: the library answers with an HTML page, reports large headers as a malformed request, and closes while the peer is still sending, so that the answer is lost and the peer's next write raises SIGPIPE. Ruled out: our own handler, which the library never calls in these cases. Before: HTML page or no answer. The loop ignores SIGPIPE.

--- a/modules/hornbeamlane_daemon/Daemon.cpp
+++ b/modules/hornbeamlane_daemon/Daemon.cpp
@@ -23,7 +23,6 @@
 
 void runDaemon(EventLoop &loop, DaemonOptions options)
 {
-    std::signal(SIGPIPE, SIG_IGN);
     bool isStopping = false;
     Timer bound(loop, [&loop] {
         logEvent(LogLevel::Error, "shutdown_bound_reached", {{"effect", "running work is cut off"}});
--- a/modules/hornbeamlane_entry/Entry.cpp
+++ b/modules/hornbeamlane_entry/Entry.cpp
@@ -28,7 +28,7 @@
 /** Answer to a request that the HTTP library refuses before this entry sees it. */
 HttpResponse makeLibraryRefusal(int status)
 {
-    const bool isTooLarge = status == httpStatus(RefusalReason::RequestTooLarge);
+    const bool isTooLarge = status == 413 || status == 431;
     return makeRefusalReply({.reason = isTooLarge ? RefusalReason::RequestTooLarge : RefusalReason::MalformedRequest,
                              .execution = ExecutionState::NotRun,
                              .detail = isTooLarge ? "the body or the headers are too large" : "not valid HTTP"});
--- a/modules/hornbeamlane_network/http/HttpServer.cpp
+++ b/modules/hornbeamlane_network/http/HttpServer.cpp
@@ -53,6 +53,14 @@
 
 namespace {
 
+constexpr int statusHeadersTooLarge = 431;
+
+/**
+    The library's own bound over the configured one. The library reports headers over its bound as a malformed request,
+    so the configured bound is checked after it.
+*/
+constexpr std::size_t libraryHeaderFactor = 8;
+
 void addHeaders(evhttp_request *handle, const HttpResponse &response)
 {
     auto *headers = evhttp_request_get_output_headers(handle);
@@ -103,6 +111,15 @@
     return request;
 }
 
+std::size_t headerBytes(const HttpRequest &request)
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
 struct BufferDeleter
 {
     void operator()(evbuffer *buffer) const
@@ -292,6 +309,10 @@
             raw);
         // The library stops reading once a request is complete; reading on is what shows a caller's hang-up.
         bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
+        if (options.refusalPage && headerBytes(exchange->request()) > options.maxHeaderBytes) {
+            exchange->reply(options.refusalPage(statusHeadersTooLarge));
+            return;
+        }
         handler(exchange);
     }
 };
@@ -305,7 +326,10 @@
     implementation_->server = evhttp_new(loop.base());
     HORNBEAMLANE_ASSERT(implementation_->server != nullptr);
     evhttp_set_max_body_size(implementation_->server, static_cast<ev_ssize_t>(options.maxBodyBytes));
-    evhttp_set_max_headers_size(implementation_->server, static_cast<ev_ssize_t>(options.maxHeaderBytes));
+    evhttp_set_max_headers_size(implementation_->server,
+                                static_cast<ev_ssize_t>(options.maxHeaderBytes * libraryHeaderFactor));
+    // Without it, the answer to an oversized body is lost when the peer is still sending.
+    evhttp_set_flags(implementation_->server, EVHTTP_SERVER_LINGERING_CLOSE);
     evhttp_set_timeout(implementation_->server, static_cast<int>(options.idleTimeout.count()));
     evhttp_set_allowed_methods(implementation_->server,
                                EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
--- a/modules/hornbeamlane_network/http/HttpServer.h
+++ b/modules/hornbeamlane_network/http/HttpServer.h
@@ -59,7 +59,7 @@
     {
         /** Bound for the body; a larger one is answered with status 413. */
         std::size_t maxBodyBytes = 512 * 1024;
-        /** Bound for all headers together; larger ones are answered with status 413. */
+        /** Bound for all headers together; larger ones are answered with the refusal page for status 431. */
         std::size_t maxHeaderBytes = 16 * 1024;
         /** Time without any byte after which a connection is closed. */
         std::chrono::seconds idleTimeout{600};
--- a/modules/hornbeamlane_network/loop/EventLoop.cpp
+++ b/modules/hornbeamlane_network/loop/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <csignal>
 #include <list>
 #include <utility>
 #include <vector>
@@ -46,6 +47,8 @@
 EventLoop::EventLoop()
     : implementation_(std::make_unique<Implementation>())
 {
+    // A peer that closes its connection must end that connection, not the process.
+    std::signal(SIGPIPE, SIG_IGN);
     implementation_->base = event_base_new();
     HORNBEAMLANE_ASSERT(implementation_->base != nullptr);
     implementation_->wakeUp.reset(event_new(
--- a/modules/hornbeamlane_network/loop/EventLoop.h
+++ b/modules/hornbeamlane_network/loop/EventLoop.h
@@ -9,7 +9,7 @@
 
 namespace hornbeamlane {
 
-/** The one loop of a process; all callbacks run on the thread that calls run(). */
+/** The one loop of a process; all callbacks run on the thread that calls run(). Makes the process ignore SIGPIPE. */
 class EventLoop final
 {
 public:
--- a/programs/measure/MeasurePath.cpp
+++ b/programs/measure/MeasurePath.cpp
@@ -16,7 +16,8 @@
 constexpr std::uint64_t fewTokens = 1;
 constexpr std::uint64_t manyTokens = 101;
 
-struct Cost {
+struct Cost
+{
     Microseconds elapsed{0};
     Microseconds processor{0};
 };
--- a/testing/fault_matrix/AllFaultCells.cpp
+++ b/testing/fault_matrix/AllFaultCells.cpp
@@ -1,8 +1,8 @@
 #include "fault_matrix/AdmissionFaultCells.h"
 #include "fault_matrix/FaultCell.h"
+#include "fault_matrix/MembershipFaultCells.h"
 #include "fault_matrix/OrderFaultCells.h"
 #include "fault_matrix/RoutingFaultCells.h"
-#include "fault_matrix/MembershipFaultCells.h"
 
 #include "fault_matrix/GroupFaultCells.h"
 
--- a/testing/path/LocalPath.cpp
+++ b/testing/path/LocalPath.cpp
@@ -29,8 +29,8 @@
     , service_(loop_)
 {
     setLogLevel(LogLevel::Error);
-    const bool isListening = platform_.listen("127.0.0.1", 0) && engine_.listen("127.0.0.1", 0)
-        && service_.listen("127.0.0.1", 0);
+    const bool isListening =
+        platform_.listen("127.0.0.1", 0) && engine_.listen("127.0.0.1", 0) && service_.listen("127.0.0.1", 0);
     HORNBEAMLANE_ASSERT(isListening);
     const auto startAgent = [this](const char *name, const std::string &backend) {
         AgentSettings settings;
@@ -76,11 +76,9 @@
     };
     entries.push_back(server("engine", engineAgent_->linkPort(), engineConcurrency, {{"models", {"draft"}}}));
     entries.push_back(server("service", serviceAgent_->linkPort(), 8, {{"services", {"orders"}}}));
-    entries.push_back(entryOf("team", "workshop",
-                              {{"limits", {{"concurrency", 32}}},
-                               {"floors", {{"a", 32}}},
-                               {"models", {"draft"}},
-                               {"services", {"orders"}}}));
+    entries.push_back(entryOf(
+        "team", "workshop",
+        {{"limits", {{"concurrency", 32}}}, {"floors", {{"a", 32}}}, {"models", {"draft"}}, {"services", {"orders"}}}));
     return json{{"entries", entries}}.dump();
 }
 
--- a/testing/path/LocalPath.h
+++ b/testing/path/LocalPath.h
@@ -17,7 +17,8 @@
 class LocalPath final
 {
 public:
-    struct Options {
+    struct Options
+    {
         EngineStandIn::Options engine;
         std::uint32_t engineConcurrency = 8;
     };
@@ -30,7 +31,8 @@
     /** Waits until a request to the model and one to the service would be admitted. */
     bool runUntilReady();
 
-    struct Answer {
+    struct Answer
+    {
         HttpCallEnd end = HttpCallEnd::BrokenOff;
         HttpResponse response;
     };
--- a/tests/path/PathTest.cpp
+++ b/tests/path/PathTest.cpp
@@ -54,7 +54,8 @@
 // Guards against input that is answered without a type, or that says "not run" where it may have run.
 TEST_F(PathTest, RefusesBadInputWithItsType)
 {
-    struct Case {
+    struct Case
+    {
         std::string method;
         std::string target;
         HttpHeaders headers;
@@ -101,8 +102,8 @@
 // Guards against an answer that is cut, mixed or out of order.
 TEST_F(PathTest, StreamsTheWholeAnswer)
 {
-    const auto answer = path_.call("POST", "/v1/chat/completions", LocalPath::teamHeaders(),
-                                   LocalPath::chatBody(300, true));
+    const auto answer =
+        path_.call("POST", "/v1/chat/completions", LocalPath::teamHeaders(), LocalPath::chatBody(300, true));
     EXPECT_EQ(answer.end, HttpCallEnd::Complete);
     std::size_t at = 0;
     for (int i = 0; i < 300; ++i) {
