Use precise timers in the event loop

Cause: a streamed token took 4.02 ms at an engine that steps every 0.5 ms, directly and through entry and agent alike, so the path itself was ruled out: the loop's timers follow a coarse clock of 4 ms.

--- a/modules/hornbeamlane_network/loop/EventLoop.cpp
+++ b/modules/hornbeamlane_network/loop/EventLoop.cpp
@@ -49,7 +49,11 @@
 {
     // A peer that closes its connection must end that connection, not the process.
     std::signal(SIGPIPE, SIG_IGN);
-    implementation_->base = event_base_new();
+    // By default timers follow a coarse clock of 4 ms, a tenth of the target for the time between two tokens.
+    event_config *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    implementation_->base = event_base_new_with_config(config);
+    event_config_free(config);
     HORNBEAMLANE_ASSERT(implementation_->base != nullptr);
     implementation_->wakeUp.reset(event_new(
         implementation_->base, -1, 0,
--- a/testing/path/LocalPath.cpp
+++ b/testing/path/LocalPath.cpp
@@ -14,7 +14,7 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-json entryOf(const char *kind, const char *name, json fields)
+json entryOf(const char *kind, const char *name, const json &fields)
 {
     json entry = {{"kind", kind}, {"name", name}, {"owner", "ops"}, {"class", "counter"}, {"limits", json::object()}};
     entry.update(fields);
@@ -66,7 +66,7 @@
     const json calls = json::array({{{"method", "POST"}, {"pathPrefix", "/orders"}, {"idempotencyKey", "required"}},
                                     {{"method", "GET"}, {"pathPrefix", "/"}, {"repeatable", true}}});
     entries.push_back(entryOf("service", "orders", {{"calls", calls}}));
-    const auto server = [&](const char *name, std::uint16_t port, std::uint32_t concurrency, json serves) {
+    const auto server = [&](const char *name, std::uint16_t port, std::uint32_t concurrency, const json &serves) {
         json fields = {{"dataCentre", "a"},
                        {"host", std::string("host-") + name},
                        {"agentAddress", addressOf(port)},
--- a/tests/network/LinkTest.cpp
+++ b/tests/network/LinkTest.cpp
@@ -27,7 +27,7 @@
         loop_.run();
     }
 
-    std::string listen(Link::Callbacks callbacks)
+    std::string listen(const Link::Callbacks &callbacks)
     {
         listener_ = std::make_unique<LinkListener>(loop_, [this, callbacks](std::intptr_t socket) {
             accepted_ = Link::accept(loop_, socket, optionsOf("server"), callbacks);
