--- a/scripts/local-path.sh
+++ b/scripts/local-path.sh
@@ -16,6 +16,7 @@
     done
     kill -9 "${pids[@]}" 2>/dev/null || true
     wait "${pids[@]}" 2>/dev/null || true
+    pids=()
     rm -rf "$work"
 }
 trap stop_all EXIT
@@ -83,7 +84,8 @@
         echo '{"entries": ['
         printf '%s,\n' "${entries_json[@]}"
         cat <<'JSON'
-    {"kind": "class", "name": "counter", "owner": "ops", "class": "counter", "limits": {}, "priority": 5},
+    {"kind": "class", "name": "counter", "owner": "ops", "class": "counter", "limits": {}, "priority": 5,
+     "deadlineMilliseconds": 15000},
     {"kind": "dataCentre", "name": "a", "owner": "ops", "class": "counter", "limits": {}, "region": "north"},
     {"kind": "dataCentre", "name": "b", "owner": "ops", "class": "counter", "limits": {}, "region": "north"},
     {"kind": "model", "name": "draft", "owner": "ops", "class": "counter", "limits": {}},
--- a/tests/processes.sh
+++ b/tests/processes.sh
@@ -33,21 +33,29 @@
     in_order "$file" 400
 }
 
-start_backends
-write_catalogue
-"${ctl[@]}" apply "$work/catalogue" --base 0 >/dev/null
-start_entries
-verify "entries become ready" ready "$entry_a"
-verify "catalogue is confirmed by every process" eventually 30 confirmed
+# Starts everything anew, so that each test has all its servers.
+start_path() {
+    stop_all
+    work=$(mktemp -d)
+    start_backends
+    write_catalogue
+    "${ctl[@]}" apply "$work/catalogue" --base 0 >/dev/null
+    start_entries
+    verify "entries become ready" ready "$entry_a"
+    verify "catalogue is confirmed by every process" eventually 30 confirmed
+}
 
+start_path
 kill_engine_in_use() { kill -9 "${pid_of[$(server_of_last_dispatch)]}"; }
 # Guards against a cut or doubled answer when an engine dies under a stream.
 verify "a stream goes on elsewhere after its engine is killed" stream_while engine kill_engine_in_use
 
+start_path
 drain_agent_in_use() { kill -TERM "${pid_of[agent-$(server_of_last_dispatch)]}"; }
 # Guards against a planned stop of an agent that cuts the streams it carries.
 verify "a stream is not cut by a planned stop of its agent" stream_while agent drain_agent_in_use
 
+start_path
 ran_times() { [ "$(executions | grep -oE "\"$1\":[0-9]+" | grep -oE '[0-9]+$' | paste -sd+ | bc)" = "$2" ]; }
 delay_orders() {
     for zone in a b; do
@@ -71,6 +79,7 @@
 verify "its resend through the other entry is not run either" resent_is_unknown
 verify "it has run once" ran_times lost-1 1
 
+start_path
 # Guards against a planned stop of an entry that cuts its streams, or that never ends.
 stop_entry() { kill -TERM "${pid_of[entry-a]}"; }
 verify "a stream is not cut by a planned stop of its entry" stream_while entry stop_entry
