Keep requests from agents whose engine is down

Cause: an agent without its engine refused each request at once and so looked idle; every request to it took a retry from the budget, and a stream was refused while another server was free. Found by killing an engine under load and reading the agents' logs; ruled out were the team limits and the cold start of the other engine. Also: a call that is under way when the loop ends is freed with it; the leak was reported by the sanitizer build.

--- a/modules/hornbeamlane_agent/Agent.cpp
+++ b/modules/hornbeamlane_agent/Agent.cpp
@@ -254,6 +254,9 @@
     }
     reject(work.session, id, work.dispatch.team, result.refusal);
     endWork(id, Outcome::ConnectionLost);
+    if (result.refusal.execution == ExecutionState::NotRun) {
+        setEngineDown(true);
+    }
 }
 
 void Agent::endWork(const AttemptId &id, AdmissionController::Outcome outcome)
@@ -391,6 +394,7 @@
     if (end != HttpCallEnd::Complete) {
         admission_.connectionFailed(loop_.now());
         runAdmission();
+        setEngineDown(end == HttpCallEnd::ConnectFailed);
         return;
     }
     // A plain service need not offer a status; that it answers at all is then all there is to know.
@@ -402,6 +406,17 @@
     }
     admission_.engineReported(report, loop_.now());
     runAdmission();
+    setEngineDown(false);
+}
+
+void Agent::setEngineDown(bool isDown)
+{
+    if (isDown != isEngineDown_) {
+        isEngineDown_ = isDown;
+        logEvent(LogLevel::Warning, isDown ? "engine_down" : "engine_up");
+        // Entries must not send more until the next report is due: each request would cost them a retry.
+        housekeep();
+    }
 }
 
 void Agent::applyCatalogue(CatalogueVersion version, const Catalogue &catalogue)
@@ -456,6 +471,7 @@
         report.cachedPrefixes = std::exchange(newPrefixes_, {});
     }
     report.cacheSequence = cacheSequence_;
+    report.isEngineDown = isEngineDown_;
     return report;
 }
 
--- a/modules/hornbeamlane_agent/Agent.h
+++ b/modules/hornbeamlane_agent/Agent.h
@@ -65,6 +65,7 @@
     void runTableAction(const TeamLimits::TableAction &action);
     void armAdmissionTimer();
     void pollEngine();
+    void setEngineDown(bool isDown);
     void handleEngineStatus(HttpCallEnd end, const HttpResponse &response);
     void applyCatalogue(CatalogueVersion version, const Catalogue &catalogue);
     void fetchMissingVersions();
@@ -96,6 +97,7 @@
     CatalogueVersion appliedSettled_;
     SessionId lastSession_ = 0;
     bool isPollingEngine_ = false;
+    bool isEngineDown_ = false;
     bool isFetchingVersions_ = false;
     bool isLeaving_ = false;
     std::function<void()> whenIdle_;
--- a/modules/hornbeamlane_messages/codec/FieldCodec.h
+++ b/modules/hornbeamlane_messages/codec/FieldCodec.h
@@ -149,6 +149,7 @@
     v.field("warm", m.warmFraction); v.field("engine", m.engineIncarnation); v.field("stepTime", m.stepTime);
     v.field("budgets", m.teamBudgets); v.field("cacheSequence", m.cacheSequence);
     v.field("cached", m.cachedPrefixes); v.field("evicted", m.evictedPrefixes); v.field("leaving", m.leaving);
+    v.field("engineDown", m.isEngineDown);
 }
 template <class V> void visitFields(V &v, Dispatch &m)
 {
--- a/modules/hornbeamlane_messages/types/LinkMessages.h
+++ b/modules/hornbeamlane_messages/types/LinkMessages.h
@@ -58,6 +58,8 @@
     /** Hashes of prompt prefixes that left the cache. */
     std::vector<std::uint64_t> evictedPrefixes;
     bool leaving = false;
+    /** The agent cannot connect to its engine and refuses all work. */
+    bool isEngineDown = false;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_network/http/HttpCall.cpp
+++ b/modules/hornbeamlane_network/http/HttpCall.cpp
@@ -53,6 +53,11 @@
     {
     }
 
+    ~Implementation()
+    {
+        freeConnection();
+    }
+
     void start()
     {
         const auto parts = splitAddress(options.address);
@@ -230,13 +235,15 @@
         HttpResponse response;
         std::unique_ptr<HttpCall> call;
     };
-    const auto collector = std::make_shared<Collector>();
+    // The loop owns the collector, so that a call that is under way when the loop ends is ended with it.
+    const auto owned = std::make_shared<Collector>();
+    auto *collector = owned.get();
+    loop.retain(owned);
     HttpCall::Callbacks callbacks;
     callbacks.head = [collector](const HttpResponse &head) { collector->response = head; };
     callbacks.data = [collector](std::string_view bytes) { collector->response.body += bytes; };
-    callbacks.end = [collector, handler = std::move(handler)](HttpCallEnd end) {
-        // Moving the call out ends the cycle between the collector and its own callbacks.
-        const auto call = std::move(collector->call);
+    callbacks.end = [collector, &loop, handler = std::move(handler)](HttpCallEnd end) {
+        loop.release(collector);
         handler(end, collector->response);
     };
     collector->call = std::make_unique<HttpCall>(loop, std::move(options), std::move(callbacks));
--- a/modules/hornbeamlane_network/loop/EventLoop.cpp
+++ b/modules/hornbeamlane_network/loop/EventLoop.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <list>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -32,6 +33,7 @@
     event_base *base = nullptr;
     std::vector<std::function<void()>> tasks;
     std::list<SignalHandler> signals;
+    std::map<const void *, std::shared_ptr<void>> retained;
     std::unique_ptr<event, EventDeleter> wakeUp;
 
     void runTasks()
@@ -63,6 +65,8 @@
 
 EventLoop::~EventLoop()
 {
+    // Retained objects may post tasks when they end, and tasks may hold the last reference to a connection.
+    implementation_->retained.clear();
     implementation_->tasks.clear();
     implementation_->signals.clear();
     implementation_->wakeUp.reset();
@@ -92,6 +96,17 @@
     }
 }
 
+void EventLoop::retain(std::shared_ptr<void> object)
+{
+    const void *key = object.get();
+    implementation_->retained[key] = std::move(object);
+}
+
+void EventLoop::release(const void *object)
+{
+    post([this, object] { implementation_->retained.erase(object); });
+}
+
 void EventLoop::onSignal(int signalNumber, std::function<void()> handler)
 {
     auto &entry = implementation_->signals.emplace_back();
--- a/modules/hornbeamlane_network/loop/EventLoop.h
+++ b/modules/hornbeamlane_network/loop/EventLoop.h
@@ -29,6 +29,12 @@
     /** Runs the task on the next turn of the loop, after the callbacks of this turn. */
     void post(std::function<void()> task);
 
+    /** Keeps an object until release() or the end of the loop. */
+    void retain(std::shared_ptr<void> object);
+
+    /** Drops a retained object on the next turn. */
+    void release(const void *object);
+
     /** Calls the handler on each arrival of the signal. */
     void onSignal(int signalNumber, std::function<void()> handler);
 
--- a/modules/hornbeamlane_routing/view/ServerState.h
+++ b/modules/hornbeamlane_routing/view/ServerState.h
@@ -31,6 +31,8 @@
     bool isConnected = false;
     bool isLeaving = false;
     bool isDrained = false;
+    /** By the last report, the agent cannot connect to its engine. */
+    bool isEngineDown = false;
     std::uint32_t ownInFlight = 0;
 
     /** Arrival of the last report of this incarnation; the fields below come from it. */
--- a/modules/hornbeamlane_routing/view/ServerView.cpp
+++ b/modules/hornbeamlane_routing/view/ServerView.cpp
@@ -128,6 +128,7 @@
         state.limit = state.coldConcurrency;
         state.warmFraction = 0;
         state.isLeaving = false;
+        state.isEngineDown = false;
         forgetBudgets(*index);
     }
     slot.state.incarnation = incarnation;
@@ -156,6 +157,7 @@
     state.queued = report.queued;
     state.limit = report.limit;
     state.warmFraction = report.warmFraction;
+    state.isEngineDown = report.isEngineDown;
     // Leaving is final for an incarnation, so an older report that arrives late does not take it back.
     state.isLeaving = state.isLeaving || report.leaving;
     for (const auto &budget : report.teamBudgets) {
@@ -319,7 +321,7 @@
 
 bool ServerView::mayTakeWork(const Slot &slot) const
 {
-    return slot.state.isConnected && !options_.isExcludedByDrain(slot.state)
+    return slot.state.isConnected && !slot.state.isEngineDown && !options_.isExcludedByDrain(slot.state)
         && !options_.isExcludedByLeaving(slot.state);
 }
 
--- a/tests/routing/ServerChooserTest.cpp
+++ b/tests/routing/ServerChooserTest.cpp
@@ -75,6 +75,16 @@
     EXPECT_TRUE(chosen(chooser, request_).contains("s0")) << "a removed drain still keeps work away";
 }
 
+// Guards against an agent without its engine that attracts requests, each of which costs a retry of the budget.
+TEST_F(ServerChooserTest, SkipsServersWhoseEngineIsDown)
+{
+    ServerChooser chooser(view_, cache_);
+    report("s0", {.limit = 10, .warmFraction = 1, .isEngineDown = true});
+    EXPECT_FALSE(chosen(chooser, request_).contains("s0"));
+    report("s0", {.limit = 10, .warmFraction = 1});
+    EXPECT_TRUE(chosen(chooser, request_).contains("s0"));
+}
+
 // Guards against locality that overrides load, and against a cache that is never used.
 TEST_F(ServerChooserTest, PrefersTheCacheHolderUntilItIsBusy)
 {
