--- a/programs/measure/main.cpp
+++ b/programs/measure/main.cpp
@@ -11,9 +11,13 @@
 #include <algorithm>
 #include <cstdio>
 #include <map>
+#include <string>
+#include <utility>
+#include <vector>
 
 DEFINE_uint64(seed, 1, "First seed; each measurement runs with this and the following seeds");
 DEFINE_uint64(seeds, 3, "Number of seeds");
+DEFINE_string(only, "", "Run only this part: path, overload, groups, routing or departure");
 DEFINE_bool(decisions_only, false, "Leave out the cost figures, which differ between runs");
 
 namespace {
@@ -68,9 +72,15 @@
         options.seeds.push_back(FLAGS_seed + i);
     }
     Measurements measurements;
-    for (const auto measure : {measurePath, measureOverload, measureGroups, measureRouting, measureDeparture}) {
-        const auto part = measure(options);
-        measurements.insert(measurements.end(), part.begin(), part.end());
+    const std::vector<std::pair<std::string, Measurements (*)(const Options &)>> parts = {
+        {"path", measurePath},       {"overload", measureOverload},   {"groups", measureGroups},
+        {"routing", measureRouting}, {"departure", measureDeparture},
+    };
+    for (const auto &[name, measure] : parts) {
+        if (FLAGS_only.empty() || FLAGS_only == name) {
+            const auto part = measure(options);
+            measurements.insert(measurements.end(), part.begin(), part.end());
+        }
     }
     if (FLAGS_decisions_only) {
         std::erase_if(measurements, [](const Measurement &measurement) { return measurement.isCost; });
