Free a request whose caller hung up

Cause: the library detaches such a request from its connection and leaves it to its user, so each hang-up leaked one. Found by the sanitizer build in PathTest.CancelsAtTheEngineWhenTheCallerHangsUp; ruled out were the calls to engines, which were freed. Before: 2,373 bytes leaked in that test.

--- a/modules/hornbeamlane_network/http/HttpServer.cpp
+++ b/modules/hornbeamlane_network/http/HttpServer.cpp
@@ -43,6 +43,10 @@
     {
         const auto handler = std::move(closedHandler);
         const auto keep = std::move(self);
+        // The library has handed a request whose caller hung up over to us; one that is still queued it frees itself.
+        if (connection() == nullptr) {
+            evhttp_request_free(handle);
+        }
         handle = nullptr;
         drainedHandler = nullptr;
         if (handler) {
