--- a/modules/hornbeamlane_daemon/Daemon.h
+++ b/modules/hornbeamlane_daemon/Daemon.h
@@ -2,10 +2,13 @@
 
 #include "hornbeamlane_catalogue/reading/DocumentFault.h"
 #include "hornbeamlane_network/loop/EventLoop.h"
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
 
 #include <chrono>
+#include <cstdlib>
 #include <functional>
 #include <string>
+#include <utility>
 
 namespace hornbeamlane {
 
@@ -29,4 +32,21 @@
 /** Prints that the address cannot be bound and returns the exit status. */
 int reportBindFailure(const std::string &address);
 
+/** Runs one entry or agent until its planned stop is over and returns the exit status. */
+template <class Process, class Settings>
+int runProcess(const std::string &name, const Settings &settings, const std::string &listenAddress)
+{
+    startLog(name, settings.logLevel);
+    EventLoop loop;
+    auto random = RandomSource::fromEntropy();
+    Process process(loop, random, settings);
+    if (!process.start()) {
+        return reportBindFailure(listenAddress);
+    }
+    runDaemon(loop,
+              {.shutDown = [&process](std::function<void()> done) { process.shutDown(std::move(done)); },
+               .shutdownBound = settings.shutdownBound});
+    return EXIT_SUCCESS;
+}
+
 } // namespace hornbeamlane
--- a/programs/agent/main.cpp
+++ b/programs/agent/main.cpp
@@ -40,15 +40,5 @@
         std::printf("%s\n", text.c_str());
         return EXIT_SUCCESS;
     }
-    startLog("agent/" + settings->server.name(), settings->logLevel);
-    EventLoop loop;
-    auto random = RandomSource::fromEntropy();
-    Agent agent(loop, random, *settings);
-    if (!agent.start()) {
-        return reportBindFailure(settings->linkAddress);
-    }
-    runDaemon(loop,
-              {.shutDown = [&agent](std::function<void()> done) { agent.shutDown(std::move(done)); },
-               .shutdownBound = settings->shutdownBound});
-    return EXIT_SUCCESS;
+    return runProcess<Agent>("agent/" + settings->server.name(), *settings, settings->linkAddress);
 }
--- a/programs/entry/main.cpp
+++ b/programs/entry/main.cpp
@@ -38,15 +38,5 @@
         std::printf("%s\n", text.c_str());
         return EXIT_SUCCESS;
     }
-    startLog("entry/" + settings->name.name(), settings->logLevel);
-    EventLoop loop;
-    auto random = RandomSource::fromEntropy();
-    Entry entry(loop, random, *settings);
-    if (!entry.start()) {
-        return reportBindFailure(settings->httpAddress);
-    }
-    runDaemon(loop,
-              {.shutDown = [&entry](std::function<void()> done) { entry.shutDown(std::move(done)); },
-               .shutdownBound = settings->shutdownBound});
-    return EXIT_SUCCESS;
+    return runProcess<Entry>("entry/" + settings->name.name(), *settings, settings->httpAddress);
 }
