--- a/modules/hornbeamlane_entry/Entry.cpp
+++ b/modules/hornbeamlane_entry/Entry.cpp
@@ -52,7 +52,6 @@
 
 Entry::Entry(EventLoop &loop, RandomSource &random, EntrySettings settings)
     : loop_(loop)
-    , random_(random)
     , settings_(std::move(settings))
     , incarnation_(random.incarnation())
     , server_(loop, {.refusalPage = &makeLibraryRefusal}, [this](const Exchange &exchange) { handleHttp(exchange); })
--- a/modules/hornbeamlane_entry/Entry.h
+++ b/modules/hornbeamlane_entry/Entry.h
@@ -70,7 +70,6 @@
     Hello hello() const;
 
     EventLoop &loop_;
-    RandomSource &random_;
     EntrySettings settings_;
     Incarnation incarnation_;
     HttpServer server_;
--- a/modules/hornbeamlane_orders/attempts/RetryBudget.cpp
+++ b/modules/hornbeamlane_orders/attempts/RetryBudget.cpp
@@ -26,7 +26,7 @@
 
 RetryBudget::Slot &RetryBudget::slotAt(std::int64_t second)
 {
-    auto &slot = slots_.at(static_cast<std::uint64_t>(second) % windowSeconds);
+    auto &slot = slots_.at(static_cast<std::uint64_t>(second) % slotCount);
     if (slot.second != second) {
         slot = Slot{.second = second};
     }
@@ -44,13 +44,13 @@
     std::uint64_t requests = 0;
     std::uint64_t retries = 0;
     for (const auto &slot : slots_) {
-        if (slot.second > second - static_cast<std::int64_t>(windowSeconds) && slot.second <= second) {
+        if (slot.second > second - static_cast<std::int64_t>(slotCount) && slot.second <= second) {
             requests += slot.requests;
             retries += slot.retries;
         }
     }
     const auto allowed = std::max(options_.share * static_cast<double>(requests),
-                                  options_.minimumPerSecond * static_cast<double>(windowSeconds));
+                                  options_.minimumPerSecond * static_cast<double>(slotCount));
     if (static_cast<double>(retries + 1) > allowed) {
         return false;
     }
--- a/modules/hornbeamlane_orders/attempts/RetryBudget.h
+++ b/modules/hornbeamlane_orders/attempts/RetryBudget.h
@@ -34,12 +34,13 @@
         std::uint64_t retries = 0;
     };
 
-    static constexpr std::size_t windowSeconds = 10;
+    /** One slot for each second of the window. */
+    static constexpr std::size_t slotCount = 10;
 
     Slot &slotAt(std::int64_t second);
 
     Options options_;
-    std::array<Slot, windowSeconds> slots_;
+    std::array<Slot, slotCount> slots_;
 };
 
 } // namespace hornbeamlane
