Count only other data centres as contact with the outside

Cause: every message of a peer counted as contact, also of entries in the same data centre, so with two entries the policy "stop" never took hold. Found by reading the change; ruled out: ContactWatch, whose tests pass. Before: cut-off entries kept each other serving.

--- a/modules/hornbeamlane_entry/Entry.cpp
+++ b/modules/hornbeamlane_entry/Entry.cpp
@@ -525,7 +525,10 @@
         shareQuarantine();
         return;
     }
-    contact_.noteContact(loop_.now());
+    // Entries that are cut off together must not take each other for contact with the outside.
+    if (peers_.isInOtherDataCentre(peer)) {
+        contact_.noteContact(loop_.now());
+    }
     membership_.onMessage(peer, message);
 }
 
--- a/modules/hornbeamlane_entry/PeerLinks.cpp
+++ b/modules/hornbeamlane_entry/PeerLinks.cpp
@@ -145,6 +145,12 @@
     }
 }
 
+bool PeerLinks::isInOtherDataCentre(const std::string &peer) const
+{
+    const auto found = peers_.find(peer);
+    return found != peers_.end() && found->second.hello.dataCentre != options_.dataCentre;
+}
+
 std::map<std::string, Incarnation> PeerLinks::peers() const
 {
     std::map<std::string, Incarnation> result;
--- a/modules/hornbeamlane_entry/PeerLinks.h
+++ b/modules/hornbeamlane_entry/PeerLinks.h
@@ -44,6 +44,9 @@
 
     void send(const std::string &peer, const Message &message);
 
+    /** Whether a peer of another data centre is linked under this name. */
+    bool isInOtherDataCentre(const std::string &peer) const;
+
     /** Incarnations of all linked peers by name. */
     std::map<std::string, Incarnation> peers() const;
 
