--- /dev/null
+++ b/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/**
+    Decisions of an entry that sends requests straight to backend servers: routes, choice of server, queue, retries.
+
+    No input or output. Depends on hornbeamlane_base.
+*/
+
+#include "hornbeamlane_dispatch/catalogue/RouteTable.h"
+#include "hornbeamlane_dispatch/queue/AdmissionQueue.h"
+#include "hornbeamlane_dispatch/retry/RetryAllowance.h"
+#include "hornbeamlane_dispatch/servers/BackendBook.h"
+#include "hornbeamlane_dispatch/stream/EventStreamFilter.h"
--- /dev/null
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -0,0 +1,283 @@
+#include "hornbeamlane_dispatch/servers/BackendBook.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+/** Weight of one outcome in the moving average of failures. */
+constexpr double failureWeight = 0.15;
+
+/** Scores closer than this count as equal, so that entries with the same view do not all choose the same server. */
+constexpr double scoreTolerance = 0.04;
+
+} // namespace
+
+BackendBook::BackendBook()
+    : BackendBook(Options())
+{
+}
+
+BackendBook::BackendBook(Options options)
+    : options_(options)
+{
+}
+
+void BackendBook::update(const BackendSpec &spec, TimePoint now)
+{
+    auto &backend = backends_[spec.id];
+    backend.spec = spec;
+    backend.isGone = false;
+    backend.lapsesAt.reset();
+    backend.coldUntil = std::max(backend.coldUntil, now + spec.warmupLeft);
+}
+
+void BackendBook::remove(const ServerId &server, TimePoint now, bool mayHaveLapsed)
+{
+    const auto found = backends_.find(server);
+    if (found == backends_.end() || found->second.isGone || found->second.lapsesAt) {
+        return;
+    }
+    // A server that had announced its leaving has not lapsed.
+    if (mayHaveLapsed && !found->second.spec.isDraining) {
+        found->second.lapsesAt = now + options_.lapseGrace;
+        return;
+    }
+    found->second.isGone = true;
+}
+
+void BackendBook::retainOnly(const std::set<ServerId> &listed, TimePoint now, bool mayHaveLapsed)
+{
+    for (const auto &[id, backend] : backends_) {
+        if (!listed.contains(id)) {
+            remove(id, now, mayHaveLapsed);
+        }
+    }
+}
+
+void BackendBook::setWarmup(const ServiceId &service, std::chrono::milliseconds warmup, double requestsPerSecond)
+{
+    warmups_[service] = {.time = warmup, .requestsPerSecond = requestsPerSecond};
+}
+
+void BackendBook::setEvacuated(std::set<DataCentreId> dataCentres)
+{
+    evacuated_ = std::move(dataCentres);
+}
+
+void BackendBook::setEntryCount(std::uint32_t count)
+{
+    options_.entryCount = std::max(1U, count);
+}
+
+bool BackendBook::isUsable(const Backend &backend, TimePoint now) const
+{
+    return !backend.isGone && !backend.spec.isDraining && !evacuated_.contains(backend.spec.dataCentre)
+        && (!backend.lapsesAt || now < *backend.lapsesAt);
+}
+
+bool BackendBook::isFull(const Backend &backend) const
+{
+    const auto places = backend.spec.slots * (1.0 + options_.queueShare);
+    return backend.inFlight() >= places;
+}
+
+double BackendBook::coldRateShare(const Backend &backend) const
+{
+    const auto found = warmups_.find(backend.spec.service);
+    return found == warmups_.end() ? 0 : found->second.requestsPerSecond / options_.entryCount;
+}
+
+/** Requests that may be sent at once; kept small, because the bursts of all entries may fall together. */
+double BackendBook::coldBurst(const Backend &backend) const
+{
+    return std::max(1.0, coldRateShare(backend) / 4);
+}
+
+double BackendBook::coldCredit(const Backend &backend, TimePoint now) const
+{
+    const auto elapsed = std::chrono::duration<double>(now - backend.coldCreditAt).count();
+    return std::min(coldBurst(backend), backend.coldCredit + elapsed * coldRateShare(backend));
+}
+
+bool BackendBook::isColdFull(const Backend &backend, TimePoint now) const
+{
+    return now < backend.coldUntil && coldRateShare(backend) > 0 && coldCredit(backend, now) < 1;
+}
+
+double BackendBook::failureShare(const Backend &backend, TimePoint now) const
+{
+    const auto age = std::chrono::duration<double>(now - backend.failureAt);
+    return backend.failureShare * std::exp2(-age / std::chrono::duration<double>(options_.failureHalfLife));
+}
+
+double BackendBook::score(const Backend &backend, const Request &request, TimePoint now) const
+{
+    const double load = (backend.inFlight() + 1.0) / std::max(1U, backend.spec.slots);
+    const double distance = backend.spec.dataCentre == request.dataCentre ? 0 : options_.distancePenalty;
+    return load + distance + options_.failurePenalty * failureShare(backend, now);
+}
+
+std::optional<ServerId> BackendBook::choose(const Request &request, TimePoint now, RandomSource &random)
+{
+    struct Candidate
+    {
+        const Backend *backend = nullptr;
+        double score = 0;
+    };
+    std::vector<Candidate> candidates;
+    std::vector<Candidate> avoided;
+    bool anyUsable = false;
+    bool anyNotExcluded = false;
+    for (const auto &[id, backend] : backends_) {
+        if (backend.spec.service != request.service || !isUsable(backend, now)
+            || (request.allowed != nullptr && !request.allowed->contains(backend.spec.dataCentre))) {
+            continue;
+        }
+        anyUsable = true;
+        if (request.excluded != nullptr
+            && std::find(request.excluded->begin(), request.excluded->end(), id) != request.excluded->end()) {
+            continue;
+        }
+        anyNotExcluded = true;
+        if (isFull(backend) || isColdFull(backend, now)) {
+            continue;
+        }
+        auto &list = now < backend.avoidUntil ? avoided : candidates;
+        list.push_back({.backend = &backend, .score = score(backend, request, now)});
+    }
+    if (candidates.empty()) {
+        candidates = std::move(avoided);
+    }
+    if (candidates.empty()) {
+        lastFailure_ = !anyUsable ? NoChoice::NoServer : anyNotExcluded ? NoChoice::AllFull : NoChoice::AllExcluded;
+        return std::nullopt;
+    }
+    const auto best =
+        std::min_element(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+            return a.score < b.score;
+        })->score;
+    std::erase_if(candidates, [best](const Candidate &one) { return one.score > best + scoreTolerance; });
+    return candidates[random.below(candidates.size())].backend->spec.id;
+}
+
+const Backend *BackendBook::find(const ServerId &server) const
+{
+    const auto found = backends_.find(server);
+    return found == backends_.end() ? nullptr : &found->second;
+}
+
+void BackendBook::onSent(const ServerId &server, TimePoint now)
+{
+    const auto found = backends_.find(server);
+    if (found == backends_.end()) {
+        return;
+    }
+    auto &backend = found->second;
+    ++backend.ownInFlight;
+    if (now < backend.coldUntil) {
+        backend.coldCredit = coldCredit(backend, now) - 1;
+        backend.coldCreditAt = now;
+    }
+}
+
+void BackendBook::countFailure(Backend &backend, bool isUnreachable, TimePoint now)
+{
+    backend.failureShare = failureShare(backend, now) * (1 - failureWeight) + failureWeight;
+    backend.failureAt = now;
+    ++backend.failuresInRow;
+    if (!isUnreachable) {
+        return;
+    }
+    const auto doublings = std::min(backend.failuresInRow - 1, 6U);
+    const auto pause =
+        std::min<std::chrono::milliseconds>(options_.avoidAfterFailure * (1U << doublings), options_.maxAvoid);
+    backend.avoidUntil = now + pause;
+}
+
+void BackendBook::onEnded(const ServerId &server, BackendOutcome outcome, TimePoint now)
+{
+    const auto found = backends_.find(server);
+    if (found == backends_.end()) {
+        return;
+    }
+    auto &backend = found->second;
+    backend.ownInFlight -= std::min(backend.ownInFlight, 1U);
+    switch (outcome) {
+    case BackendOutcome::Served:
+        backend.failureShare = failureShare(backend, now) * (1 - failureWeight);
+        backend.failureAt = now;
+        backend.failuresInRow = 0;
+        backend.avoidUntil = {};
+        return;
+    case BackendOutcome::Failed:
+        countFailure(backend, false, now);
+        return;
+    case BackendOutcome::Unreachable:
+    case BackendOutcome::Misdirected:
+        countFailure(backend, true, now);
+        return;
+    case BackendOutcome::Rejected:
+    case BackendOutcome::Cancelled:
+        return;
+    }
+}
+
+void BackendBook::onWarmup(const ServerId &server, std::chrono::milliseconds left, TimePoint now)
+{
+    const auto found = backends_.find(server);
+    if (found != backends_.end()) {
+        found->second.coldUntil = now + left;
+    }
+}
+
+void BackendBook::setPeersInFlight(const ServerId &server, std::uint32_t inFlight)
+{
+    const auto found = backends_.find(server);
+    if (found != backends_.end()) {
+        found->second.peersInFlight = inFlight;
+    }
+}
+
+std::vector<ServerId> BackendBook::sweep(TimePoint now)
+{
+    std::vector<ServerId> forgotten;
+    for (auto it = backends_.begin(); it != backends_.end();) {
+        auto &backend = it->second;
+        if (backend.lapsesAt && *backend.lapsesAt <= now) {
+            backend.isGone = true;
+        }
+        if (backend.isGone && backend.ownInFlight == 0) {
+            forgotten.push_back(it->first);
+            it = backends_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return forgotten;
+}
+
+std::size_t BackendBook::usableCount(const ServiceId &service, TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [&](const auto &entry) {
+        return entry.second.spec.service == service && isUsable(entry.second, now);
+    }));
+}
+
+double BackendBook::occupancy(const ServiceId &service, TimePoint now) const
+{
+    std::uint64_t places = 0;
+    std::uint64_t taken = 0;
+    for (const auto &[id, backend] : backends_) {
+        if (backend.spec.service == service && isUsable(backend, now)) {
+            places += backend.spec.slots;
+            taken += backend.inFlight();
+        }
+    }
+    return places == 0 ? 1.0 : static_cast<double>(taken) / static_cast<double>(places);
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "hornbeamlane_dispatch/catalogue/DispatchCatalogue.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** What a backend server says of itself. */
+struct BackendSpec
+{
+    ServerId id;
+    ServiceId service;
+    /** "<ip>:<port>". */
+    std::string address;
+    DataCentreId dataCentre;
+    /** Requests that it runs at the same time. */
+    std::uint32_t slots = 1;
+    bool isDraining = false;
+    /** Time for which it stays cold from now on. */
+    std::chrono::milliseconds warmupLeft{0};
+};
+
+/** A backend server as this entry sees it. */
+struct Backend
+{
+    BackendSpec spec;
+    TimePoint coldUntil;
+    /** A server whose entry has lapsed is used until then; empty while it is listed. */
+    std::optional<TimePoint> lapsesAt;
+    /** Requests of this entry that it runs or queues. */
+    std::uint32_t ownInFlight = 0;
+    /** The same of all other entries, as they last told. */
+    std::uint32_t peersInFlight = 0;
+    /** Moving average of failed requests, 0 to 1. */
+    double failureShare = 0;
+    TimePoint failureAt;
+    /** It gets no work before this time unless no other server can take it. */
+    TimePoint avoidUntil;
+    std::uint32_t failuresInRow = 0;
+    /** Requests that a cold server may still be sent at coldCreditAt. */
+    double coldCredit = 1;
+    TimePoint coldCreditAt;
+    bool isGone = false;
+
+    std::uint32_t inFlight() const
+    {
+        return ownInFlight + peersInFlight;
+    }
+};
+
+/** How a request ended at a server, as far as it tells about the server. */
+enum class BackendOutcome {
+    Served,
+    Rejected, ///< The server is full and said that it has not run the request.
+    Misdirected, ///< Another server has the address.
+    Failed, ///< An error, a broken connection or bytes that are no response.
+    Unreachable,
+    Cancelled, ///< Ended by the entry; says nothing about the server.
+};
+
+/** Servers, their load and their health, and the choice among them. */
+class BackendBook final
+{
+public:
+    struct Options
+    {
+        /** Requests beyond its slots that a server may hold, as a share of its slots. */
+        double queueShare = 0.25;
+        /** A server whose entry lapsed while the store was away is used for this time after the store's return. */
+        std::chrono::milliseconds lapseGrace{2000};
+        /** Time for which a server gets no work after its first failure in a row to connect; doubles up to the bound.
+         */
+        std::chrono::milliseconds avoidAfterFailure{200};
+        std::chrono::milliseconds maxAvoid{2000};
+        /** Half-life of the average of failures. */
+        std::chrono::milliseconds failureHalfLife{3000};
+        /** Load over slots that a server is charged if all its requests fail. */
+        double failurePenalty = 3.0;
+        /** Load over slots that a server in another data centre costs. */
+        double distancePenalty = 0.02;
+        /** Entries that share the bounds of a cold server; see setEntryCount(). */
+        std::uint32_t entryCount = 16;
+    };
+
+    struct Request
+    {
+        ServiceId service;
+        DataCentreId dataCentre;
+        /** Data centres whose servers may run it; null: all. */
+        const std::set<DataCentreId> *allowed = nullptr;
+        /** Servers that have already been tried for it. */
+        const std::vector<ServerId> *excluded = nullptr;
+    };
+
+    enum class NoChoice {
+        NoServer, ///< No server of the service is known and usable.
+        AllFull,
+        AllExcluded, ///< Each usable server has been tried already.
+    };
+
+    BackendBook();
+    explicit BackendBook(Options options);
+
+    /** Adds a server or takes over what it says now. */
+    void update(const BackendSpec &spec, TimePoint now);
+
+    /** The server's entry has gone; with a store that has just been away it may only have lapsed. */
+    void remove(const ServerId &server, TimePoint now, bool mayHaveLapsed);
+
+    /** All servers that the store lists; the others count as removed. */
+    void retainOnly(const std::set<ServerId> &listed, TimePoint now, bool mayHaveLapsed);
+
+    void setWarmup(const ServiceId &service, std::chrono::milliseconds warmup, double requestsPerSecond);
+    void setEvacuated(std::set<DataCentreId> dataCentres);
+    void setEntryCount(std::uint32_t count);
+
+    /** Picks the server with the least load among those that may take the request; empty: see lastFailure(). */
+    std::optional<ServerId> choose(const Request &request, TimePoint now, RandomSource &random);
+
+    NoChoice lastFailure() const
+    {
+        return lastFailure_;
+    }
+
+    /** Why and on what the last choice was made, for the log. */
+    const Backend *find(const ServerId &server) const;
+
+    void onSent(const ServerId &server, TimePoint now);
+    void onEnded(const ServerId &server, BackendOutcome outcome, TimePoint now);
+
+    /** The server says that it is cold for this time. */
+    void onWarmup(const ServerId &server, std::chrono::milliseconds left, TimePoint now);
+
+    void setPeersInFlight(const ServerId &server, std::uint32_t inFlight);
+
+    /** Forgets lapsed servers and those without work that have gone; returns the ids of those forgotten. */
+    std::vector<ServerId> sweep(TimePoint now);
+
+    /** Usable servers of the service. */
+    std::size_t usableCount(const ServiceId &service, TimePoint now) const;
+
+    /** Share of the places of a service's usable servers that are taken. */
+    double occupancy(const ServiceId &service, TimePoint now) const;
+
+    const std::map<ServerId, Backend> &all() const
+    {
+        return backends_;
+    }
+
+private:
+    struct Warmup
+    {
+        std::chrono::milliseconds time{0};
+        double requestsPerSecond = 0;
+    };
+
+    bool isUsable(const Backend &backend, TimePoint now) const;
+    bool isFull(const Backend &backend) const;
+    double coldCredit(const Backend &backend, TimePoint now) const;
+    double coldRateShare(const Backend &backend) const;
+    double coldBurst(const Backend &backend) const;
+    bool isColdFull(const Backend &backend, TimePoint now) const;
+    double failureShare(const Backend &backend, TimePoint now) const;
+    double score(const Backend &backend, const Request &request, TimePoint now) const;
+    void countFailure(Backend &backend, bool isUnreachable, TimePoint now);
+
+    Options options_;
+    std::map<ServerId, Backend> backends_;
+    std::map<ServiceId, Warmup> warmups_;
+    std::set<DataCentreId> evacuated_;
+    NoChoice lastFailure_ = NoChoice::NoServer;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -0,0 +1,292 @@
+#include "hornbeamlane_gateway/Gateway.h"
+
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds sweepInterval{250};
+
+/** The balancer takes an entry out after two missed checks, one a second; new connections come until then. */
+constexpr milliseconds acceptAfterStop{2600};
+
+constexpr milliseconds drainCheckInterval{20};
+
+/** Time before the end of the grace period at which what still runs is cut off in an orderly way. */
+constexpr milliseconds shutdownMargin{400};
+
+/** Bounds of the time after which a refused caller should come back. */
+constexpr milliseconds minRetryAfter{300};
+constexpr milliseconds retryAfterSpread{900};
+
+/** Entries assumed until the others have been heard. */
+constexpr std::uint32_t assumedEntries = 16;
+
+} // namespace
+
+Gateway::Gateway(EventLoop &loop, RandomSource &random, GatewaySettings settings)
+    : loop_(loop)
+    , random_(random)
+    , settings_(std::move(settings))
+    , backends_({.entryCount = assumedEntries})
+    , pool_(loop, {})
+    , peers_(loop, {.name = settings_.name, .incarnation = random.incarnation(), .address = settings_.peerAddress},
+             {.ownLoad =
+                  [this] {
+                      std::vector<std::pair<ServerHash, std::uint32_t>> load;
+                      for (const auto &[id, backend] : backends_.all()) {
+                          if (backend.ownInFlight > 0) {
+                              load.emplace_back(hashOfServer(id), backend.ownInFlight);
+                          }
+                      }
+                      return load;
+                  },
+              .changed = [this] { serversChanged(); }})
+    , callers_(loop,
+               {.limits =
+                    [this] {
+                        if (!table_) {
+                            return Http1Server::Limits{};
+                        }
+                        const auto &limits = table_->catalogue().limits;
+                        return Http1Server::Limits{
+                            .request = {.maxHeaderBytes = limits.maxHeaderBytes, .maxBodyBytes = limits.maxBodyBytes},
+                            .headerTimeout = limits.headerTimeout,
+                            .idleTimeout = limits.idleTimeout};
+                    },
+                .maxConnections = settings_.maxConnections},
+               [this](const std::shared_ptr<Http1Exchange> &exchange) { handle(exchange); })
+    , status_(loop, {.limits = [] { return Http1Server::Limits{}; }},
+              [this](const std::shared_ptr<Http1Exchange> &exchange) { handleStatusRequest(exchange); })
+    , sweepTimer_(loop, [this] { sweep(); })
+    , waitTimer_(loop, [this] { expireWaiting(); })
+    , drainTimer_(loop, [this] { checkDrained(); })
+{
+}
+
+Gateway::~Gateway() = default;
+
+bool Gateway::start()
+{
+    for (const auto &seed : settings_.peerSeeds) {
+        peers_.addPeer(seed);
+    }
+    sweepTimer_.startRepeating(sweepInterval);
+    return callers_.listen(settings_.callerAddress) && status_.listen(settings_.readyAddress) && peers_.start();
+}
+
+void Gateway::handle(const std::shared_ptr<Http1Exchange> &exchange)
+{
+    auto request = std::make_shared<ForwardedRequest>(*this, exchange);
+    requests_.emplace(request.get(), request);
+    request->start();
+}
+
+void Gateway::handleStatusRequest(const std::shared_ptr<Http1Exchange> &exchange)
+{
+    const auto path = exchange->request().path();
+    if (path == settings_.readyPath) {
+        exchange->reply(isReady() ? 200 : 503, {}, isReady() ? "ready\n" : "not ready\n");
+        return;
+    }
+    if (path == settings_.metricsPath) {
+        exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}}, renderMetrics());
+        return;
+    }
+    exchange->reply(404, {}, "");
+}
+
+bool Gateway::isReady() const
+{
+    return !isStopping_ && table_ != nullptr && !backends_.all().empty();
+}
+
+void Gateway::applyCatalogue(DispatchCatalogue catalogue)
+{
+    if (table_ && catalogue.version <= table_->version()) {
+        return;
+    }
+    table_ = std::make_shared<const RouteTable>(std::move(catalogue));
+    for (const auto &service : table_->catalogue().services) {
+        backends_.setWarmup(service.name, service.warmup, service.warmupRate);
+    }
+    logEvent(LogLevel::Info, "catalogue_in_force",
+             {{"version", std::to_string(table_->version().value())},
+              {"routes", std::to_string(table_->catalogue().routes.size())},
+              {"services", std::to_string(table_->catalogue().services.size())}});
+}
+
+Gateway::ServiceState &Gateway::stateOf(const ServiceId &service)
+{
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        return found->second;
+    }
+    return services_
+        .emplace(
+            service,
+            ServiceState{.queue = {},
+                         .waiting = {},
+                         .retries = RetryAllowance({.ratio = settings_.retryRatio,
+                                                    .allowance = settings_.retryAllowance,
+                                                    .window = settings_.retryWindow,
+                                                    .entryCount = entryCount_ == 0 ? assumedEntries : entryCount_})})
+        .first->second;
+}
+
+void Gateway::serversChanged()
+{
+    for (const auto &[id, backend] : backends_.all()) {
+        backends_.setPeersInFlight(id, peers_.loads().sumFor(hashOfServer(id)));
+    }
+    for (auto &[service, state] : services_) {
+        serveQueue(service);
+    }
+}
+
+void Gateway::serveQueue(const ServiceId &service)
+{
+    auto &state = stateOf(service);
+    while (const auto ticket = state.queue.front()) {
+        const auto found = state.waiting.find(ticket->number);
+        const auto request = found == state.waiting.end() ? nullptr : found->second.lock();
+        if (request == nullptr) {
+            state.waiting.erase(ticket->number);
+            state.queue.remove(ticket->number);
+            continue;
+        }
+        if (!request->tryLeaveQueue()) {
+            return;
+        }
+    }
+}
+
+void Gateway::armWaitTimer()
+{
+    std::optional<TimePoint> next;
+    for (const auto &[service, state] : services_) {
+        if (const auto expiry = state.queue.nextExpiry(); expiry && (!next || *expiry < *next)) {
+            next = expiry;
+        }
+    }
+    if (next) {
+        waitTimer_.startOnce(std::max(Duration::zero(), *next - loop_.now()));
+    }
+}
+
+void Gateway::expireWaiting()
+{
+    const auto now = loop_.now();
+    for (auto &[service, state] : services_) {
+        for (const auto &ticket : state.queue.takeExpired(now)) {
+            const auto found = state.waiting.find(ticket.number);
+            const auto request = found == state.waiting.end() ? nullptr : found->second.lock();
+            state.waiting.erase(ticket.number);
+            if (request != nullptr) {
+                request->onWaitExpired();
+            }
+        }
+    }
+    armWaitTimer();
+}
+
+void Gateway::sweep()
+{
+    const auto now = loop_.now();
+    for (const auto &server : backends_.sweep(now)) {
+        pool_.forget(server);
+        logEvent(LogLevel::Info, "server_forgotten", {{"server", server.name()}});
+    }
+    pool_.sweep(now);
+    setEntryCount(peers_.entryCount(now));
+    for (auto &[service, state] : services_) {
+        serveQueue(service);
+    }
+}
+
+void Gateway::setEntryCount(std::uint32_t count)
+{
+    // The first count after a start may miss entries that have not been heard yet.
+    const auto safeCount = std::max(count, 3U);
+    if (safeCount == entryCount_) {
+        return;
+    }
+    entryCount_ = safeCount;
+    backends_.setEntryCount(safeCount);
+    for (auto &[service, state] : services_) {
+        state.retries.setEntryCount(safeCount);
+    }
+    logEvent(LogLevel::Info, "entry_count", {{"entries", std::to_string(safeCount)}});
+}
+
+void Gateway::shutDown(std::function<void()> done)
+{
+    isStopping_ = true;
+    drained_ = std::move(done);
+    callers_.announceClose();
+    peers_.stop();
+    const auto startedAt = loop_.now();
+    const auto stop = std::min<milliseconds>(acceptAfterStop, settings_.shutdownBound / 2);
+    stopAcceptingAt_ = startedAt + stop;
+    cutOffAt_ = startedAt + settings_.shutdownBound - shutdownMargin;
+    drainTimer_.startRepeating(drainCheckInterval);
+}
+
+void Gateway::checkDrained()
+{
+    const auto now = loop_.now();
+    if (now < stopAcceptingAt_) {
+        return;
+    }
+    if (!std::exchange(hasStoppedAccepting_, true)) {
+        callers_.stopAccepting();
+        return;
+    }
+    if (now >= cutOffAt_ || (callers_.openExchanges() == 0 && callers_.connectionCount() == 0)) {
+        drainTimer_.stop();
+        logEvent(LogLevel::Info, "drained", {{"cut_off", std::to_string(callers_.openExchanges())}});
+        drained_();
+    }
+}
+
+std::string Gateway::retryAfter()
+{
+    const auto wait = minRetryAfter + milliseconds(random_.below(static_cast<std::uint64_t>(retryAfterSpread.count())));
+    std::array<char, 16> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(wait).count());
+    return text.data();
+}
+
+void Gateway::countOutcome(std::string_view outcome, Duration total)
+{
+    metrics_.addToCounter("requests_total", {{"outcome", std::string(outcome)}});
+    metrics_.observe("request_seconds", {{"outcome", std::string(outcome)}}, total);
+}
+
+void Gateway::forget(ForwardedRequest *request)
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end()) {
+        return;
+    }
+    loop_.post([kept = std::move(found->second)] {});
+    requests_.erase(found);
+}
+
+std::string Gateway::renderMetrics()
+{
+    metrics_.setGauge("requests_running", {}, static_cast<double>(requests_.size()));
+    metrics_.setGauge("connections_opened", {}, static_cast<double>(pool_.counters().opened));
+    metrics_.setGauge("connections_reused", {}, static_cast<double>(pool_.counters().reused));
+    metrics_.setGauge("peers_active", {}, static_cast<double>(peers_.loads().activePeers()));
+    return metrics_.renderPrometheus();
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "hornbeamlane_gateway/GatewaySettings.h"
+#include "hornbeamlane_gateway/backends/BackendPool.h"
+#include "hornbeamlane_gateway/peers/PeerExchange.h"
+#include "hornbeamlane_gateway/request/ForwardedRequest.h"
+#include "hornbeamlane_network/http1/Http1Server.h"
+#include "hornbeamlane_network/loop/Timer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace hornbeamlane {
+
+/**
+    An entry that sends callers' requests straight to backend servers.
+
+    Whoever owns it tells it the catalogue, the servers and the data centres that are taken out of service.
+*/
+class Gateway final
+{
+public:
+    Gateway(EventLoop &loop, RandomSource &random, GatewaySettings settings);
+    ~Gateway();
+
+    /** False if an address cannot be bound. */
+    bool start();
+
+    /** Finishes what is running, takes no new work and calls `done`. */
+    void shutDown(std::function<void()> done);
+
+    /** Puts a catalogue in force; an older one than that in force is ignored. */
+    void applyCatalogue(DispatchCatalogue catalogue);
+
+    BackendBook &backends()
+    {
+        return backends_;
+    }
+
+    PeerExchange &peers()
+    {
+        return peers_;
+    }
+
+    /** Servers, load or health have changed, so waiting requests may find a place. */
+    void serversChanged();
+
+    bool isReady() const;
+
+    const GatewaySettings &settings() const
+    {
+        return settings_;
+    }
+
+private:
+    friend class ForwardedRequest;
+
+    struct ServiceState
+    {
+        AdmissionQueue queue;
+        std::unordered_map<TicketNumber, std::weak_ptr<ForwardedRequest>> waiting;
+        RetryAllowance retries;
+    };
+
+    void handle(const std::shared_ptr<Http1Exchange> &exchange);
+    void handleStatusRequest(const std::shared_ptr<Http1Exchange> &exchange);
+    ServiceState &stateOf(const ServiceId &service);
+    void serveQueue(const ServiceId &service);
+    void expireWaiting();
+    void armWaitTimer();
+    void sweep();
+    void setEntryCount(std::uint32_t count);
+    void checkDrained();
+    /** Value of a Retry-After header: callers that were refused together come back spread out. */
+    std::string retryAfter();
+    void countOutcome(std::string_view outcome, Duration total);
+    /** Destroys the request on the next turn. */
+    void forget(ForwardedRequest *request);
+    std::string renderMetrics();
+
+    EventLoop &loop_;
+    RandomSource &random_;
+    GatewaySettings settings_;
+    BackendBook backends_;
+    BackendPool pool_;
+    PeerExchange peers_;
+    /** Shared with the requests that were admitted under it. */
+    std::shared_ptr<const RouteTable> table_;
+    std::map<ServiceId, ServiceState> services_;
+    std::unordered_map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> requests_;
+    Http1Server callers_;
+    Http1Server status_;
+    MetricsRegistry metrics_;
+    Timer sweepTimer_;
+    Timer waitTimer_;
+    Timer drainTimer_;
+    std::function<void()> drained_;
+    bool isStopping_ = false;
+    bool hasStoppedAccepting_ = false;
+    TimePoint stopAcceptingAt_;
+    TimePoint cutOffAt_;
+    std::uint32_t entryCount_ = 0;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "hornbeamlane_base/hornbeamlane_base.h"
+#include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** Names of the headers that a gateway reads and writes. */
+struct GatewayHeaders
+{
+    /** Id of one attempt of a caller; servers echo it. */
+    std::string attemptId = "X-Attempt-Id";
+    /** Time that the caller, or the gateway, still waits, in milliseconds. */
+    std::string timeLeft = "X-Time-Left-Ms";
+    /** Key of the caller; never passed on. */
+    std::string key = "X-Api-Key";
+    /** Name of the key's team; set by the gateway only. */
+    std::string team = "X-Hornbeamlane-Team";
+    /** Server for which the request is meant; another one rejects it. */
+    std::string expectedServer = "X-Expected-Server";
+    /** Signature of a server; a success without it is not the server's answer. */
+    std::string signature = "X-Server-Signature";
+    /** States that the server has not run the request. */
+    std::string notRun = "X-Not-Run";
+    /** Running, waiting and slots of the server. */
+    std::string load = "X-Server-Load";
+    /** Time for which the server stays cold, in milliseconds. */
+    std::string warmup = "X-Warmup-Ms";
+    /** Position in a stream after which it goes on. */
+    std::string lastEventId = "Last-Event-Id";
+};
+
+/** Everything that a gateway has to know before it starts. */
+struct GatewaySettings
+{
+    std::string name;
+    DataCentreId dataCentre;
+    /** Region of each data centre. */
+    std::map<DataCentreId, RegionId> regions;
+    /** "<ip>:<port>" for callers. */
+    std::string callerAddress;
+    /** "<ip>:<port>" for the balancer's readiness checks and for metrics. */
+    std::string readyAddress;
+    std::string readyPath = "/readyz";
+    std::string metricsPath = "/metrics";
+    /** "<ip>:<port>" for load messages of the other entries. */
+    std::string peerAddress;
+    /** Addresses of other entries to start with. */
+    std::vector<std::string> peerSeeds;
+    GatewayHeaders headers;
+    /** Share of requests that may be sent again, over all entries, in each window; and what is allowed beside it. */
+    double retryRatio = 0.1;
+    double retryAllowance = 10;
+    std::chrono::milliseconds retryWindow{10000};
+    /** A planned stop ends after this time at the latest. */
+    std::chrono::milliseconds shutdownBound{8000};
+    std::size_t maxConnections = 3000;
+    LogLevel logLevel = LogLevel::Info;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -0,0 +1,108 @@
+#include "hornbeamlane_gateway/peers/PeerExchange.h"
+
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+/** An entry that was heard within this time counts in the division of shared bounds, also when it is cut off. */
+constexpr std::chrono::seconds entryMemory{60};
+
+} // namespace
+
+PeerExchange::PeerExchange(EventLoop &loop, Options options, Callbacks callbacks)
+    : loop_(loop)
+    , options_(std::move(options))
+    , callbacks_(std::move(callbacks))
+    , socket_(loop, [this](std::string_view bytes, const std::string &sender) { receive(bytes, sender); })
+    , timer_(loop, [this] { tick(); })
+{
+}
+
+bool PeerExchange::start()
+{
+    if (!socket_.bind(options_.address)) {
+        return false;
+    }
+    timer_.startRepeating(options_.interval);
+    return true;
+}
+
+void PeerExchange::stop()
+{
+    timer_.stop();
+}
+
+void PeerExchange::addPeer(const std::string &address)
+{
+    if (address != options_.address && !peers_.contains(address)) {
+        peers_[address].addedAt = loop_.now();
+        hasChanged_ = true;
+        lastSentToAll_ = {};
+    }
+}
+
+void PeerExchange::markChanged()
+{
+    hasChanged_ = true;
+}
+
+std::uint32_t PeerExchange::entryCount(TimePoint now) const
+{
+    const auto known = std::count_if(peers_.begin(), peers_.end(), [now](const auto &entry) {
+        const auto &peer = entry.second;
+        return now - std::max(peer.heardAt, peer.addedAt) < entryMemory;
+    });
+    return 1 + static_cast<std::uint32_t>(known);
+}
+
+void PeerExchange::receive(std::string_view bytes, const std::string &sender)
+{
+    const auto message = decodeLoadMessage(bytes);
+    if (!message) {
+        logEvent(LogLevel::Warning, "peer_message_malformed",
+                 {{"sender", sender}, {"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    const auto now = loop_.now();
+    addPeer(sender);
+    auto &peer = peers_[sender];
+    peer.heardAt = now;
+    peer.hasBeenHeard = true;
+    if (loads_.take(*message, now)) {
+        callbacks_.changed();
+    }
+}
+
+void PeerExchange::tick()
+{
+    const auto now = loop_.now();
+    if (loads_.expire(now)) {
+        callbacks_.changed();
+    }
+    if (!hasChanged_ && now - lastSent_ < options_.idleInterval) {
+        return;
+    }
+    // Peers that are silent may be gone; they are told seldom, so that one that is back is found again.
+    const bool toAll = now - lastSentToAll_ >= options_.idleInterval;
+    const auto bytes = encodeLoadMessage({.sender = options_.name,
+                                          .sequence = ++sequence_,
+                                          .incarnation = options_.incarnation,
+                                          .inFlight = callbacks_.ownLoad()});
+    for (const auto &[address, peer] : peers_) {
+        if (toAll || now - peer.heardAt < options_.silence) {
+            socket_.send(address, bytes);
+        }
+    }
+    hasChanged_ = false;
+    lastSent_ = now;
+    if (toAll) {
+        lastSentToAll_ = now;
+    }
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "hornbeamlane_gateway/peers/DatagramSocket.h"
+#include "hornbeamlane_gateway/peers/PeerLoads.h"
+#include "hornbeamlane_network/loop/Timer.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** Tells the other entries how many requests of this one each server has, and hears the same from them. */
+class PeerExchange final
+{
+public:
+    struct Options
+    {
+        std::string name;
+        Incarnation incarnation;
+        std::string address;
+        /** Time between two messages while the load changes; what is not told yet is seen late by the others. */
+        std::chrono::milliseconds interval{40};
+        /** Time between two messages without changes. */
+        std::chrono::milliseconds idleInterval{500};
+        /** A peer that has not been heard for this time is told less often. */
+        std::chrono::milliseconds silence{3000};
+    };
+
+    struct Callbacks
+    {
+        std::function<std::vector<std::pair<ServerHash, std::uint32_t>>()> ownLoad;
+        /** The loads of the peers have changed. */
+        std::function<void()> changed;
+    };
+
+    PeerExchange(EventLoop &loop, Options options, Callbacks callbacks);
+
+    bool start();
+    void stop();
+
+    /** An entry that may be there. */
+    void addPeer(const std::string &address);
+
+    /** The load has changed; it is told with the next message. */
+    void markChanged();
+
+    const PeerLoads &loads() const
+    {
+        return loads_;
+    }
+
+    /** Entries heard of within the last minute and this one. */
+    std::uint32_t entryCount(TimePoint now) const;
+
+private:
+    struct Peer
+    {
+        TimePoint addedAt;
+        TimePoint heardAt;
+        bool hasBeenHeard = false;
+    };
+
+    void receive(std::string_view bytes, const std::string &sender);
+    void tick();
+
+    EventLoop &loop_;
+    Options options_;
+    Callbacks callbacks_;
+    DatagramSocket socket_;
+    PeerLoads loads_;
+    std::map<std::string, Peer> peers_;
+    Timer timer_;
+    std::uint64_t sequence_ = 0;
+    bool hasChanged_ = true;
+    TimePoint lastSent_;
+    TimePoint lastSentToAll_;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "hornbeamlane_base/hornbeamlane_base.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** Short name of a server in load messages. */
+using ServerHash = std::uint32_t;
+
+ServerHash hashOfServer(const ServerId &server);
+
+/** What one entry tells the others about its requests at the servers. */
+struct LoadMessage
+{
+    std::string sender;
+    /** Grows with each message of one start of the sender, so that a late one is not taken for the newest. */
+    std::uint64_t sequence = 0;
+    Incarnation incarnation;
+    std::vector<std::pair<ServerHash, std::uint32_t>> inFlight;
+};
+
+/** CBOR form of the message; decode() is empty for bytes that are no such message. */
+std::string encodeLoadMessage(const LoadMessage &message);
+std::optional<LoadMessage> decodeLoadMessage(std::string_view bytes);
+
+/** Sums what the other entries tell. A peer that has fallen silent is left out. */
+class PeerLoads final
+{
+public:
+    struct Options
+    {
+        /** Load of a peer that has told nothing for this time is forgotten. */
+        std::chrono::milliseconds silence{1500};
+    };
+
+    PeerLoads();
+    explicit PeerLoads(Options options);
+
+    /** Takes a message; false if a newer one of the same peer is known. */
+    bool take(const LoadMessage &message, TimePoint now);
+
+    /** Forgets silent peers; true if sums have changed. */
+    bool expire(TimePoint now);
+
+    std::uint32_t sumFor(ServerHash server) const;
+
+    /** Peers that have been heard within the silence. */
+    std::size_t activePeers() const
+    {
+        return peers_.size();
+    }
+
+private:
+    struct Peer
+    {
+        LoadMessage last;
+        TimePoint heardAt;
+    };
+
+    void subtract(const LoadMessage &message);
+
+    Options options_;
+    std::map<std::string, Peer> peers_;
+    std::unordered_map<ServerHash, std::uint32_t> sums_;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -0,0 +1,576 @@
+#include "hornbeamlane_gateway/request/ForwardedRequest.h"
+
+#include "hornbeamlane_gateway/Gateway.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Part of the latency target for which a request may wait for a place; the rest is needed at the server. */
+constexpr double queueShareOfTarget = 0.6;
+
+/** Wait for a place for the rest of a stream that broke off; callers give up after a pause of about two seconds. */
+constexpr milliseconds resumeWait{1200};
+
+/** Sendings of one request in all, also those that servers rejected without running it. */
+constexpr std::uint32_t maxSends = 4;
+
+/** A caller that reads slowly stops the server once so many bytes wait for it. */
+constexpr std::size_t maxBufferedBytes = 256 * 1024;
+
+/** Answers that are not streams are collected up to this size. */
+constexpr std::size_t maxCollectedBytes = 8 * 1024 * 1024;
+
+constexpr int statusMisdirected = 421;
+
+std::optional<milliseconds> parseMilliseconds(const std::string *text)
+{
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (error != std::errc() || end == text->data() || value < 0) {
+        return std::nullopt;
+    }
+    return milliseconds(value);
+}
+
+std::string formatMilliseconds(Duration time)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+bool isPromiseOfNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/** Whether the header is listed in a Connection header and so concerns this connection only. */
+bool isListedInConnection(const HttpHeaders &headers, std::string_view name)
+{
+    const auto *list = findHeader(headers, "Connection");
+    if (list == nullptr) {
+        return false;
+    }
+    std::string_view rest = *list;
+    while (!rest.empty()) {
+        const auto comma = rest.find(',');
+        auto token = rest.substr(0, comma);
+        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+        const auto begin = token.find_first_not_of(" \t");
+        if (begin == std::string_view::npos) {
+            continue;
+        }
+        token = token.substr(begin, token.find_last_not_of(" \t") - begin + 1);
+        if (isSameHeader(token, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders result;
+    result.reserve(headers.size());
+    for (const auto &header : headers) {
+        if (!isHopByHopHeader(header.first) && !isListedInConnection(headers, header.first)) {
+            result.push_back(header);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+std::string_view toString(GatewayRefusal refusal)
+{
+    static constexpr std::array<std::string_view, 10> names = {
+        "not_ready",  "no_route",        "unknown_key",   "bad_request", "no_server",
+        "overloaded", "retries_used_up", "server_failed", "timed_out",   "timed_out_waiting"};
+    return names[static_cast<std::size_t>(refusal)];
+}
+
+int statusOf(GatewayRefusal refusal)
+{
+    switch (refusal) {
+    case GatewayRefusal::NoRoute:
+        return 404;
+    case GatewayRefusal::UnknownKey:
+        return 401;
+    case GatewayRefusal::BadRequest:
+        return 400;
+    case GatewayRefusal::ServerFailed:
+        return 502;
+    case GatewayRefusal::TimedOut:
+        return 504;
+    case GatewayRefusal::NotReady:
+    case GatewayRefusal::NoServer:
+    case GatewayRefusal::Overloaded:
+    case GatewayRefusal::RetriesUsedUp:
+    case GatewayRefusal::TimedOutWaiting:
+        return 503;
+    }
+    return 503;
+}
+
+ForwardedRequest::ForwardedRequest(Gateway &gateway, std::shared_ptr<Http1Exchange> exchange)
+    : gateway_(gateway)
+    , exchange_(std::move(exchange))
+    , timer_(gateway.loop_, [this] { onTimeout(); })
+{
+}
+
+ForwardedRequest::~ForwardedRequest() = default;
+
+TimePoint ForwardedRequest::now() const
+{
+    return gateway_.loop_.now();
+}
+
+void ForwardedRequest::start()
+{
+    arrivedAt_ = now();
+    table_ = gateway_.table_;
+    if (!admit()) {
+        return;
+    }
+    exchange_->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onCallerLeft();
+        }
+    });
+    timer_.startOnce(deadline_ - arrivedAt_);
+    gateway_.stateOf(service_).retries.countRequest(arrivedAt_);
+    dispatch(true);
+}
+
+bool ForwardedRequest::admit()
+{
+    const auto &request = exchange_->request();
+    const auto &names = gateway_.settings_.headers;
+    if (const auto *id = request.header(names.attemptId)) {
+        attemptId_ = *id;
+    }
+    if (!table_) {
+        refuse(GatewayRefusal::NotReady);
+        return false;
+    }
+    const auto *host = request.header("Host");
+    if (host == nullptr || !request.target.starts_with('/')) {
+        refuse(GatewayRefusal::BadRequest);
+        return false;
+    }
+    route_ = table_->findRoute(*host, request.path());
+    if (route_ == nullptr || route_->services.empty()) {
+        refuse(GatewayRefusal::NoRoute);
+        return false;
+    }
+    if (table_->hasTeams()) {
+        const auto *key = request.header(names.key);
+        team_ = key == nullptr ? nullptr : table_->findTeam(*key);
+        if (team_ == nullptr && !route_->isPublic) {
+            refuse(GatewayRefusal::UnknownKey);
+            return false;
+        }
+    }
+    priority_ = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
+    std::uint64_t total = 0;
+    for (const auto &part : route_->services) {
+        total += part.weight;
+    }
+    auto pick = total == 0 ? 0 : gateway_.random_.below(total);
+    service_ = route_->services.front().service;
+    for (const auto &part : route_->services) {
+        if (pick < part.weight) {
+            service_ = part.service;
+            break;
+        }
+        pick -= part.weight;
+    }
+    const auto stated = parseMilliseconds(request.header(names.timeLeft));
+    deadline_ = arrivedAt_ + std::min(stated.value_or(route_->timeout), route_->timeout);
+    if (const auto *position = request.header(names.lastEventId)) {
+        events_.setLastEventId(*position);
+    }
+    return true;
+}
+
+void ForwardedRequest::dispatch(bool mayQueue)
+{
+    auto &state = gateway_.stateOf(service_);
+    const auto time = now();
+    std::optional<ServerId> server;
+    // Those that wait already come first.
+    const bool isBehindOthers = mayQueue && state.queue.size() > 0;
+    if (!isBehindOthers) {
+        server = gateway_.backends_.choose(
+            {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &tried_}, time,
+            gateway_.random_);
+    }
+    if (server) {
+        send(*server);
+        return;
+    }
+    if (!isBehindOthers && gateway_.backends_.lastFailure() != BackendBook::NoChoice::AllFull) {
+        refuse(sends_ == 0 ? GatewayRefusal::NoServer : GatewayRefusal::RetriesUsedUp);
+        return;
+    }
+    const Duration wait = exchange_->isStreaming()
+        ? Duration(resumeWait)
+        : std::chrono::duration_cast<Duration>(route_->latencyTarget * queueShareOfTarget) - (time - arrivedAt_);
+    if (wait <= Duration::zero() || time >= deadline_) {
+        refuse(GatewayRefusal::Overloaded);
+        return;
+    }
+    ticket_ = state.queue.add(priority_, std::min(time + wait, deadline_));
+    state.waiting.emplace(*ticket_, weak_from_this());
+    gateway_.armWaitTimer();
+}
+
+bool ForwardedRequest::tryLeaveQueue()
+{
+    const auto server = gateway_.backends_.choose(
+        {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &tried_}, now(),
+        gateway_.random_);
+    if (!server && gateway_.backends_.lastFailure() == BackendBook::NoChoice::AllFull) {
+        return false;
+    }
+    leaveQueue();
+    if (server) {
+        send(*server);
+    } else {
+        refuse(GatewayRefusal::NoServer);
+    }
+    return true;
+}
+
+void ForwardedRequest::onWaitExpired()
+{
+    leaveQueue();
+    refuse(GatewayRefusal::Overloaded);
+}
+
+void ForwardedRequest::leaveQueue()
+{
+    if (!ticket_) {
+        return;
+    }
+    auto &state = gateway_.stateOf(service_);
+    state.queue.remove(*ticket_);
+    state.waiting.erase(*ticket_);
+    ticket_.reset();
+}
+
+HttpHeaders ForwardedRequest::requestHeaders(const ServerId &server) const
+{
+    const auto &names = gateway_.settings_.headers;
+    HttpHeaders headers;
+    for (auto &header : endToEndHeaders(exchange_->request().headers)) {
+        if (!isSameHeader(header.first, names.key) && !isSameHeader(header.first, names.timeLeft)
+            && !isSameHeader(header.first, names.team) && !isSameHeader(header.first, names.expectedServer)
+            && !isSameHeader(header.first, names.lastEventId)) {
+            headers.push_back(std::move(header));
+        }
+    }
+    headers.emplace_back(names.timeLeft, formatMilliseconds(std::max(Duration::zero(), deadline_ - now())));
+    headers.emplace_back(names.expectedServer, server.name());
+    if (team_ != nullptr) {
+        headers.emplace_back(names.team, team_->name.name());
+    }
+    if (events_.lastEventId()) {
+        headers.emplace_back(names.lastEventId, *events_.lastEventId());
+    }
+    return headers;
+}
+
+void ForwardedRequest::send(const ServerId &server)
+{
+    const auto *backend = gateway_.backends_.find(server);
+    const auto &request = exchange_->request();
+    auto &sending = send_.emplace();
+    sending.server = server;
+    sending.address = backend->spec.address;
+    sending.startedAt = now();
+    sending.connection = gateway_.pool_.acquire(server, sending.address);
+    tried_.push_back(server);
+    ++sends_;
+    gateway_.backends_.onSent(server, sending.startedAt);
+    gateway_.peers_.markChanged();
+    // The request outlives the connection, which it owns; the callbacks end with the connection.
+    sending.connection->call(
+        {.method = request.method, .target = request.target, .headers = requestHeaders(server), .body = request.body},
+        {.head = [this](const Http1ResponseHead &head) { return handleHead(head); },
+         .data = [this](std::string_view bytes) { handleData(bytes); },
+         .end = [self = shared_from_this()](Http1CallEnd end) { self->handleEnd(end); }});
+}
+
+bool ForwardedRequest::handleHead(const Http1ResponseHead &head)
+{
+    const auto *echoed = head.header(gateway_.settings_.headers.attemptId);
+    if (echoed != nullptr && *echoed != attemptId_) {
+        logEvent(LogLevel::Warning, "answer_of_other_request",
+                 {{"id", attemptId_}, {"server", send_->server.name()}, {"answered", *echoed}});
+        return false;
+    }
+    if (const auto left = parseMilliseconds(head.header(gateway_.settings_.headers.warmup))) {
+        gateway_.backends_.onWarmup(send_->server, *left, now());
+    }
+    send_->head = head;
+    send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head);
+    if (firstByteAt_ == TimePoint{}) {
+        firstByteAt_ = now();
+    }
+    return true;
+}
+
+bool ForwardedRequest::isValidSuccess(const Http1ResponseHead &head) const
+{
+    const auto &names = gateway_.settings_.headers;
+    return head.header(names.signature) != nullptr && head.header(names.attemptId) != nullptr
+        && head.header("Content-Encoding") == nullptr;
+}
+
+bool ForwardedRequest::isNotRun(const Http1ResponseHead &head) const
+{
+    return head.status == statusMisdirected
+        || (isPromiseOfNotRun(head.status) && head.header(gateway_.settings_.headers.notRun) != nullptr);
+}
+
+void ForwardedRequest::handleData(std::string_view bytes)
+{
+    if (send_->isStreamed) {
+        forwardEvents(bytes);
+        return;
+    }
+    if (send_->body.size() + bytes.size() <= maxCollectedBytes) {
+        send_->body.append(bytes);
+        return;
+    }
+    logEvent(LogLevel::Warning, "answer_too_large", {{"id", attemptId_}, {"server", send_->server.name()}});
+    endSend(BackendOutcome::Failed);
+    refuse(GatewayRefusal::ServerFailed);
+}
+
+void ForwardedRequest::forwardEvents(std::string_view bytes)
+{
+    const auto whole = events_.push(bytes);
+    if (whole.empty() || hasCallerLeft_) {
+        return;
+    }
+    // The answer starts with its first event: until then another server can still give all of it.
+    if (!exchange_->isStreaming()) {
+        exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
+    }
+    exchange_->sendPiece(whole);
+    if (exchange_->bufferedBytes() > maxBufferedBytes) {
+        send_->connection->pauseReading();
+        exchange_->onDrained([weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (self && self->send_) {
+                self->send_->connection->resumeReading();
+            }
+        });
+    }
+}
+
+void ForwardedRequest::handleEnd(Http1CallEnd end)
+{
+    switch (end) {
+    case Http1CallEnd::Complete:
+        handleCompleteAnswer();
+        return;
+    case Http1CallEnd::NotSent:
+        endSend(BackendOutcome::Unreachable);
+        retryOrRefuse(GatewayRefusal::NoServer);
+        return;
+    case Http1CallEnd::BrokenOff:
+    case Http1CallEnd::BadResponse:
+        ++runs_;
+        endSend(BackendOutcome::Failed);
+        events_.dropPartialEvent();
+        retryOrRefuse(GatewayRefusal::ServerFailed);
+        return;
+    }
+}
+
+void ForwardedRequest::handleCompleteAnswer()
+{
+    const auto &head = *send_->head;
+    if (send_->isStreamed) {
+        finishStream();
+        return;
+    }
+    if (isNotRun(head)) {
+        endSend(head.status == statusMisdirected ? BackendOutcome::Misdirected : BackendOutcome::Rejected);
+        retryOrRefuse(GatewayRefusal::RetriesUsedUp);
+        return;
+    }
+    ++runs_;
+    const bool isSuccess = head.status / 100 == 2;
+    if ((isSuccess && !isValidSuccess(head)) || isPromiseOfNotRun(head.status)) {
+        endSend(BackendOutcome::Failed);
+        retryOrRefuse(GatewayRefusal::ServerFailed);
+        return;
+    }
+    if (head.status >= 500) {
+        failedHead_ = std::move(send_->head);
+        failedBody_ = std::move(send_->body);
+        endSend(BackendOutcome::Failed);
+        retryOrRefuse(GatewayRefusal::ServerFailed);
+        return;
+    }
+    if (!exchange_->isStreaming()) {
+        deliverAnswer();
+        return;
+    }
+    // The rest of a stream cannot be continued by an answer of another kind.
+    endSend(BackendOutcome::Failed);
+    refuse(GatewayRefusal::ServerFailed);
+}
+
+void ForwardedRequest::deliverAnswer()
+{
+    const auto status = send_->head->status;
+    const auto headers = endToEndHeaders(send_->head->headers);
+    const auto body = std::move(send_->body);
+    endSend(BackendOutcome::Served);
+    if (!hasCallerLeft_) {
+        exchange_->reply(status, headers, body);
+    }
+    finish("answered_" + std::to_string(status));
+}
+
+void ForwardedRequest::finishStream()
+{
+    const std::string rest(events_.partialEvent());
+    if (!hasCallerLeft_) {
+        if (!exchange_->isStreaming()) {
+            exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
+        }
+        exchange_->sendPiece(rest);
+    }
+    endSend(BackendOutcome::Served);
+    if (!hasCallerLeft_) {
+        exchange_->finishStream();
+    }
+    finish("streamed");
+}
+
+bool ForwardedRequest::mayRepeat() const
+{
+    return route_->kind == RequestKind::Idempotent || (route_->kind == RequestKind::Stream && route_->isResumable);
+}
+
+void ForwardedRequest::retryOrRefuse(GatewayRefusal reason)
+{
+    const bool mayRunAgain = runs_ == 0 || (mayRepeat() && runs_ < route_->maxAttempts);
+    const bool isWorthwhile = !hasCallerLeft_ && now() < deadline_ && sends_ < maxSends;
+    if (mayRunAgain && isWorthwhile && gateway_.stateOf(service_).retries.takeRetry(now())) {
+        dispatch(false);
+        return;
+    }
+    refuse(reason);
+}
+
+void ForwardedRequest::endSend(BackendOutcome outcome)
+{
+    if (!send_) {
+        return;
+    }
+    auto sending = std::move(*send_);
+    send_.reset();
+    gateway_.backends_.onEnded(sending.server, outcome, now());
+    gateway_.peers_.markChanged();
+    gateway_.pool_.release(sending.server, sending.address, std::move(sending.connection));
+    // On the next turn, so that a chain of ends does not nest.
+    gateway_.loop_.post([&gateway = gateway_, service = service_] { gateway.serveQueue(service); });
+}
+
+void ForwardedRequest::refuse(GatewayRefusal refusal)
+{
+    if (hasCallerLeft_ || exchange_->isClosed()) {
+        finish("caller_left");
+        return;
+    }
+    if (exchange_->isStreaming()) {
+        exchange_->abort();
+        finish("stream_cut");
+        return;
+    }
+    // Status 503 states that the request has not run.
+    if (runs_ > 0 && statusOf(refusal) == 503) {
+        refusal = GatewayRefusal::ServerFailed;
+    }
+    if (failedHead_ && refusal == GatewayRefusal::ServerFailed) {
+        exchange_->reply(failedHead_->status, endToEndHeaders(failedHead_->headers), failedBody_);
+        finish("answered_" + std::to_string(failedHead_->status));
+        return;
+    }
+    HttpHeaders headers;
+    const auto status = statusOf(refusal);
+    if (status == 503) {
+        headers.emplace_back("Retry-After", gateway_.retryAfter());
+    }
+    headers.emplace_back("Content-Type", "text/plain");
+    exchange_->reply(status, headers, std::string(toString(refusal)) + "\n");
+    finish(toString(refusal));
+}
+
+void ForwardedRequest::onTimeout()
+{
+    const auto self = shared_from_this();
+    if (ticket_) {
+        leaveQueue();
+        refuse(runs_ > 0 ? GatewayRefusal::ServerFailed : GatewayRefusal::TimedOutWaiting);
+        return;
+    }
+    endSend(BackendOutcome::Cancelled);
+    refuse(GatewayRefusal::TimedOut);
+}
+
+void ForwardedRequest::onCallerLeft()
+{
+    hasCallerLeft_ = true;
+    const auto self = shared_from_this();
+    leaveQueue();
+    // An order that a server has may be carried out to its end; all else is work that nobody waits for.
+    if (send_ && route_->kind == RequestKind::NonIdempotent) {
+        return;
+    }
+    endSend(BackendOutcome::Cancelled);
+    finish("caller_left");
+}
+
+void ForwardedRequest::finish(std::string_view outcome)
+{
+    if (std::exchange(isFinished_, true)) {
+        return;
+    }
+    timer_.stop();
+    const auto time = now();
+    gateway_.countOutcome(outcome, time - arrivedAt_);
+    logEvent(LogLevel::Info, "request_done",
+             {{"id", attemptId_},
+              {"route", route_ == nullptr ? "-" : route_->name.name()},
+              {"team", team_ == nullptr ? "-" : team_->name.name()},
+              {"service", service_.name().empty() ? "-" : service_.name()},
+              {"version", table_ ? std::to_string(table_->version().value()) : "-"},
+              {"server", tried_.empty() ? "-" : tried_.back().name()},
+              {"sends", std::to_string(sends_)},
+              {"events", std::to_string(events_.completeEvents())},
+              {"first_ms", firstByteAt_ == TimePoint{} ? "-" : formatMilliseconds(firstByteAt_ - arrivedAt_)},
+              {"total_ms", formatMilliseconds(time - arrivedAt_)},
+              {"outcome", std::string(outcome)}});
+    gateway_.forget(this);
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+#include "hornbeamlane_network/http1/Http1ClientConnection.h"
+#include "hornbeamlane_network/http1/Http1Server.h"
+#include "hornbeamlane_network/loop/Timer.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hornbeamlane {
+
+class Gateway;
+
+/** Why a gateway answered a request itself. */
+enum class GatewayRefusal {
+    NotReady, ///< No catalogue is known yet.
+    NoRoute,
+    UnknownKey,
+    BadRequest,
+    NoServer, ///< No server of the service can be used now.
+    Overloaded, ///< No place became free in time.
+    RetriesUsedUp, ///< The server rejected the request and it may not be sent again.
+    ServerFailed, ///< The server broke off; the request may have run.
+    TimedOut, ///< The time ran out at a server; the request may have run.
+    TimedOutWaiting, ///< The time ran out before the request was sent.
+};
+
+std::string_view toString(GatewayRefusal refusal);
+
+/** HTTP status of a refusal; 503 states that the request has not run. */
+int statusOf(GatewayRefusal refusal);
+
+/** One request of a caller on its way to a server and back. */
+class ForwardedRequest final : public std::enable_shared_from_this<ForwardedRequest>
+{
+public:
+    ForwardedRequest(Gateway &gateway, std::shared_ptr<Http1Exchange> exchange);
+    ~ForwardedRequest();
+
+    ForwardedRequest(const ForwardedRequest &) = delete;
+    ForwardedRequest &operator=(const ForwardedRequest &) = delete;
+
+    void start();
+
+    /** A place may have become free; true if the request has left the queue. */
+    bool tryLeaveQueue();
+
+    /** The wait for a place has become too long. */
+    void onWaitExpired();
+
+private:
+    /** One sending of the request to one server. */
+    struct Send
+    {
+        ServerId server;
+        std::string address;
+        std::unique_ptr<Http1ClientConnection> connection;
+        std::optional<Http1ResponseHead> head;
+        /** Collected body of an answer that is not streamed. */
+        std::string body;
+        bool isStreamed = false;
+        TimePoint startedAt;
+    };
+
+    bool admit();
+    void dispatch(bool mayQueue);
+    void send(const ServerId &server);
+    HttpHeaders requestHeaders(const ServerId &server) const;
+    bool handleHead(const Http1ResponseHead &head);
+    void handleData(std::string_view bytes);
+    void handleEnd(Http1CallEnd end);
+    void handleCompleteAnswer();
+    /** Sends the request again if it may be repeated and the retry budget allows it; refuses it otherwise. */
+    void retryOrRefuse(GatewayRefusal reason);
+    bool mayRepeat() const;
+    bool isValidSuccess(const Http1ResponseHead &head) const;
+    bool isNotRun(const Http1ResponseHead &head) const;
+    void deliverAnswer();
+    void forwardEvents(std::string_view bytes);
+    void finishStream();
+    void endSend(BackendOutcome outcome);
+    void refuse(GatewayRefusal refusal);
+    void onTimeout();
+    void onCallerLeft();
+    void leaveQueue();
+    void finish(std::string_view outcome);
+    TimePoint now() const;
+
+    Gateway &gateway_;
+    std::shared_ptr<Http1Exchange> exchange_;
+    /** Kept so that a request is served to its end under the version that admitted it. */
+    std::shared_ptr<const RouteTable> table_;
+    const RouteSpec *route_ = nullptr;
+    const TeamSpec *team_ = nullptr;
+    ServiceId service_;
+    std::string attemptId_;
+    std::uint32_t priority_ = 0;
+    TimePoint arrivedAt_;
+    TimePoint deadline_;
+    Timer timer_;
+    std::optional<Send> send_;
+    std::vector<ServerId> tried_;
+    /** Servers that may have run the request. */
+    std::uint32_t runs_ = 0;
+    std::uint32_t sends_ = 0;
+    std::optional<TicketNumber> ticket_;
+    /** Answer of a server that failed, kept in case no other server does better. */
+    std::optional<Http1ResponseHead> failedHead_;
+    std::string failedBody_;
+    EventStreamFilter events_;
+    TimePoint firstByteAt_;
+    bool hasCallerLeft_ = false;
+    bool isFinished_ = false;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_network/http1/Http1Readers.cpp
@@ -0,0 +1,233 @@
+#include "hornbeamlane_network/http1/Http1Readers.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::const_buffer;
+using boost::system::error_code;
+
+constexpr std::uint32_t maxResponseHeaderBytes = 64 * 1024;
+constexpr std::uint64_t maxResponseBodyBytes = 256ULL * 1024 * 1024;
+
+template <class Fields>
+HttpHeaders copyHeaders(const Fields &fields)
+{
+    HttpHeaders headers;
+    for (const auto &field : fields) {
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
+/** Beast reads an unknown transfer coding as a body that lasts until the connection ends; this rejects it. */
+template <class Message>
+bool hasUnknownTransferCoding(const Message &message)
+{
+    for (auto it = message.find(http::field::transfer_encoding);
+         it != message.end() && it->name() == http::field::transfer_encoding; ++it) {
+        if (!isSameHeader(std::string_view(it->value().data(), it->value().size()), "chunked")) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Feeds the parser until it needs more bytes; a parser stops once after the headers and goes on with the body. */
+template <class Parser>
+Http1Progress feed(Parser &parser, std::string_view bytes, std::size_t &consumed)
+{
+    consumed = 0;
+    while (!parser.is_done() && consumed < bytes.size()) {
+        error_code error;
+        const auto used = parser.put(const_buffer(bytes.data() + consumed, bytes.size() - consumed), error);
+        consumed += used;
+        if (error == http::error::need_more) {
+            return Http1Progress::NeedMore;
+        }
+        if (error == http::error::header_limit) {
+            return Http1Progress::HeadTooLarge;
+        }
+        if (error == http::error::body_limit || error == http::error::buffer_overflow) {
+            return Http1Progress::BodyTooLarge;
+        }
+        if (error) {
+            return Http1Progress::Malformed;
+        }
+        if (parser.is_header_done() && hasUnknownTransferCoding(parser.get())) {
+            return Http1Progress::Malformed;
+        }
+        if (used == 0) {
+            break;
+        }
+    }
+    return parser.is_done() ? Http1Progress::Complete : Http1Progress::NeedMore;
+}
+
+} // namespace
+
+struct Http1RequestReader::Implementation
+{
+    std::optional<http::request_parser<http::string_body>> parser;
+};
+
+Http1RequestReader::Http1RequestReader()
+    : implementation_(std::make_unique<Implementation>())
+{
+}
+
+Http1RequestReader::~Http1RequestReader() = default;
+
+void Http1RequestReader::start(const Limits &limits)
+{
+    auto &parser = implementation_->parser.emplace();
+    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    parser.body_limit(limits.maxBodyBytes);
+    parser.eager(true);
+}
+
+Http1Progress Http1RequestReader::consume(std::string_view bytes, std::size_t &consumed)
+{
+    return feed(*implementation_->parser, bytes, consumed);
+}
+
+bool Http1RequestReader::hasHead() const
+{
+    return implementation_->parser->is_header_done();
+}
+
+bool Http1RequestReader::expectsContinue() const
+{
+    const auto &message = implementation_->parser->get();
+    const auto field = message.find(http::field::expect);
+    return hasHead() && field != message.end()
+        && isSameHeader(std::string_view(field->value().data(), field->value().size()), "100-continue");
+}
+
+Http1Request Http1RequestReader::take()
+{
+    auto message = implementation_->parser->release();
+    return {.method = std::string(message.method_string()),
+            .target = std::string(message.target()),
+            .headers = copyHeaders(message),
+            .body = std::move(message.body()),
+            .isHttp11 = message.version() >= 11,
+            .isKeepAlive = message.keep_alive()};
+}
+
+struct Http1ResponseReader::Implementation
+{
+    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<Http1ResponseHead> head;
+    std::string body;
+    BodyRule rule = BodyRule::AsStated;
+
+    void restart()
+    {
+        parser.emplace();
+        parser->header_limit(maxResponseHeaderBytes);
+        parser->body_limit(maxResponseBodyBytes);
+        parser->eager(true);
+        parser->skip(rule == BodyRule::None);
+        head.reset();
+        body.clear();
+    }
+
+    bool isInterim() const
+    {
+        return parser->is_header_done() && parser->get().result_int() / 100 == 1;
+    }
+
+    void takeHead()
+    {
+        const auto &message = parser->get();
+        Http1ResponseHead result{.status = static_cast<int>(message.result_int()),
+                                 .reason = std::string(message.reason()),
+                                 .headers = copyHeaders(message),
+                                 .isKeepAlive = parser->keep_alive(),
+                                 .contentLength = std::nullopt};
+        if (const auto length = parser->content_length()) {
+            result.contentLength = static_cast<std::size_t>(*length);
+        }
+        head = std::move(result);
+    }
+};
+
+Http1ResponseReader::Http1ResponseReader()
+    : implementation_(std::make_unique<Implementation>())
+{
+    implementation_->restart();
+}
+
+Http1ResponseReader::~Http1ResponseReader() = default;
+
+void Http1ResponseReader::start(BodyRule rule)
+{
+    implementation_->rule = rule;
+    implementation_->restart();
+}
+
+Http1Progress Http1ResponseReader::consume(std::string_view bytes, std::size_t &consumed)
+{
+    auto &self = *implementation_;
+    consumed = 0;
+    while (true) {
+        std::size_t used = 0;
+        const auto progress = feed(*self.parser, bytes.substr(consumed), used);
+        consumed += used;
+        if (progress == Http1Progress::Complete && self.isInterim()) {
+            self.restart();
+            if (consumed < bytes.size()) {
+                continue;
+            }
+            return Http1Progress::NeedMore;
+        }
+        if (!self.head && self.parser->is_header_done() && !self.isInterim()) {
+            self.takeHead();
+        }
+        // The parser appends to its own body; moving it out after each call keeps memory at what has just arrived.
+        self.body += std::exchange(self.parser->get().body(), {});
+        return progress;
+    }
+}
+
+Http1Progress Http1ResponseReader::endOfInput()
+{
+    auto &self = *implementation_;
+    if (!self.parser->is_header_done()) {
+        return Http1Progress::Malformed;
+    }
+    error_code error;
+    self.parser->put_eof(error);
+    return !error && self.parser->is_done() ? Http1Progress::Complete : Http1Progress::Malformed;
+}
+
+bool Http1ResponseReader::hasHead() const
+{
+    return implementation_->head.has_value();
+}
+
+const Http1ResponseHead &Http1ResponseReader::head() const
+{
+    return *implementation_->head;
+}
+
+std::string Http1ResponseReader::takeBody()
+{
+    return std::exchange(implementation_->body, {});
+}
+
+bool Http1ResponseReader::endsWithConnection() const
+{
+    return implementation_->parser->is_header_done() && implementation_->parser->need_eof();
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_network/http1/SocketOptions.cpp
@@ -0,0 +1,48 @@
+#include "hornbeamlane_network/http1/SocketOptions.h"
+
+#include <event2/bufferevent.h>
+
+#include <algorithm>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+namespace hornbeamlane {
+
+timeval toTimeval(std::chrono::microseconds time)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
+    return {.tv_sec = seconds.count(), .tv_usec = (time - seconds).count()};
+}
+
+bool connectStream(bufferevent *stream, const std::string &address, std::uint16_t port)
+{
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(port);
+    if (inet_pton(AF_INET, address.c_str(), &target.sin_addr) != 1) {
+        return false;
+    }
+    return bufferevent_socket_connect(stream, reinterpret_cast<sockaddr *>(&target), sizeof(target)) == 0;
+}
+
+void setPeerTimeout(evutil_socket_t socket, std::chrono::milliseconds timeout)
+{
+    const int on = 1;
+    const auto timeoutMs = static_cast<unsigned>(timeout.count());
+    // Keep-alive probes are sent in whole seconds; two of them fill the time after the first idle second.
+    const int idleSeconds = 1;
+    const int intervalSeconds = 1;
+    const int probes = std::max(1, static_cast<int>(timeout / std::chrono::seconds(1)));
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs));
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof(idleSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof(intervalSeconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+} // namespace hornbeamlane
