Keep expert maps in the entries: switch behind a held pass, one holder by lease

Cause: with map 0 the most loaded rank has 3.4 times the mean, so passes are slow and pauses exceed 120 ms. Change: HeldMapSwitch (prepare, hold, arm, release; late orders are harmless), GroupMapKeeper (counts, placement), MapDuty (lease in the store), a bound on new experts for each rank in ExpertPlacement, Http1Caller for control calls.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -12,6 +12,19 @@
 
 namespace hornbeamlane {
 
+/** Place of a server in a group whose ranks run a model together. */
+struct GroupPlace
+{
+    GroupId group;
+    std::uint64_t epoch = 0;
+    std::uint32_t rank = 0;
+    std::uint32_t size = 1;
+    /** A group with a lost rank serves nothing. */
+    bool isOpen = false;
+
+    bool operator==(const GroupPlace &) const = default;
+};
+
 /** What a backend server says of itself. */
 struct BackendSpec
 {
@@ -25,6 +38,9 @@
     bool isDraining = false;
     /** Time for which it stays cold from now on. */
     std::chrono::milliseconds warmupLeft{0};
+    std::optional<GroupPlace> group;
+    /** Start of the server; another one under the same id is another server. */
+    std::uint64_t incarnation = 0;
 };
 
 /** A backend server as this entry sees it. */
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -108,6 +108,12 @@
     return !isStopping_ && table_ != nullptr && !backends_.all().empty();
 }
 
+std::optional<EngineModel> Gateway::engineOf(const ServiceId &service) const
+{
+    const auto *spec = table_ ? table_->findService(service) : nullptr;
+    return spec == nullptr ? std::nullopt : spec->engine;
+}
+
 void Gateway::applyCatalogue(DispatchCatalogue catalogue)
 {
     if (table_ && catalogue.version <= table_->version()) {
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -50,6 +50,9 @@
 
     bool isReady() const;
 
+    /** Engine of a service; empty if it has none. */
+    std::optional<EngineModel> engineOf(const ServiceId &service) const;
+
     const GatewaySettings &settings() const
     {
         return settings_;
--- a/modules/hornbeamlane_gateway/hornbeamlane_gateway.h
+++ b/modules/hornbeamlane_gateway/hornbeamlane_gateway.h
@@ -7,4 +7,5 @@
 */
 
 #include "hornbeamlane_gateway/Gateway.h"
+#include "hornbeamlane_gateway/maps/MapDuty.h"
 #include "hornbeamlane_gateway/state/TableFollower.h"
--- /dev/null
+++ b/modules/hornbeamlane_gateway/maps/EngineApi.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "hornbeamlane_groups/enginemaps/EngineOrders.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** How often the requests of one rank have chosen each expert of each layer since the rank started. */
+struct ExpertCounts
+{
+    GroupEpoch epoch;
+    StepNumber step;
+    /** Layer by layer. */
+    std::vector<double> counts;
+};
+
+/** Experts that one rank holds, for each layer. */
+struct RankPlacement
+{
+    GroupEpoch epoch;
+    ExpertMapVersion version;
+    std::vector<std::vector<ExpertIndex>> experts;
+};
+
+/** Calls to the engines of a group. Replies come later, on the same thread, each exactly once. */
+struct EngineApi
+{
+    std::function<void(const std::string &address, const EngineOrder &, FencingToken,
+                       std::function<void(EngineOrderResult)>)>
+        sendOrder;
+    std::function<void(const std::string &address, RankIndex,
+                       std::function<void(const std::optional<EngineRankReport> &)>)>
+        readReport;
+    std::function<void(const std::string &address, std::function<void(const std::optional<ExpertCounts> &)>)>
+        readCounts;
+    std::function<void(const std::string &address, std::function<void(const std::optional<RankPlacement> &)>)>
+        readPlacement;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
@@ -0,0 +1,292 @@
+#include "hornbeamlane_gateway/maps/GroupMapKeeper.h"
+
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+/** Maps that one holder of the lease can number before its token has to be renewed. */
+constexpr std::uint64_t mapsPerToken = 1 << 16;
+
+constexpr std::chrono::milliseconds placementRetry{300};
+
+std::string_view toString(HeldMapSwitch::Phase phase)
+{
+    switch (phase) {
+    case HeldMapSwitch::Phase::Recovering:
+        return "recovering";
+    case HeldMapSwitch::Phase::Idle:
+        return "idle";
+    case HeldMapSwitch::Phase::Preparing:
+        return "preparing";
+    case HeldMapSwitch::Phase::Holding:
+        return "holding";
+    case HeldMapSwitch::Phase::Arming:
+        return "arming";
+    case HeldMapSwitch::Phase::Releasing:
+        return "releasing";
+    case HeldMapSwitch::Phase::Settling:
+        return "settling";
+    case HeldMapSwitch::Phase::Unwinding:
+        return "unwinding";
+    }
+    return "unknown";
+}
+
+std::string formatShare(double value)
+{
+    std::array<char, 16> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", value);
+    return text.data();
+}
+
+} // namespace
+
+GroupMapKeeper::GroupMapKeeper(EventLoop &loop, EngineApi api, Options options)
+    : loop_(loop)
+    , api_(std::move(api))
+    , options_(std::move(options))
+    , switch_({.ranks = options_.ranks})
+    , popularity_({.layers = options_.engine.expertLayers,
+                   .expertsPerLayer = static_cast<ExpertIndex>(options_.engine.expertsPerLayer),
+                   .halfLife = options_.policy.popularityHalfLife})
+    , placement_({.slotsPerRank = options_.engine.placesPerRank,
+                  .movesPerRound = options_.ranks * options_.engine.expertLayers * std::size_t(2),
+                  .newPerRank = options_.engine.sparePlaces,
+                  .smallestGain = options_.policy.smallestMoveGain})
+{
+}
+
+void GroupMapKeeper::setRanks(std::map<RankIndex, std::string> addresses)
+{
+    addresses_ = std::move(addresses);
+}
+
+void GroupMapKeeper::tick()
+{
+    const auto now = loop_.now();
+    if (switch_.epoch() && *switch_.epoch() != epoch_) {
+        // A new epoch starts with the uniform map and counts from zero.
+        epoch_ = *switch_.epoch();
+        active_.reset();
+        lastCounts_.clear();
+    }
+    sendOrders(switch_.poll(now));
+    readReports();
+    if (switch_.phase() != loggedPhase_) {
+        loggedPhase_ = switch_.phase();
+        logEvent(LogLevel::Info, "map_switch",
+                 {{"group", options_.group.name()},
+                  {"phase", std::string(toString(loggedPhase_))},
+                  {"active", std::to_string(switch_.activeMap().value())},
+                  {"completed", std::to_string(switch_.counters().completed)},
+                  {"abandoned", std::to_string(switch_.counters().abandoned)},
+                  {"resent", std::to_string(switch_.counters().resent)}});
+    }
+    if (now - sampledAt_ >= options_.policy.sampleInterval) {
+        sampledAt_ = now;
+        readCounts();
+    }
+    if (switch_.phase() == HeldMapSwitch::Phase::Idle && switch_.epoch()) {
+        if (next_ && next_->version() == switch_.activeMap()) {
+            active_ = std::exchange(next_, std::nullopt);
+        }
+        if (!active_ || active_->version() != switch_.activeMap()) {
+            readPlacements();
+        } else if (std::exchange(hasFreshCounts_, false)) {
+            considerMap();
+        }
+    }
+}
+
+void GroupMapKeeper::sendOrders(const std::vector<EngineOrder> &orders)
+{
+    for (const auto &order : orders) {
+        const auto address = addresses_.find(order.rank);
+        if (address == addresses_.end()) {
+            continue;
+        }
+        api_.sendOrder(address->second, order, options_.token,
+                       [this, guard = Guard(alive_), order](EngineOrderResult result) {
+                           if (guard.expired()) {
+                               return;
+                           }
+                           if (result != EngineOrderResult::Accepted) {
+                               logEvent(LogLevel::Info, "map_order_failed",
+                                        {{"group", options_.group.name()},
+                                         {"rank", std::to_string(order.rank)},
+                                         {"kind", std::to_string(static_cast<int>(order.kind))},
+                                         {"step", std::to_string(order.step.value())},
+                                         {"result", result == EngineOrderResult::Refused ? "refused" : "no_reply"}});
+                           }
+                           switch_.onResult(order, result, loop_.now());
+                           sendOrders(switch_.poll(loop_.now()));
+                       });
+    }
+}
+
+void GroupMapKeeper::readReports()
+{
+    for (const auto rank : switch_.reportsWanted(loop_.now())) {
+        const auto address = addresses_.find(rank);
+        if (address == addresses_.end()) {
+            continue;
+        }
+        api_.readReport(address->second, rank,
+                        [this, guard = Guard(alive_)](const std::optional<EngineRankReport> &report) {
+                            if (!guard.expired() && report) {
+                                switch_.onReport(*report, loop_.now());
+                                sendOrders(switch_.poll(loop_.now()));
+                            }
+                        });
+    }
+}
+
+/** The same ranks each time, so that the difference between two looks is recent. */
+std::vector<RankIndex> GroupMapKeeper::ranksToSample() const
+{
+    std::vector<RankIndex> ranks;
+    const auto stride = std::max<std::size_t>(1, addresses_.size() / options_.policy.sampledRanks);
+    std::size_t index = 0;
+    for (const auto &[rank, address] : addresses_) {
+        if (index++ % stride == 0 && ranks.size() < options_.policy.sampledRanks) {
+            ranks.push_back(rank);
+        }
+    }
+    return ranks;
+}
+
+void GroupMapKeeper::readCounts()
+{
+    for (const auto rank : ranksToSample()) {
+        api_.readCounts(addresses_.at(rank),
+                        [this, guard = Guard(alive_), rank](const std::optional<ExpertCounts> &counts) {
+                            if (!guard.expired() && counts) {
+                                takeCounts(rank, *counts);
+                            }
+                        });
+    }
+}
+
+void GroupMapKeeper::takeCounts(RankIndex rank, const ExpertCounts &counts)
+{
+    const auto now = loop_.now();
+    switch_.onProgress(counts.epoch, counts.step, now);
+    const std::size_t experts = options_.engine.expertsPerLayer;
+    if (counts.counts.size() != experts * options_.engine.expertLayers) {
+        logEvent(LogLevel::Warning, "expert_counts_unusable", {{"count", std::to_string(counts.counts.size())}});
+        return;
+    }
+    auto &last = lastCounts_[rank];
+    const bool isComparable = last.epoch == counts.epoch && last.counts.size() == counts.counts.size()
+        && std::equal(counts.counts.begin(), counts.counts.end(), last.counts.begin(),
+                      [](double newer, double older) { return newer >= older; });
+    if (isComparable) {
+        for (std::uint32_t layer = 0; layer < options_.engine.expertLayers; ++layer) {
+            std::vector<double> chosen(experts);
+            for (std::size_t expert = 0; expert < experts; ++expert) {
+                const auto at = layer * experts + expert;
+                chosen[expert] = counts.counts[at] - last.counts[at];
+            }
+            popularity_.add(layer, chosen, now);
+        }
+        hasFreshCounts_ = true;
+    }
+    last = counts;
+}
+
+ExpertShares GroupMapKeeper::shares() const
+{
+    ExpertShares shares;
+    for (std::uint32_t layer = 0; layer < options_.engine.expertLayers; ++layer) {
+        shares.push_back(popularity_.shares(layer));
+    }
+    return shares;
+}
+
+void GroupMapKeeper::considerMap()
+{
+    const auto current = shares();
+    auto next = placement_.improve(*active_, current);
+    const auto before = ExpertPlacement::imbalance(*active_, current);
+    const auto after = ExpertPlacement::imbalance(next, current);
+    if (before - after < options_.policy.worthwhileGain) {
+        return;
+    }
+    next.setVersion(ExpertMapVersion(options_.token.value() * mapsPerToken + ++mapsMade_));
+    const bool hasStarted = switch_.start(next, loop_.now());
+    logEvent(LogLevel::Info, "map_planned",
+             {{"group", options_.group.name()},
+              {"version", std::to_string(next.version().value())},
+              {"imbalance", formatShare(before)},
+              {"predicted", formatShare(after)},
+              {"copies", std::to_string(next.copiesMissingIn(*active_))},
+              {"started", hasStarted ? "yes" : "no"}});
+    if (hasStarted) {
+        next_ = std::move(next);
+    }
+}
+
+void GroupMapKeeper::readPlacements()
+{
+    const auto version = switch_.activeMap();
+    const auto &engine = options_.engine;
+    if (version == ExpertMapVersion()) {
+        active_ = ExpertMap::uniform(version, options_.ranks, engine.expertLayers,
+                                     static_cast<ExpertIndex>(engine.expertsPerLayer));
+        return;
+    }
+    const auto now = loop_.now();
+    if (now - placementsAskedAt_ < placementRetry) {
+        return;
+    }
+    placementsAskedAt_ = now;
+    for (const auto &[rank, address] : addresses_) {
+        const auto known = placements_.find(rank);
+        if (known != placements_.end() && known->second.version == version) {
+            continue;
+        }
+        api_.readPlacement(address,
+                           [this, guard = Guard(alive_), rank = rank](const std::optional<RankPlacement> &reply) {
+                               if (!guard.expired() && reply) {
+                                   takePlacement(rank, *reply);
+                               }
+                           });
+    }
+}
+
+void GroupMapKeeper::takePlacement(RankIndex rank, const RankPlacement &placement)
+{
+    placements_[rank] = placement;
+    const auto version = switch_.activeMap();
+    const auto &engine = options_.engine;
+    if (active_ && active_->version() == version) {
+        return;
+    }
+    ExpertMap map(version, options_.ranks, engine.expertLayers, static_cast<ExpertIndex>(engine.expertsPerLayer));
+    for (RankIndex index = 0; index < options_.ranks; ++index) {
+        const auto found = placements_.find(index);
+        if (found == placements_.end() || found->second.version != version
+            || found->second.experts.size() != engine.expertLayers) {
+            return;
+        }
+        for (std::uint32_t layer = 0; layer < engine.expertLayers; ++layer) {
+            for (const auto expert : found->second.experts[layer]) {
+                if (expert < engine.expertsPerLayer) {
+                    map.add(layer, expert, index);
+                }
+            }
+        }
+    }
+    if (map.isComplete()) {
+        active_ = std::move(map);
+    }
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+#include "hornbeamlane_gateway/maps/EngineApi.h"
+#include "hornbeamlane_groups/hornbeamlane_groups.h"
+#include "hornbeamlane_network/loop/EventLoop.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hornbeamlane {
+
+/**
+    Keeps the expert map of one group fit for what its requests choose.
+
+    Its owner calls tick() only while it holds the lease for the group, and makes a new keeper for each new token.
+*/
+class GroupMapKeeper final
+{
+public:
+    /** When to look at the counts and when a new map is worth its copies. */
+    struct Policy
+    {
+        /** Time between two looks at the counts. */
+        std::chrono::milliseconds sampleInterval{800};
+        /** Ranks whose counts are read each time; all ranks see similar requests. */
+        std::uint32_t sampledRanks = 2;
+        /** A look is forgotten by half after this time. */
+        std::chrono::milliseconds popularityHalfLife{1200};
+        /** A new map must lower the predicted time of the experts' part by this share of the mean. */
+        double worthwhileGain = 0.3;
+        /** A single copy must lower the load of a layer's most loaded rank by this share of the mean. */
+        double smallestMoveGain = 0.15;
+    };
+
+    struct Options
+    {
+        GroupId group;
+        RankIndex ranks = 1;
+        EngineModel engine;
+        FencingToken token;
+        Policy policy;
+    };
+
+    GroupMapKeeper(EventLoop &loop, EngineApi api, Options options);
+
+    /** Address of each rank; those of lost ranks are missing. */
+    void setRanks(std::map<RankIndex, std::string> addresses);
+
+    void tick();
+
+    const HeldMapSwitch &mapSwitch() const
+    {
+        return switch_;
+    }
+
+private:
+    /** Part of the object that outstanding replies may still use after its end. */
+    using Guard = std::weak_ptr<int>;
+
+    void sendOrders(const std::vector<EngineOrder> &orders);
+    void readReports();
+    void readCounts();
+    void takeCounts(RankIndex rank, const ExpertCounts &counts);
+    void readPlacements();
+    void takePlacement(RankIndex rank, const RankPlacement &placement);
+    void considerMap();
+    ExpertShares shares() const;
+    std::vector<RankIndex> ranksToSample() const;
+
+    EventLoop &loop_;
+    EngineApi api_;
+    Options options_;
+    HeldMapSwitch switch_;
+    ExpertPopularity popularity_;
+    ExpertPlacement placement_;
+    std::map<RankIndex, std::string> addresses_;
+    std::map<RankIndex, ExpertCounts> lastCounts_;
+    /** The map in use, if its content is known. */
+    std::optional<ExpertMap> active_;
+    std::optional<ExpertMap> next_;
+    /** Experts of each rank while the content of a map that another keeper made is read. */
+    std::map<RankIndex, RankPlacement> placements_;
+    TimePoint sampledAt_;
+    TimePoint placementsAskedAt_;
+    bool hasFreshCounts_ = false;
+    std::uint64_t mapsMade_ = 0;
+    GroupEpoch epoch_;
+    HeldMapSwitch::Phase loggedPhase_ = HeldMapSwitch::Phase::Recovering;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -0,0 +1,98 @@
+#include "hornbeamlane_gateway/maps/MapDuty.h"
+
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
+
+#include <utility>
+
+namespace hornbeamlane {
+
+MapDuty::MapDuty(EventLoop &loop, TableClient &table, const Options &options, Hooks hooks)
+    : loop_(loop)
+    , table_(table)
+    , options_(options)
+    , hooks_(std::move(hooks))
+    , lease_({.key = options.leaseKey,
+              .holder = options.self,
+              .duration = options.leaseDuration,
+              .renewInterval = options.renewInterval,
+              .readInterval = options.readInterval})
+    , timer_(loop, [this] { tick(); })
+{
+}
+
+void MapDuty::start()
+{
+    timer_.startRepeating(options_.tickInterval);
+}
+
+void MapDuty::stop()
+{
+    timer_.stop();
+    keepers_.clear();
+    lease_.release();
+    pollLease();
+}
+
+void MapDuty::pollLease()
+{
+    const auto request = lease_.poll(loop_.nowWithSuspend());
+    if (!request) {
+        return;
+    }
+    const auto handler = [this](const TableReply &reply) { lease_.handleReply(reply, loop_.nowWithSuspend()); };
+    if (request->write) {
+        table_.write(*request->write, handler);
+    } else {
+        table_.read(request->key, handler);
+    }
+}
+
+std::map<GroupId, MapDuty::GroupView> MapDuty::groups() const
+{
+    std::map<GroupId, GroupView> groups;
+    for (const auto &[id, backend] : hooks_.servers()) {
+        if (!backend.spec.group || backend.isGone) {
+            continue;
+        }
+        auto &view = groups[backend.spec.group->group];
+        view.service = backend.spec.service;
+        view.size = backend.spec.group->size;
+        view.addresses[backend.spec.group->rank] = backend.spec.address;
+    }
+    return groups;
+}
+
+void MapDuty::tick()
+{
+    pollLease();
+    const auto token = lease_.token(loop_.nowWithSuspend());
+    if (token != token_) {
+        // A keeper acts under one token only; the next one starts from what the ranks report.
+        keepers_.clear();
+        token_ = token;
+        logEvent(LogLevel::Info, token ? "map_lease_acquired" : "map_lease_lost",
+                 {{"token", token ? std::to_string(token->value()) : "-"}});
+    }
+    if (!token_) {
+        return;
+    }
+    for (auto &[group, view] : groups()) {
+        const auto engine = hooks_.engineOf(view.service);
+        if (!engine || engine->expertLayers == 0 || view.size < 2) {
+            continue;
+        }
+        auto &keeper = keepers_[group];
+        if (!keeper) {
+            keeper = std::make_unique<GroupMapKeeper>(loop_, hooks_.engines,
+                                                      GroupMapKeeper::Options{.group = group,
+                                                                              .ranks = view.size,
+                                                                              .engine = *engine,
+                                                                              .token = *token_,
+                                                                              .policy = options_.policy});
+        }
+        keeper->setRanks(std::move(view.addresses));
+        keeper->tick();
+    }
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "hornbeamlane_gateway/maps/GroupMapKeeper.h"
+#include "hornbeamlane_membership/hornbeamlane_membership.h"
+#include "hornbeamlane_network/loop/Timer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace hornbeamlane {
+
+/** Competes for the lease of the expert maps and keeps the maps of all groups while it holds it. */
+class MapDuty final
+{
+public:
+    struct Options
+    {
+        /** Key of the lease row. */
+        std::string leaseKey = "duties/expert-maps";
+        Incarnation self;
+        std::chrono::milliseconds leaseDuration{2500};
+        std::chrono::milliseconds renewInterval{700};
+        std::chrono::milliseconds readInterval{1500};
+        /** Time between two looks at what is due; replies are handled at once. */
+        std::chrono::milliseconds tickInterval{50};
+        GroupMapKeeper::Policy policy;
+    };
+
+    struct Hooks
+    {
+        EngineApi engines;
+        /** Servers as this entry knows them. */
+        std::function<const std::map<ServerId, Backend> &()> servers;
+        /** Engine of a service; empty if its servers are no ranks. */
+        std::function<std::optional<EngineModel>(const ServiceId &)> engineOf;
+    };
+
+    MapDuty(EventLoop &loop, TableClient &table, const Options &options, Hooks hooks);
+
+    void start();
+
+    /** Gives the lease back. */
+    void stop();
+
+    bool isHolder() const
+    {
+        return token_.has_value();
+    }
+
+private:
+    struct GroupView
+    {
+        ServiceId service;
+        std::uint32_t size = 0;
+        std::map<RankIndex, std::string> addresses;
+    };
+
+    void tick();
+    void pollLease();
+    std::map<GroupId, GroupView> groups() const;
+
+    EventLoop &loop_;
+    TableClient &table_;
+    Options options_;
+    Hooks hooks_;
+    LeaseKeeper lease_;
+    std::optional<FencingToken> token_;
+    std::map<GroupId, std::unique_ptr<GroupMapKeeper>> keepers_;
+    Timer timer_;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
@@ -0,0 +1,416 @@
+#include "hornbeamlane_groups/enginemaps/HeldMapSwitch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+/** A pass is assumed to take at least this long, so that the held pass is not chosen needlessly far ahead. */
+constexpr std::chrono::milliseconds shortestPass{15};
+constexpr std::chrono::milliseconds longestPass{400};
+
+/** A hold that a report still shows after this time is not one that has just been released. */
+constexpr std::chrono::milliseconds strayHoldAge{1500};
+
+} // namespace
+
+HeldMapSwitch::HeldMapSwitch(Options options)
+    : options_(std::move(options))
+    , ranks_(options_.ranks)
+{
+    HORNBEAMLANE_ASSERT(options_.ranks > 0);
+    if (!options_.mayRelease) {
+        options_.mayRelease = [](std::size_t armed, std::size_t ranks) { return armed == ranks; };
+    }
+    if (!options_.mayArm) {
+        options_.mayArm = [](bool isHoldConfirmed) { return isHoldConfirmed; };
+    }
+}
+
+void HeldMapSwitch::reset(GroupEpoch epoch)
+{
+    // A new epoch begins with the uniform map and forgets everything that was prepared, armed or held.
+    if (phase_ != Phase::Idle && phase_ != Phase::Recovering) {
+        ++counters_.abandoned;
+    }
+    ranks_.assign(options_.ranks, Rank{});
+    phase_ = Phase::Recovering;
+    epoch_ = epoch;
+    isOpen_ = false;
+    next_ = nullptr;
+    newestStep_ = StepNumber();
+    newestStepAt_ = {};
+}
+
+void HeldMapSwitch::enter(Phase phase, TimePoint now)
+{
+    phase_ = phase;
+    phaseSince_ = now;
+    for (auto &rank : ranks_) {
+        rank.order = RankState::Unknown;
+        rank.hasRefused = false;
+    }
+}
+
+bool HeldMapSwitch::start(const ExpertMap &next, TimePoint now)
+{
+    if (phase_ != Phase::Idle || !isOpen_) {
+        return false;
+    }
+    next_ = std::make_shared<const ExpertMap>(next);
+    target_ = next.version();
+    for (auto &rank : ranks_) {
+        rank.isPrepared = false;
+    }
+    enter(Phase::Preparing, now);
+    return true;
+}
+
+EngineOrder HeldMapSwitch::order(RankIndex rank, EngineOrderKind kind) const
+{
+    return {.rank = rank,
+            .kind = kind,
+            .epoch = epoch_,
+            .version = target_,
+            .step = step_,
+            .map = kind == EngineOrderKind::Prepare ? next_ : nullptr};
+}
+
+void HeldMapSwitch::addOrders(std::vector<EngineOrder> &orders, EngineOrderKind kind, TimePoint now)
+{
+    for (RankIndex index = 0; index < ranks_.size(); ++index) {
+        auto &rank = ranks_[index];
+        if (rank.order == RankState::Unknown) {
+            rank.order = RankState::Sent;
+            rank.sentAt = now;
+            orders.push_back(order(index, kind));
+        }
+    }
+}
+
+void HeldMapSwitch::addHolderOrder(std::vector<EngineOrder> &orders, EngineOrderKind kind, TimePoint now)
+{
+    auto &rank = ranks_[holder_];
+    if (rank.order == RankState::Unknown) {
+        rank.order = RankState::Sent;
+        rank.sentAt = now;
+        orders.push_back(order(holder_, kind));
+    }
+}
+
+void HeldMapSwitch::resendLost(TimePoint now)
+{
+    for (auto &rank : ranks_) {
+        if (rank.order != RankState::Sent || now - rank.sentAt < options_.resendInterval) {
+            continue;
+        }
+        if (phase_ == Phase::Arming && !rank.unresolvedArmAt) {
+            rank.unresolvedArmAt = now;
+        }
+        rank.order = RankState::Unknown;
+        ++counters_.resent;
+    }
+}
+
+std::vector<EngineOrder> HeldMapSwitch::poll(TimePoint now)
+{
+    std::vector<EngineOrder> orders;
+    if (phase_ == Phase::Recovering || phase_ == Phase::Idle || phase_ == Phase::Settling) {
+        return orders;
+    }
+    resendLost(now);
+    advance(now);
+    switch (phase_) {
+    case Phase::Recovering:
+    case Phase::Idle:
+    case Phase::Settling:
+        break;
+    case Phase::Preparing:
+        addOrders(orders, EngineOrderKind::Prepare, now);
+        break;
+    case Phase::Holding:
+        addHolderOrder(orders, EngineOrderKind::Hold, now);
+        break;
+    case Phase::Arming:
+        addOrders(orders, EngineOrderKind::Arm, now);
+        break;
+    case Phase::Releasing:
+        addHolderOrder(orders, EngineOrderKind::Release, now);
+        break;
+    case Phase::Unwinding:
+        addOrders(orders, EngineOrderKind::Disarm, now);
+        break;
+    }
+    return orders;
+}
+
+std::size_t HeldMapSwitch::doneCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(ranks_.begin(), ranks_.end(), [](const Rank &rank) { return rank.order == RankState::Done; }));
+}
+
+bool HeldMapSwitch::mayUnwindFinish(TimePoint now) const
+{
+    return std::all_of(ranks_.begin(), ranks_.end(), [&](const Rank &rank) {
+        return rank.order == RankState::Done
+            && (!rank.unresolvedArmAt || now - *rank.unresolvedArmAt > options_.latestExecution);
+    });
+}
+
+void HeldMapSwitch::advance(TimePoint now)
+{
+    switch (phase_) {
+    case Phase::Preparing: {
+        const bool allPrepared =
+            std::all_of(ranks_.begin(), ranks_.end(), [](const Rank &rank) { return rank.isPrepared; });
+        if (allPrepared) {
+            chooseStep(now);
+            isHoldConfirmed_ = false;
+            enter(Phase::Holding, now);
+        } else if (now - phaseSince_ > options_.prepareTimeout) {
+            // Nothing is armed or held, so a map that was prepared in part has no effect.
+            ++counters_.abandoned;
+            enter(Phase::Idle, now);
+        }
+        break;
+    }
+    case Phase::Holding:
+        if (options_.mayArm(isHoldConfirmed_)) {
+            enter(Phase::Arming, now);
+        }
+        break;
+    case Phase::Arming: {
+        if (options_.mayRelease(doneCount(), ranks_.size())) {
+            for (auto &rank : ranks_) {
+                rank.unresolvedArmAt.reset();
+            }
+            enter(Phase::Releasing, now);
+            break;
+        }
+        const bool anyRefused =
+            std::any_of(ranks_.begin(), ranks_.end(), [](const Rank &rank) { return rank.hasRefused; });
+        if (anyRefused && now - phaseSince_ > options_.armTimeout) {
+            enter(Phase::Unwinding, now);
+        }
+        break;
+    }
+    case Phase::Unwinding:
+        if (mayUnwindFinish(now)) {
+            ++counters_.abandoned;
+            target_ = active_;
+            enter(Phase::Releasing, now);
+        }
+        break;
+    case Phase::Recovering:
+    case Phase::Idle:
+    case Phase::Settling:
+    case Phase::Releasing:
+        break;
+    }
+}
+
+void HeldMapSwitch::chooseStep(TimePoint now)
+{
+    const auto age = (now - newestStepAt_) + options_.reportAge;
+    const auto passes = static_cast<std::uint64_t>(std::max<Duration::rep>(0, age / passTime_));
+    step_ = StepNumber(newestStep_.value() + passes + options_.leadPasses);
+}
+
+void HeldMapSwitch::onResult(const EngineOrder &order, EngineOrderResult result, TimePoint now)
+{
+    if (order.epoch != epoch_ || order.rank >= ranks_.size()) {
+        return;
+    }
+    auto &rank = ranks_[order.rank];
+    if (result == EngineOrderResult::NoReply) {
+        return; // resendLost() sends it again.
+    }
+    const bool isAccepted = result == EngineOrderResult::Accepted;
+    switch (order.kind) {
+    case EngineOrderKind::Prepare:
+        if (phase_ != Phase::Preparing || order.version != target_) {
+            return;
+        }
+        if (!isAccepted) {
+            ++counters_.abandoned;
+            enter(Phase::Idle, now);
+            return;
+        }
+        rank.order = RankState::Done;
+        return;
+    case EngineOrderKind::Hold:
+        if (phase_ != Phase::Holding || order.step != step_) {
+            return;
+        }
+        if (isAccepted) {
+            rank.order = RankState::Done;
+            isHoldConfirmed_ = true;
+            return;
+        }
+        // The pass has begun: the group is faster than assumed. An earlier copy of this order is refused as well.
+        newestStep_ = std::max(newestStep_, step_);
+        newestStepAt_ = now;
+        chooseStep(now);
+        rank.order = RankState::Unknown;
+        return;
+    case EngineOrderKind::Arm:
+        if (phase_ != Phase::Arming || order.version != target_) {
+            return;
+        }
+        rank.order = isAccepted ? RankState::Done : RankState::Unknown;
+        rank.hasRefused = !isAccepted;
+        return;
+    case EngineOrderKind::Disarm:
+        if (phase_ == Phase::Unwinding) {
+            rank.order = RankState::Done;
+        }
+        return;
+    case EngineOrderKind::Release:
+        if (phase_ != Phase::Releasing || order.step != step_) {
+            return;
+        }
+        // Refused: an earlier copy of this order has released the pass.
+        if (target_ != active_) {
+            ++counters_.completed;
+            active_ = target_;
+        }
+        enter(Phase::Settling, now);
+        return;
+    }
+}
+
+std::vector<RankIndex> HeldMapSwitch::reportsWanted(TimePoint now)
+{
+    std::vector<RankIndex> wanted;
+    if (now - reportsAskedAt_ < options_.reportInterval) {
+        return wanted;
+    }
+    if (phase_ == Phase::Settling) {
+        reportsAskedAt_ = now;
+        wanted.push_back(holder_);
+        return wanted;
+    }
+    const bool allAccepted = phase_ == Phase::Preparing && doneCount() == ranks_.size();
+    if (phase_ != Phase::Recovering && !allAccepted) {
+        return wanted;
+    }
+    reportsAskedAt_ = now;
+    if (phase_ == Phase::Recovering && !isOpen_) {
+        // One rank tells whether the group is open; asking all of them would not make it open sooner.
+        askedRank_ = (askedRank_ + 1) % options_.ranks;
+        wanted.push_back(askedRank_);
+        return wanted;
+    }
+    for (RankIndex index = 0; index < ranks_.size(); ++index) {
+        const auto &rank = ranks_[index];
+        if (phase_ == Phase::Recovering ? !rank.report.has_value() : !rank.isPrepared) {
+            wanted.push_back(index);
+        }
+    }
+    return wanted;
+}
+
+void HeldMapSwitch::noteProgress(StepNumber step, TimePoint now)
+{
+    if (step <= newestStep_ && newestStepAt_ != TimePoint{}) {
+        return;
+    }
+    if (newestStepAt_ != TimePoint{} && newestStep_ != StepNumber()) {
+        const auto passes = step.value() - newestStep_.value();
+        const auto time = (now - newestStepAt_) / static_cast<Duration::rep>(passes);
+        const auto bounded = std::clamp<Duration>(time, shortestPass, longestPass);
+        passTime_ = passTime_ * 3 / 4 + bounded / 4;
+    }
+    newestStep_ = step;
+    newestStepAt_ = now;
+    if (phase_ == Phase::Settling && newestStep_ >= step_) {
+        enter(Phase::Idle, now);
+    }
+}
+
+void HeldMapSwitch::onReport(const EngineRankReport &report, TimePoint now)
+{
+    if (report.rank >= ranks_.size() || report.epoch < epoch_) {
+        return;
+    }
+    if (report.epoch > epoch_) {
+        reset(report.epoch);
+    }
+    isOpen_ = report.isOpen;
+    auto &rank = ranks_[report.rank];
+    if (!report.isOpen) {
+        return;
+    }
+    rank.report = report;
+    rank.reportedAt = now;
+    noteProgress(report.step, now);
+    if (phase_ == Phase::Preparing && report.prepared == target_) {
+        rank.isPrepared = true;
+    }
+    if (phase_ == Phase::Recovering) {
+        recover(now);
+        return;
+    }
+    // A copy of the hold that was carried out after the release would stop the group for good.
+    if (phase_ == Phase::Settling && report.heldStep && now - phaseSince_ > strayHoldAge) {
+        step_ = *report.heldStep;
+        enter(Phase::Releasing, now);
+    }
+}
+
+void HeldMapSwitch::onProgress(GroupEpoch epoch, StepNumber step, TimePoint now)
+{
+    if (epoch > epoch_) {
+        reset(epoch);
+    }
+    if (epoch == epoch_) {
+        noteProgress(step, now);
+    }
+}
+
+void HeldMapSwitch::recover(TimePoint now)
+{
+    const bool allReported =
+        std::all_of(ranks_.begin(), ranks_.end(), [](const Rank &rank) { return rank.report.has_value(); });
+    if (!allReported) {
+        return;
+    }
+    active_ = ranks_.front().report->active;
+    std::optional<RankIndex> holding;
+    std::size_t armed = 0;
+    for (RankIndex index = 0; index < ranks_.size(); ++index) {
+        const auto &report = *ranks_[index].report;
+        if (report.heldStep) {
+            holding = index;
+            step_ = *report.heldStep;
+        }
+        if (report.isArmed) {
+            ++armed;
+            target_ = report.armedMap;
+        }
+    }
+    if (!holding) {
+        // Without a hold the release has been sent, and that only when all ranks were armed.
+        enter(Phase::Idle, now);
+        return;
+    }
+    holder_ = *holding;
+    isHoldConfirmed_ = true;
+    if (armed == 0) {
+        const auto prepared = ranks_.front().report->prepared;
+        const bool allPrepared = prepared && std::all_of(ranks_.begin(), ranks_.end(), [&](const Rank &rank) {
+                                     return rank.report->prepared == prepared;
+                                 });
+        // A pass is held only after all ranks have prepared the map, so otherwise no arm can be on its way.
+        target_ = allPrepared ? *prepared : active_;
+        enter(allPrepared ? Phase::Arming : Phase::Releasing, now);
+        return;
+    }
+    // Some ranks are armed: completing the switch is always possible, taking it back is not.
+    enter(Phase::Arming, now);
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "hornbeamlane_groups/enginemaps/EngineOrders.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace hornbeamlane {
+
+/**
+    Switches a group from one expert map to the next behind a held pass.
+
+    All ranks prepare the map. Then one rank holds a pass that is some way ahead, all ranks are armed for that pass, and
+    only when each of them has confirmed is the pass released. Orders that are lost or carried out late cannot let the
+    pass begin with two maps: it does not begin before the release, and an order for a pass that has begun is refused.
+*/
+class HeldMapSwitch final
+{
+public:
+    enum class Phase {
+        Recovering, ///< Reads what an earlier controller has left behind.
+        Idle,
+        Preparing,
+        Holding,
+        Arming,
+        Releasing,
+        Settling, ///< Released; the pass has not been seen to begin.
+        Unwinding, ///< A rank cannot be armed: all are disarmed before the pass is released.
+    };
+
+    struct Options
+    {
+        RankIndex ranks = 1;
+        /** Passes between the newest one known and the held one. */
+        std::uint64_t leadPasses = 4;
+        /** Time after which an order without answer counts as lost and is sent again. */
+        std::chrono::milliseconds resendInterval{80};
+        /** Pause between two rounds of reports while ranks copy experts. */
+        std::chrono::milliseconds reportInterval{120};
+        /** Reports are as old as this, so the group is further on by the passes of that time. */
+        std::chrono::milliseconds reportAge{200};
+        std::chrono::milliseconds prepareTimeout{4000};
+        /** Time after which an arming that some rank refuses is taken back. */
+        std::chrono::milliseconds armTimeout{1500};
+        /** An order that got no answer may be carried out within this time. */
+        std::chrono::milliseconds latestExecution{13000};
+        /** Whether the pass may be released. Default: when all ranks are armed. */
+        std::function<bool(std::size_t armed, std::size_t ranks)> mayRelease;
+        /** Whether ranks may be armed. Default: when the hold is confirmed. */
+        std::function<bool(bool isHoldConfirmed)> mayArm;
+    };
+
+    struct Counters
+    {
+        std::uint64_t completed = 0;
+        std::uint64_t abandoned = 0;
+        std::uint64_t resent = 0;
+    };
+
+    explicit HeldMapSwitch(Options options);
+
+    /** Starts a switch; false unless idle. The version must be higher than any that the ranks have had. */
+    bool start(const ExpertMap &next, TimePoint now);
+
+    /** Orders that are due. */
+    std::vector<EngineOrder> poll(TimePoint now);
+
+    /** Ranks whose reports are needed now. */
+    std::vector<RankIndex> reportsWanted(TimePoint now);
+
+    void onResult(const EngineOrder &order, EngineOrderResult result, TimePoint now);
+    void onReport(const EngineRankReport &report, TimePoint now);
+
+    /** The group was seen to be in this epoch and to have begun this pass. */
+    void onProgress(GroupEpoch epoch, StepNumber step, TimePoint now);
+
+    Phase phase() const
+    {
+        return phase_;
+    }
+
+    /** The epoch in which the group is open; empty while it is not. */
+    std::optional<GroupEpoch> epoch() const
+    {
+        return isOpen_ ? std::optional(epoch_) : std::nullopt;
+    }
+
+    /** Map in use by the ranks, as far as known. */
+    ExpertMapVersion activeMap() const
+    {
+        return active_;
+    }
+
+    const Counters &counters() const
+    {
+        return counters_;
+    }
+
+private:
+    enum class RankState { Unknown, Sent, Done };
+
+    struct Rank
+    {
+        std::optional<EngineRankReport> report;
+        TimePoint reportedAt;
+        RankState order = RankState::Unknown;
+        TimePoint sentAt;
+        bool isPrepared = false;
+        bool hasRefused = false;
+        /** An arm without answer that may still take effect. */
+        std::optional<TimePoint> unresolvedArmAt;
+    };
+
+    void reset(GroupEpoch epoch);
+    void enter(Phase phase, TimePoint now);
+    void resendLost(TimePoint now);
+    void recover(TimePoint now);
+    void chooseStep(TimePoint now);
+    void advance(TimePoint now);
+    void noteProgress(StepNumber step, TimePoint now);
+    EngineOrder order(RankIndex rank, EngineOrderKind kind) const;
+    void addOrders(std::vector<EngineOrder> &orders, EngineOrderKind kind, TimePoint now);
+    void addHolderOrder(std::vector<EngineOrder> &orders, EngineOrderKind kind, TimePoint now);
+    std::size_t doneCount() const;
+    bool mayUnwindFinish(TimePoint now) const;
+
+    Options options_;
+    std::vector<Rank> ranks_;
+    Phase phase_ = Phase::Recovering;
+    GroupEpoch epoch_;
+    bool isOpen_ = false;
+    ExpertMapVersion active_;
+    std::shared_ptr<const ExpertMap> next_;
+    ExpertMapVersion target_;
+    StepNumber step_;
+    RankIndex holder_ = 0;
+    bool isHoldConfirmed_ = false;
+    TimePoint phaseSince_;
+    TimePoint reportsAskedAt_;
+    RankIndex askedRank_ = 0;
+    /** Newest pass known and when it was learned, and the time that a pass takes. */
+    StepNumber newestStep_;
+    TimePoint newestStepAt_;
+    Duration passTime_ = std::chrono::milliseconds(60);
+    Counters counters_;
+};
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_groups/hornbeamlane_groups.h
+++ b/modules/hornbeamlane_groups/hornbeamlane_groups.h
@@ -6,6 +6,7 @@
 */
 #pragma once
 
+#include "hornbeamlane_groups/enginemaps/HeldMapSwitch.h"
 #include "hornbeamlane_groups/mapswitch/FencingGuard.h"
 #include "hornbeamlane_groups/mapswitch/MapSwitchController.h"
 #include "hornbeamlane_groups/mapswitch/RankGate.h"
--- a/modules/hornbeamlane_groups/placement/ExpertPlacement.cpp
+++ b/modules/hornbeamlane_groups/placement/ExpertPlacement.cpp
@@ -24,14 +24,16 @@
 {
 public:
     LayerPlan(ExpertMap &map, std::uint32_t layer, const std::vector<double> &shares, const RankSlowness &slowness,
-              std::uint32_t slotsPerRank)
+              std::uint32_t slotsPerRank, std::uint32_t newPerRank)
         : map_(map)
         , layer_(layer)
         , shares_(shares)
         , slowness_(slowness)
         , slotsPerRank_(slotsPerRank)
+        , newPerRank_(newPerRank)
         , loads_(rankLoads(map, layer, shares, slowness))
         , experts_(map.expertsOfLayer(layer))
+        , loaded_(experts_)
     {
     }
 
@@ -112,8 +114,31 @@
         }
     }
 
+    /** Whether the rank would hold more experts that it has to load than one round allows. */
+    bool exceedsNew(RankIndex rank, const std::vector<Change> &changes) const
+    {
+        if (newPerRank_ == 0) {
+            return false;
+        }
+        const auto isNew = [this, rank](ExpertIndex expert) {
+            return std::find(loaded_[rank].begin(), loaded_[rank].end(), expert) == loaded_[rank].end();
+        };
+        auto count = std::count_if(experts_[rank].begin(), experts_[rank].end(), isNew);
+        for (const auto &change : changes) {
+            if (change.rank == rank && isNew(change.expert)) {
+                count += change.isAddition ? 1 : -1;
+            }
+        }
+        return count > static_cast<std::ptrdiff_t>(newPerRank_);
+    }
+
     void tryMove(std::vector<Change> changes)
     {
+        for (const auto &change : changes) {
+            if (change.isAddition && exceedsNew(change.rank, changes)) {
+                return;
+            }
+        }
         const auto touched = touchedLoads(changes);
         if (!touched) {
             return;
@@ -196,8 +221,11 @@
     const std::vector<double> &shares_;
     const RankSlowness &slowness_;
     std::uint32_t slotsPerRank_;
+    std::uint32_t newPerRank_;
     std::vector<double> loads_;
     std::vector<std::vector<ExpertIndex>> experts_;
+    /** Experts that each rank holds before the round. */
+    std::vector<std::vector<ExpertIndex>> loaded_;
     Move best_;
 };
 
@@ -219,7 +247,7 @@
     std::priority_queue<std::pair<double, std::uint32_t>> hottest;
     plans.reserve(current.layers());
     for (std::uint32_t layer = 0; layer < current.layers(); ++layer) {
-        plans.emplace_back(map, layer, shares[layer], slowness, options_.slotsPerRank);
+        plans.emplace_back(map, layer, shares[layer], slowness, options_.slotsPerRank, options_.newPerRank);
         hottest.emplace(plans.back().largestLoad(), layer);
     }
     const double smallestGain = options_.smallestGain / current.ranks();
--- a/modules/hornbeamlane_groups/placement/ExpertPlacement.h
+++ b/modules/hornbeamlane_groups/placement/ExpertPlacement.h
@@ -23,6 +23,8 @@
         std::uint32_t slotsPerRank = 2;
         /** Copies that one round may load, summed over all layers. */
         std::size_t movesPerRound = 256;
+        /** Experts of one layer that a rank can load in one round; 0: no bound. */
+        std::uint32_t newPerRank = 0;
         /** A move must lower the larger of the loads involved by this part of the mean, or it is not worth it. */
         double smallestGain = 0.01;
         /** Decides the next map; replaces the placement. For baselines. */
--- /dev/null
+++ b/modules/hornbeamlane_network/http1/Http1Caller.cpp
@@ -0,0 +1,97 @@
+#include "hornbeamlane_network/http1/Http1Caller.h"
+
+#include "hornbeamlane_network/loop/Timer.h"
+
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+/** Connections kept for each address: calls that wait for long and short ones run side by side. */
+constexpr std::size_t maxIdleConnections = 3;
+
+} // namespace
+
+struct Http1Caller::Running
+{
+    std::string address;
+    std::unique_ptr<Http1ClientConnection> connection;
+    Handler handler;
+    Reply reply;
+    int status = 0;
+    std::unique_ptr<Timer> timeout;
+};
+
+Http1Caller::Http1Caller(EventLoop &loop)
+    : loop_(loop)
+{
+}
+
+Http1Caller::~Http1Caller() = default;
+
+std::unique_ptr<Http1ClientConnection> Http1Caller::connectionTo(const Call &call)
+{
+    auto &idle = idle_[call.address];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->isReusable()) {
+            return connection;
+        }
+    }
+    return std::make_unique<Http1ClientConnection>(
+        loop_,
+        Http1ClientConnection::Options{.address = call.address, .peerTimeout = call.timeout, .closedWhileIdle = {}});
+}
+
+void Http1Caller::call(const Call &call, Handler handler)
+{
+    auto owned = std::make_unique<Running>();
+    auto *running = owned.get();
+    running_.emplace(running, std::move(owned));
+    running->address = call.address;
+    running->handler = std::move(handler);
+    running->timeout = std::make_unique<Timer>(loop_, [this, running] { finish(running, Http1CallEnd::BrokenOff); });
+    running->timeout->startOnce(call.timeout);
+    running->connection = connectionTo(call);
+    HttpHeaders headers = {{"Host", call.address}};
+    if (!call.contentType.empty()) {
+        headers.emplace_back("Content-Type", call.contentType);
+    }
+    running->connection->call(
+        {.method = call.method, .target = call.target, .headers = std::move(headers), .body = call.body},
+        {.head =
+             [running](const Http1ResponseHead &head) {
+                 running->status = head.status;
+                 return true;
+             },
+         .data = [running](std::string_view bytes) { running->reply.body.append(bytes); },
+         .end = [this, running](Http1CallEnd end) { finish(running, end); }});
+}
+
+void Http1Caller::finish(Running *running, Http1CallEnd end)
+{
+    const auto found = running_.find(running);
+    if (found == running_.end()) {
+        return;
+    }
+    // Its timer or its connection may be calling, so it is destroyed on the next turn.
+    const std::shared_ptr<Running> ended = std::move(found->second);
+    running_.erase(found);
+    ended->timeout->stop();
+    auto &idle = idle_[ended->address];
+    if (ended->connection->isReusable() && idle.size() < maxIdleConnections) {
+        idle.push_back(std::move(ended->connection));
+    } else {
+        ended->connection->cancel();
+    }
+    loop_.post([ended] {});
+    if (end == Http1CallEnd::Complete) {
+        ended->reply.status = ended->status;
+    }
+    ended->reply.isNotSent = end == Http1CallEnd::NotSent;
+    ended->handler(ended->reply);
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_network/http1/Http1Caller.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "hornbeamlane_network/http1/Http1ClientConnection.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** Short calls to control interfaces, with a time limit each, on connections that are kept. */
+class Http1Caller final
+{
+public:
+    struct Call
+    {
+        /** "<ip>:<port>". */
+        std::string address;
+        std::string method = "GET";
+        std::string target;
+        std::string contentType;
+        std::string body;
+        std::chrono::milliseconds timeout{1000};
+    };
+
+    struct Reply
+    {
+        /** Empty if there was no complete answer in time. */
+        std::optional<int> status;
+        std::string body;
+        /** No byte of the call has left the process. */
+        bool isNotSent = false;
+    };
+
+    using Handler = std::function<void(const Reply &)>;
+
+    explicit Http1Caller(EventLoop &loop);
+    ~Http1Caller();
+
+    /** The handler runs once, later. */
+    void call(const Call &call, Handler handler);
+
+private:
+    struct Running;
+
+    std::unique_ptr<Http1ClientConnection> connectionTo(const Call &call);
+    void finish(Running *running, Http1CallEnd end);
+
+    EventLoop &loop_;
+    std::unordered_map<Running *, std::unique_ptr<Running>> running_;
+    std::map<std::string, std::vector<std::unique_ptr<Http1ClientConnection>>> idle_;
+};
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_network/loop/EventLoop.cpp
+++ b/modules/hornbeamlane_network/loop/EventLoop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <csignal>
+#include <ctime>
 #include <list>
 #include <map>
 #include <utility>
@@ -78,6 +79,13 @@
     return Clock::now();
 }
 
+TimePoint EventLoop::nowWithSuspend() const
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 void EventLoop::run()
 {
     event_base_loop(implementation_->base, EVLOOP_NO_EXIT_ON_EMPTY);
--- a/modules/hornbeamlane_network/loop/EventLoop.h
+++ b/modules/hornbeamlane_network/loop/EventLoop.h
@@ -22,6 +22,9 @@
     /** Monotonic time. */
     TimePoint now() const;
 
+    /** Monotonic time that goes on while the host is suspended; for promises to others, such as leases. */
+    TimePoint nowWithSuspend() const;
+
     /** Runs until stop() is called. */
     void run();
     void stop();
