Bound concurrency by the pauses of streams; refuse at once while a group is broken

Cause: after a group forms again the backlog drives all batches beyond the accepted pause, and all streams are late. Change: ConcurrencyGovernor moves the bound by the 98 % quantile of pauses; servers of a broken group are not chosen and callers are told to come back after 2.3 to 2.7 s; the lease of the maps passes on within about 3 s; a service_state line each second.

--- a/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
+++ b/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
@@ -7,6 +7,7 @@
 */
 
 #include "hornbeamlane_dispatch/catalogue/RouteTable.h"
+#include "hornbeamlane_dispatch/pace/ConcurrencyGovernor.h"
 #include "hornbeamlane_dispatch/queue/AdmissionQueue.h"
 #include "hornbeamlane_dispatch/retry/RetryAllowance.h"
 #include "hornbeamlane_dispatch/servers/BackendBook.h"
--- /dev/null
+++ b/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "hornbeamlane_base/hornbeamlane_base.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace hornbeamlane {
+
+/**
+    Bounds the requests that all entries together have at a service whose engines batch them.
+
+    More requests in a batch make every one of them slower. Above some number the pauses between events exceed what
+    callers accept, and throughput hardly grows any more. The bound follows the pauses that are seen.
+*/
+class ConcurrencyGovernor final
+{
+public:
+    struct Options
+    {
+        /** Time over which pauses are collected before the bound is moved. */
+        std::chrono::milliseconds window{250};
+        /** Pauses needed in a window. */
+        std::size_t minSamples = 8;
+        /** Share of the pauses of a window that have to stay below the target. */
+        double quantile = 0.98;
+        /** The bound shrinks if the quantile is above this share of the target, and grows below growBelow. */
+        double shrinkAbove = 0.9;
+        double growBelow = 0.75;
+        double shrinkFactor = 0.92;
+        double growFactor = 1.05;
+        /** Smallest bound as a share of the servers' places. */
+        double smallestShare = 0.35;
+        /** Largest bound as a share of the servers' places. */
+        double largestShare = 1.25;
+    };
+
+    ConcurrencyGovernor();
+    explicit ConcurrencyGovernor(Options options);
+
+    /** A pause between two events of a stream with this target. */
+    void onPause(Duration pause, std::chrono::milliseconds target, TimePoint now);
+
+    /** A first event came so long after the request was sent. */
+    void onFirstEvent(Duration latency);
+
+    /** Moves the bound if a window is over; `inFlight` is what the service has now, of all entries. */
+    void update(std::uint32_t inFlight, std::uint32_t places, TimePoint now);
+
+    /** Requests that the service may have at once, of all entries. */
+    std::uint32_t limit(std::uint32_t places) const;
+
+    /** Usual time from sending to the first event. */
+    Duration firstEventLatency() const
+    {
+        return firstEventLatency_;
+    }
+
+    /** Quantile of the pauses over their target in the last window. */
+    double lastPressure() const
+    {
+        return lastPressure_;
+    }
+
+private:
+    Options options_;
+    /** Bound as a share of the places. */
+    double share_;
+    std::vector<double> samples_;
+    TimePoint windowStart_;
+    double lastPressure_ = 0;
+    Duration firstEventLatency_ = std::chrono::milliseconds(150);
+};
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -79,6 +79,11 @@
         && (!backend.lapsesAt || now < *backend.lapsesAt);
 }
 
+bool BackendBook::isGroupOpen(const Backend &backend)
+{
+    return !backend.spec.group || backend.spec.group->isOpen;
+}
+
 bool BackendBook::isFull(const Backend &backend) const
 {
     const auto places = backend.spec.slots * (1.0 + options_.queueShare);
@@ -131,6 +136,7 @@
     std::vector<Candidate> candidates;
     std::vector<Candidate> avoided;
     bool anyUsable = false;
+    bool anyOpen = false;
     bool anyNotExcluded = false;
     for (const auto &[id, backend] : backends_) {
         if (backend.spec.service != request.service || !isUsable(backend, now)
@@ -138,6 +144,11 @@
             continue;
         }
         anyUsable = true;
+        // A group that has lost a rank serves nothing before it has formed again, which changes its entry.
+        if (!isGroupOpen(backend)) {
+            continue;
+        }
+        anyOpen = true;
         if (request.excluded != nullptr
             && std::find(request.excluded->begin(), request.excluded->end(), id) != request.excluded->end()) {
             continue;
@@ -153,7 +164,13 @@
         candidates = std::move(avoided);
     }
     if (candidates.empty()) {
-        lastFailure_ = !anyUsable ? NoChoice::NoServer : anyNotExcluded ? NoChoice::AllFull : NoChoice::AllExcluded;
+        if (!anyUsable) {
+            lastFailure_ = NoChoice::NoServer;
+        } else if (!anyOpen) {
+            lastFailure_ = NoChoice::GroupBroken;
+        } else {
+            lastFailure_ = anyNotExcluded ? NoChoice::AllFull : NoChoice::AllExcluded;
+        }
         return std::nullopt;
     }
     const auto best =
@@ -267,17 +284,16 @@
     }));
 }
 
-double BackendBook::occupancy(const ServiceId &service, TimePoint now) const
+BackendBook::Occupancy BackendBook::occupancy(const ServiceId &service, TimePoint now) const
 {
-    std::uint64_t places = 0;
-    std::uint64_t taken = 0;
+    Occupancy result;
     for (const auto &[id, backend] : backends_) {
         if (backend.spec.service == service && isUsable(backend, now)) {
-            places += backend.spec.slots;
-            taken += backend.inFlight();
+            result.places += backend.spec.slots;
+            result.inFlight += backend.inFlight();
         }
     }
-    return places == 0 ? 1.0 : static_cast<double>(taken) / static_cast<double>(places);
+    return result;
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -117,6 +117,7 @@
 
     enum class NoChoice {
         NoServer, ///< No server of the service is known and usable.
+        GroupBroken, ///< All servers that could take it are ranks of groups that have lost a rank.
         AllFull,
         AllExcluded, ///< Each usable server has been tried already.
     };
@@ -162,8 +163,14 @@
     /** Usable servers of the service. */
     std::size_t usableCount(const ServiceId &service, TimePoint now) const;
 
-    /** Share of the places of a service's usable servers that are taken. */
-    double occupancy(const ServiceId &service, TimePoint now) const;
+    /** Places of a service's usable servers and how many of them are taken. */
+    struct Occupancy
+    {
+        std::uint32_t places = 0;
+        std::uint32_t inFlight = 0;
+    };
+
+    Occupancy occupancy(const ServiceId &service, TimePoint now) const;
 
     const std::map<ServerId, Backend> &all() const
     {
@@ -178,6 +185,7 @@
     };
 
     bool isUsable(const Backend &backend, TimePoint now) const;
+    static bool isGroupOpen(const Backend &backend);
     bool isFull(const Backend &backend) const;
     double coldCredit(const Backend &backend, TimePoint now) const;
     double coldRateShare(const Backend &backend) const;
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <utility>
 
@@ -13,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds sweepInterval{250};
+constexpr milliseconds stateLogInterval{1000};
 
 /** The balancer takes an entry out after two missed checks, one a second; new connections come until then. */
 constexpr milliseconds acceptAfterStop{2600};
@@ -22,9 +24,17 @@
 /** Time before the end of the grace period at which what still runs is cut off in an orderly way. */
 constexpr milliseconds shutdownMargin{400};
 
-/** Bounds of the time after which a refused caller should come back. */
-constexpr milliseconds minRetryAfter{300};
-constexpr milliseconds retryAfterSpread{900};
+/** Times after which a refused caller should come back, drawn between two bounds so that callers return spread out. */
+struct RetryAfterRange
+{
+    milliseconds from;
+    milliseconds to;
+};
+
+constexpr RetryAfterRange afterOverload{.from = milliseconds(300), .to = milliseconds(1200)};
+
+/** A lost rank is seldom back within two seconds; callers wait a third of their time at most, here 2.7 s. */
+constexpr RetryAfterRange afterBrokenGroup{.from = milliseconds(2300), .to = milliseconds(2660)};
 
 /** Entries assumed until the others have been heard. */
 constexpr std::uint32_t assumedEntries = 16;
@@ -48,6 +58,7 @@
                       }
                       return load;
                   },
+              .isMapHolder = [this] { return settings_.isMapHolder && settings_.isMapHolder(); },
               .changed = [this] { serversChanged(); }})
     , callers_(loop,
                {.limits =
@@ -157,6 +168,15 @@
     }
 }
 
+bool Gateway::isAtLimit(const ServiceId &service)
+{
+    auto &governor = stateOf(service).governor;
+    const auto now = loop_.now();
+    const auto occupancy = backends_.occupancy(service, now);
+    governor.update(occupancy.inFlight, occupancy.places, now);
+    return occupancy.inFlight >= governor.limit(occupancy.places);
+}
+
 void Gateway::serveQueue(const ServiceId &service)
 {
     auto &state = stateOf(service);
@@ -212,11 +232,33 @@
     }
     pool_.sweep(now);
     setEntryCount(peers_.entryCount(now));
+    if (now - stateLoggedAt_ >= stateLogInterval) {
+        stateLoggedAt_ = now;
+        logServiceStates();
+    }
     for (auto &[service, state] : services_) {
         serveQueue(service);
     }
 }
 
+void Gateway::logServiceStates()
+{
+    const auto now = loop_.now();
+    for (const auto &[service, state] : services_) {
+        const auto occupancy = backends_.occupancy(service, now);
+        logEvent(LogLevel::Info, "service_state",
+                 {{"service", service.name()},
+                  {"places", std::to_string(occupancy.places)},
+                  {"in_flight", std::to_string(occupancy.inFlight)},
+                  {"limit", std::to_string(state.governor.limit(occupancy.places))},
+                  {"pause_percent", std::to_string(static_cast<int>(state.governor.lastPressure() * 100))},
+                  {"first_event_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                                        state.governor.firstEventLatency())
+                                                        .count())},
+                  {"waiting", std::to_string(state.queue.size())}});
+    }
+}
+
 void Gateway::setEntryCount(std::uint32_t count)
 {
     // The first count after a start may miss entries that have not been heard yet.
@@ -262,9 +304,10 @@
     }
 }
 
-std::string Gateway::retryAfter()
+std::string Gateway::retryAfter(GatewayRefusal refusal)
 {
-    const auto wait = minRetryAfter + milliseconds(random_.below(static_cast<std::uint64_t>(retryAfterSpread.count())));
+    const auto &range = refusal == GatewayRefusal::GroupBroken ? afterBrokenGroup : afterOverload;
+    const auto wait = range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
     std::array<char, 16> text{};
     std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(wait).count());
     return text.data();
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -66,19 +66,23 @@
         AdmissionQueue queue;
         std::unordered_map<TicketNumber, std::weak_ptr<ForwardedRequest>> waiting;
         RetryAllowance retries;
+        ConcurrencyGovernor governor;
     };
 
     void handle(const std::shared_ptr<Http1Exchange> &exchange);
     void handleStatusRequest(const std::shared_ptr<Http1Exchange> &exchange);
     ServiceState &stateOf(const ServiceId &service);
     void serveQueue(const ServiceId &service);
+    /** Whether the service has as many requests as its pace allows. */
+    bool isAtLimit(const ServiceId &service);
     void expireWaiting();
     void armWaitTimer();
     void sweep();
+    void logServiceStates();
     void setEntryCount(std::uint32_t count);
     void checkDrained();
     /** Value of a Retry-After header: callers that were refused together come back spread out. */
-    std::string retryAfter();
+    std::string retryAfter(GatewayRefusal refusal);
     void countOutcome(std::string_view outcome, Duration total);
     /** Destroys the request on the next turn. */
     void forget(ForwardedRequest *request);
@@ -105,6 +109,7 @@
     bool hasStoppedAccepting_ = false;
     TimePoint stopAcceptingAt_;
     TimePoint cutOffAt_;
+    TimePoint stateLoggedAt_;
     std::uint32_t entryCount_ = 0;
 };
 
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -4,6 +4,7 @@
 #include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -60,6 +61,8 @@
     /** A planned stop ends after this time at the latest. */
     std::chrono::milliseconds shutdownBound{8000};
     std::size_t maxConnections = 3000;
+    /** Whether this process holds the lease of the expert maps; told to the other entries. */
+    std::function<bool()> isMapHolder;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
@@ -187,7 +187,12 @@
     const bool isComparable = last.epoch == counts.epoch && last.counts.size() == counts.counts.size()
         && std::equal(counts.counts.begin(), counts.counts.end(), last.counts.begin(),
                       [](double newer, double older) { return newer >= older; });
-    if (isComparable) {
+    // Without an earlier look, all that was chosen since the rank's start is better than the uniform map's assumption.
+    const bool isFirst = last.counts.empty() && switch_.activeMap() == ExpertMapVersion();
+    if (isFirst) {
+        last.counts.assign(counts.counts.size(), 0.0);
+    }
+    if (isComparable || isFirst) {
         for (std::uint32_t layer = 0; layer < options_.engine.expertLayers; ++layer) {
             std::vector<double> chosen(experts);
             for (std::size_t expert = 0; expert < experts; ++expert) {
--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -35,6 +35,10 @@
 
 void MapDuty::pollLease()
 {
+    // Reads are priced, and a holder that is heard has not lost the lease.
+    if (!token_ && loop_.now() - hooks_.holderHeardAt() < options_.holderSilence) {
+        return;
+    }
     const auto request = lease_.poll(loop_.nowWithSuspend());
     if (!request) {
         return;
@@ -57,6 +61,7 @@
         auto &view = groups[backend.spec.group->group];
         view.service = backend.spec.service;
         view.size = backend.spec.group->size;
+        view.isOpen = view.isOpen && backend.spec.group->isOpen;
         view.addresses[backend.spec.group->rank] = backend.spec.address;
     }
     return groups;
@@ -90,6 +95,10 @@
                                                                               .token = *token_,
                                                                               .policy = options_.policy});
         }
+        // Orders to a group that has lost a rank would have no effect in its next epoch.
+        if (!view.isOpen) {
+            continue;
+        }
         keeper->setRanks(std::move(view.addresses));
         keeper->tick();
     }
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -19,9 +19,11 @@
         /** Key of the lease row. */
         std::string leaseKey = "duties/expert-maps";
         Incarnation self;
-        std::chrono::milliseconds leaseDuration{2500};
-        std::chrono::milliseconds renewInterval{700};
-        std::chrono::milliseconds readInterval{1500};
+        std::chrono::milliseconds leaseDuration{1500};
+        std::chrono::milliseconds renewInterval{500};
+        std::chrono::milliseconds readInterval{400};
+        /** While the holder is heard that recently, the lease row is not read. */
+        std::chrono::milliseconds holderSilence{900};
         /** Time between two looks at what is due; replies are handled at once. */
         std::chrono::milliseconds tickInterval{50};
         GroupMapKeeper::Policy policy;
@@ -34,6 +36,8 @@
         std::function<const std::map<ServerId, Backend> &()> servers;
         /** Engine of a service; empty if its servers are no ranks. */
         std::function<std::optional<EngineModel>(const ServiceId &)> engineOf;
+        /** When another entry last said that it holds the lease. */
+        std::function<TimePoint()> holderHeardAt;
     };
 
     MapDuty(EventLoop &loop, TableClient &table, const Options &options, Hooks hooks);
@@ -53,6 +57,7 @@
     {
         ServiceId service;
         std::uint32_t size = 0;
+        bool isOpen = true;
         std::map<RankIndex, std::string> addresses;
     };
 
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -92,6 +92,7 @@
     const auto bytes = encodeLoadMessage({.sender = options_.name,
                                           .sequence = ++sequence_,
                                           .incarnation = options_.incarnation,
+                                          .isMapHolder = callbacks_.isMapHolder(),
                                           .inFlight = callbacks_.ownLoad()});
     for (const auto &[address, peer] : peers_) {
         if (toAll || now - peer.heardAt < options_.silence) {
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -22,7 +22,7 @@
         /** Time between two messages while the load changes; what is not told yet is seen late by the others. */
         std::chrono::milliseconds interval{40};
         /** Time between two messages without changes. */
-        std::chrono::milliseconds idleInterval{500};
+        std::chrono::milliseconds idleInterval{300};
         /** A peer that has not been heard for this time is told less often. */
         std::chrono::milliseconds silence{3000};
     };
@@ -30,6 +30,7 @@
     struct Callbacks
     {
         std::function<std::vector<std::pair<ServerHash, std::uint32_t>>()> ownLoad;
+        std::function<bool()> isMapHolder;
         /** The loads of the peers have changed. */
         std::function<void()> changed;
     };
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -32,6 +32,7 @@
                                      {"n", message.sender},
                                      {"s", message.sequence},
                                      {"i", message.incarnation.value()},
+                                     {"m", message.isMapHolder},
                                      {"l", std::move(servers)}};
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
@@ -56,6 +57,7 @@
     LoadMessage message{.sender = name->get<std::string>(),
                         .sequence = sequence->get<std::uint64_t>(),
                         .incarnation = Incarnation(incarnation->get<std::uint64_t>()),
+                        .isMapHolder = document.contains("m") && document["m"] == true,
                         .inFlight = {}};
     for (std::size_t i = 0; i < servers->size(); i += 2) {
         const auto &server = (*servers)[i];
@@ -87,6 +89,9 @@
     subtract(peer.last);
     peer.last = message;
     peer.heardAt = now;
+    if (message.isMapHolder) {
+        mapHolderHeardAt_ = now;
+    }
     for (const auto &[server, count] : message.inFlight) {
         sums_[server] += count;
     }
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -25,6 +25,8 @@
     /** Grows with each message of one start of the sender, so that a late one is not taken for the newest. */
     std::uint64_t sequence = 0;
     Incarnation incarnation;
+    /** The sender holds the lease of the expert maps. */
+    bool isMapHolder = false;
     std::vector<std::pair<ServerHash, std::uint32_t>> inFlight;
 };
 
@@ -53,6 +55,12 @@
 
     std::uint32_t sumFor(ServerHash server) const;
 
+    /** When a peer last said that it holds the lease of the expert maps. */
+    TimePoint mapHolderHeardAt() const
+    {
+        return mapHolderHeardAt_;
+    }
+
     /** Peers that have been heard within the silence. */
     std::size_t activePeers() const
     {
@@ -71,6 +79,7 @@
     Options options_;
     std::map<std::string, Peer> peers_;
     std::unordered_map<ServerHash, std::uint32_t> sums_;
+    TimePoint mapHolderHeardAt_;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -13,9 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/** Part of the latency target for which a request may wait for a place; the rest is needed at the server. */
-constexpr double queueShareOfTarget = 0.6;
-
 /** Wait for a place for the rest of a stream that broke off; callers give up after a pause of about two seconds. */
 constexpr milliseconds resumeWait{1200};
 
@@ -77,6 +74,21 @@
     return false;
 }
 
+GatewayRefusal refusalFor(BackendBook::NoChoice reason)
+{
+    switch (reason) {
+    case BackendBook::NoChoice::NoServer:
+        return GatewayRefusal::NoServer;
+    case BackendBook::NoChoice::GroupBroken:
+        return GatewayRefusal::GroupBroken;
+    case BackendBook::NoChoice::AllFull:
+        return GatewayRefusal::Overloaded;
+    case BackendBook::NoChoice::AllExcluded:
+        return GatewayRefusal::RetriesUsedUp;
+    }
+    return GatewayRefusal::NoServer;
+}
+
 HttpHeaders endToEndHeaders(const HttpHeaders &headers)
 {
     HttpHeaders result;
@@ -93,9 +105,9 @@
 
 std::string_view toString(GatewayRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 10> names = {
-        "not_ready",  "no_route",        "unknown_key",   "bad_request", "no_server",
-        "overloaded", "retries_used_up", "server_failed", "timed_out",   "timed_out_waiting"};
+    static constexpr std::array<std::string_view, 11> names = {
+        "not_ready",    "no_route",   "unknown_key",     "bad_request",   "no_server", "group_broken",
+        "overloaded", "retries_used_up", "server_failed", "timed_out", "timed_out_waiting"};
     return names[static_cast<std::size_t>(refusal)];
 }
 
@@ -114,6 +126,7 @@
         return 504;
     case GatewayRefusal::NotReady:
     case GatewayRefusal::NoServer:
+    case GatewayRefusal::GroupBroken:
     case GatewayRefusal::Overloaded:
     case GatewayRefusal::RetriesUsedUp:
     case GatewayRefusal::TimedOutWaiting:
@@ -211,7 +224,8 @@
     std::optional<ServerId> server;
     // Those that wait already come first.
     const bool isBehindOthers = mayQueue && state.queue.size() > 0;
-    if (!isBehindOthers) {
+    const bool isLimited = mayQueue && route_->kind == RequestKind::Stream && gateway_.isAtLimit(service_);
+    if (!isBehindOthers && !isLimited) {
         server = gateway_.backends_.choose(
             {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &tried_}, time,
             gateway_.random_);
@@ -220,13 +234,11 @@
         send(*server);
         return;
     }
-    if (!isBehindOthers && gateway_.backends_.lastFailure() != BackendBook::NoChoice::AllFull) {
-        refuse(sends_ == 0 ? GatewayRefusal::NoServer : GatewayRefusal::RetriesUsedUp);
+    if (!isBehindOthers && !isLimited && gateway_.backends_.lastFailure() != BackendBook::NoChoice::AllFull) {
+        refuse(refusalFor(gateway_.backends_.lastFailure()));
         return;
     }
-    const Duration wait = exchange_->isStreaming()
-        ? Duration(resumeWait)
-        : std::chrono::duration_cast<Duration>(route_->latencyTarget * queueShareOfTarget) - (time - arrivedAt_);
+    const auto wait = longestWait(time);
     if (wait <= Duration::zero() || time >= deadline_) {
         refuse(GatewayRefusal::Overloaded);
         return;
@@ -236,8 +248,23 @@
     gateway_.armWaitTimer();
 }
 
+Duration ForwardedRequest::longestWait(TimePoint time)
+{
+    if (exchange_->isStreaming()) {
+        return resumeWait;
+    }
+    // A request that cannot be on time any more leaves its place to one that can.
+    const Duration target = route_->latencyTarget;
+    const auto atServer = route_->kind == RequestKind::Stream ? gateway_.stateOf(service_).governor.firstEventLatency()
+                                                               : target / 2;
+    return std::max<Duration>(target - atServer, target / 8) - (time - arrivedAt_);
+}
+
 bool ForwardedRequest::tryLeaveQueue()
 {
+    if (route_->kind == RequestKind::Stream && !exchange_->isStreaming() && gateway_.isAtLimit(service_)) {
+        return false;
+    }
     const auto server = gateway_.backends_.choose(
         {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &tried_}, now(),
         gateway_.random_);
@@ -248,7 +275,7 @@
     if (server) {
         send(*server);
     } else {
-        refuse(GatewayRefusal::NoServer);
+        refuse(refusalFor(gateway_.backends_.lastFailure()));
     }
     return true;
 }
@@ -370,6 +397,7 @@
     if (!exchange_->isStreaming()) {
         exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
     }
+    notePace();
     exchange_->sendPiece(whole);
     if (exchange_->bufferedBytes() > maxBufferedBytes) {
         send_->connection->pauseReading();
@@ -382,6 +410,18 @@
     }
 }
 
+void ForwardedRequest::notePace()
+{
+    const auto time = now();
+    auto &governor = gateway_.stateOf(service_).governor;
+    if (send_->lastEventAt == TimePoint{}) {
+        governor.onFirstEvent(time - send_->startedAt);
+    } else {
+        governor.onPause(time - send_->lastEventAt, route_->pauseTarget, time);
+    }
+    send_->lastEventAt = time;
+}
+
 void ForwardedRequest::handleEnd(Http1CallEnd end)
 {
     switch (end) {
@@ -518,7 +558,7 @@
     HttpHeaders headers;
     const auto status = statusOf(refusal);
     if (status == 503) {
-        headers.emplace_back("Retry-After", gateway_.retryAfter());
+        headers.emplace_back("Retry-After", gateway_.retryAfter(refusal));
     }
     headers.emplace_back("Content-Type", "text/plain");
     exchange_->reply(status, headers, std::string(toString(refusal)) + "\n");
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -22,6 +22,7 @@
     UnknownKey,
     BadRequest,
     NoServer, ///< No server of the service can be used now.
+    GroupBroken, ///< The group that serves the model has lost a rank.
     Overloaded, ///< No place became free in time.
     RetriesUsedUp, ///< The server rejected the request and it may not be sent again.
     ServerFailed, ///< The server broke off; the request may have run.
@@ -64,6 +65,7 @@
         std::string body;
         bool isStreamed = false;
         TimePoint startedAt;
+        TimePoint lastEventAt;
     };
 
     bool admit();
@@ -80,6 +82,9 @@
     bool isValidSuccess(const Http1ResponseHead &head) const;
     bool isNotRun(const Http1ResponseHead &head) const;
     void deliverAnswer();
+    /** Longest time from now for which waiting for a place makes sense. */
+    Duration longestWait(TimePoint time);
+    void notePace();
     void forwardEvents(std::string_view bytes);
     void finishStream();
     void endSend(BackendOutcome outcome);
