Queue requests that missed their target behind those that can still be on time

Cause: under overload a request whose wait exceeds its target is refused, comes back and adds to the overload. Change: a second rank in the queue for late requests, bounded by what can start within a second; late ones leave a tenth of the concurrency to others.

--- a/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
+++ b/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
@@ -8,6 +8,7 @@
 
 #include "hornbeamlane_dispatch/catalogue/RouteTable.h"
 #include "hornbeamlane_dispatch/pace/ConcurrencyGovernor.h"
+#include "hornbeamlane_dispatch/pace/RateMeter.h"
 #include "hornbeamlane_dispatch/queue/AdmissionQueue.h"
 #include "hornbeamlane_dispatch/retry/RetryAllowance.h"
 #include "hornbeamlane_dispatch/servers/BackendBook.h"
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -36,6 +36,16 @@
 /** A lost rank is seldom back within two seconds; callers wait a third of their time at most, here 2.7 s. */
 constexpr RetryAfterRange afterBrokenGroup{.from = milliseconds(2300), .to = milliseconds(2660)};
 
+/** Part of the bound that late requests may fill: entries do not see each other's queues, but they see the load. */
+constexpr double lateShareOfLimit = 0.9;
+
+/** Requests that wait are started within this time at the present rate; further ones are refused. */
+constexpr milliseconds longestBacklog{1000};
+constexpr double minBacklog = 4;
+
+/** Callers' patience differs by some 15 %; one with less time than this share of the longest has come back. */
+constexpr double comeBackShare = 0.8;
+
 /** Entries assumed until the others have been heard. */
 constexpr std::uint32_t assumedEntries = 16;
 
@@ -168,13 +178,28 @@
     }
 }
 
-bool Gateway::isAtLimit(const ServiceId &service)
+bool Gateway::isAtLimit(const ServiceId &service, bool isLate)
 {
     auto &governor = stateOf(service).governor;
     const auto now = loop_.now();
     const auto occupancy = backends_.occupancy(service, now);
     governor.update(occupancy.inFlight, occupancy.places, now);
-    return occupancy.inFlight >= governor.limit(occupancy.places);
+    const double share = isLate ? lateShareOfLimit : 1.0;
+    return occupancy.inFlight >= share * governor.limit(occupancy.places);
+}
+
+bool Gateway::isBacklogTooLong(const ServiceId &service)
+{
+    auto &state = stateOf(service);
+    const auto startable = state.starts.perSecond(loop_.now()) * std::chrono::duration<double>(longestBacklog).count();
+    return static_cast<double>(state.queue.size()) >= std::max(startable, minBacklog);
+}
+
+bool Gateway::isShortened(const RouteSpec &route, milliseconds timeLeft)
+{
+    auto &longest = longestTimeLeft_[route.name];
+    longest = std::max(longest, timeLeft);
+    return timeLeft < longest * comeBackShare;
 }
 
 void Gateway::serveQueue(const ServiceId &service)
@@ -246,16 +271,16 @@
     const auto now = loop_.now();
     for (const auto &[service, state] : services_) {
         const auto occupancy = backends_.occupancy(service, now);
-        logEvent(LogLevel::Info, "service_state",
-                 {{"service", service.name()},
-                  {"places", std::to_string(occupancy.places)},
-                  {"in_flight", std::to_string(occupancy.inFlight)},
-                  {"limit", std::to_string(state.governor.limit(occupancy.places))},
-                  {"pause_percent", std::to_string(static_cast<int>(state.governor.lastPressure() * 100))},
-                  {"first_event_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
-                                                        state.governor.firstEventLatency())
-                                                        .count())},
-                  {"waiting", std::to_string(state.queue.size())}});
+        logEvent(
+            LogLevel::Info, "service_state",
+            {{"service", service.name()},
+             {"places", std::to_string(occupancy.places)},
+             {"in_flight", std::to_string(occupancy.inFlight)},
+             {"limit", std::to_string(state.governor.limit(occupancy.places))},
+             {"pause_percent", std::to_string(static_cast<int>(state.governor.lastPressure() * 100))},
+             {"first_event_ms",
+              std::to_string(std::chrono::duration_cast<milliseconds>(state.governor.firstEventLatency()).count())},
+             {"waiting", std::to_string(state.queue.size())}});
     }
 }
 
@@ -307,7 +332,8 @@
 std::string Gateway::retryAfter(GatewayRefusal refusal)
 {
     const auto &range = refusal == GatewayRefusal::GroupBroken ? afterBrokenGroup : afterOverload;
-    const auto wait = range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
+    const auto wait =
+        range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
     std::array<char, 16> text{};
     std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(wait).count());
     return text.data();
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -67,14 +67,19 @@
         std::unordered_map<TicketNumber, std::weak_ptr<ForwardedRequest>> waiting;
         RetryAllowance retries;
         ConcurrencyGovernor governor;
+        RateMeter starts;
     };
 
     void handle(const std::shared_ptr<Http1Exchange> &exchange);
     void handleStatusRequest(const std::shared_ptr<Http1Exchange> &exchange);
     ServiceState &stateOf(const ServiceId &service);
     void serveQueue(const ServiceId &service);
-    /** Whether the service has as many requests as its pace allows. */
-    bool isAtLimit(const ServiceId &service);
+    /** Whether the service has as many requests as its pace allows; late ones leave room for those that are not. */
+    bool isAtLimit(const ServiceId &service, bool isLate);
+    /** Whether more requests wait for the service than can start before their callers give up. */
+    bool isBacklogTooLong(const ServiceId &service);
+    /** Whether the caller has less time than callers of the route usually have, because it comes back. */
+    bool isShortened(const RouteSpec &route, std::chrono::milliseconds timeLeft);
     void expireWaiting();
     void armWaitTimer();
     void sweep();
@@ -97,6 +102,8 @@
     /** Shared with the requests that were admitted under it. */
     std::shared_ptr<const RouteTable> table_;
     std::map<ServiceId, ServiceState> services_;
+    /** Longest time that a caller of each route has stated. */
+    std::unordered_map<RouteId, std::chrono::milliseconds> longestTimeLeft_;
     std::unordered_map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> requests_;
     Http1Server callers_;
     Http1Server status_;
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -28,12 +28,9 @@
         servers.push_back(server);
         servers.push_back(count);
     }
-    const nlohmann::json document = {{"v", protocolVersion},
-                                     {"n", message.sender},
-                                     {"s", message.sequence},
-                                     {"i", message.incarnation.value()},
-                                     {"m", message.isMapHolder},
-                                     {"l", std::move(servers)}};
+    const nlohmann::json document = {{"v", protocolVersion},     {"n", message.sender},
+                                     {"s", message.sequence},    {"i", message.incarnation.value()},
+                                     {"m", message.isMapHolder}, {"l", std::move(servers)}};
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
     return bytes;
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -13,6 +13,9 @@
 
 using std::chrono::milliseconds;
 
+/** Longest wait of a request that has missed its target; callers give up two seconds after their request. */
+constexpr milliseconds lateWait{1400};
+
 /** Wait for a place for the rest of a stream that broke off; callers give up after a pause of about two seconds. */
 constexpr milliseconds resumeWait{1200};
 
@@ -106,8 +109,8 @@
 std::string_view toString(GatewayRefusal refusal)
 {
     static constexpr std::array<std::string_view, 11> names = {
-        "not_ready",    "no_route",   "unknown_key",     "bad_request",   "no_server", "group_broken",
-        "overloaded", "retries_used_up", "server_failed", "timed_out", "timed_out_waiting"};
+        "not_ready",  "no_route",        "unknown_key",   "bad_request", "no_server",        "group_broken",
+        "overloaded", "retries_used_up", "server_failed", "timed_out",   "timed_out_waiting"};
     return names[static_cast<std::size_t>(refusal)];
 }
 
@@ -210,6 +213,7 @@
         pick -= part.weight;
     }
     const auto stated = parseMilliseconds(request.header(names.timeLeft));
+    isLate_ = stated && gateway_.isShortened(*route_, *stated);
     deadline_ = arrivedAt_ + std::min(stated.value_or(route_->timeout), route_->timeout);
     if (const auto *position = request.header(names.lastEventId)) {
         events_.setLastEventId(*position);
@@ -222,9 +226,10 @@
     auto &state = gateway_.stateOf(service_);
     const auto time = now();
     std::optional<ServerId> server;
-    // Those that wait already come first.
-    const bool isBehindOthers = mayQueue && state.queue.size() > 0;
-    const bool isLimited = mayQueue && route_->kind == RequestKind::Stream && gateway_.isAtLimit(service_);
+    // Those that wait already come first, unless they have missed their target and this one has not.
+    const auto first = state.queue.front();
+    const bool isBehindOthers = mayQueue && first && first->priority <= queueRank();
+    const bool isLimited = mayQueue && route_->kind == RequestKind::Stream && gateway_.isAtLimit(service_, isLate_);
     if (!isBehindOthers && !isLimited) {
         server = gateway_.backends_.choose(
             {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &tried_}, time,
@@ -239,15 +244,43 @@
         return;
     }
     const auto wait = longestWait(time);
-    if (wait <= Duration::zero() || time >= deadline_) {
-        refuse(GatewayRefusal::Overloaded);
+    if (!isLate_ && wait > Duration::zero()) {
+        joinQueue(time + wait);
         return;
     }
-    ticket_ = state.queue.add(priority_, std::min(time + wait, deadline_));
+    if (!queueAsLate(time)) {
+        refuse(GatewayRefusal::Overloaded);
+    }
+}
+
+std::uint32_t ForwardedRequest::queueRank() const
+{
+    // A stream that has begun comes first: its caller has waited longest and its place was counted already.
+    if (exchange_->isStreaming()) {
+        return 0;
+    }
+    return 1 + priority_ * 2 + (isLate_ ? 1 : 0);
+}
+
+void ForwardedRequest::joinQueue(TimePoint latestStart)
+{
+    auto &state = gateway_.stateOf(service_);
+    ticket_ = state.queue.add(queueRank(), std::min(latestStart, deadline_));
     state.waiting.emplace(*ticket_, weak_from_this());
     gateway_.armWaitTimer();
 }
 
+bool ForwardedRequest::queueAsLate(TimePoint time)
+{
+    const auto latest = arrivedAt_ + std::min<Duration>(lateWait, (deadline_ - arrivedAt_) / 3);
+    if (time >= latest || route_->kind != RequestKind::Stream || gateway_.isBacklogTooLong(service_)) {
+        return false;
+    }
+    isLate_ = true;
+    joinQueue(latest);
+    return true;
+}
+
 Duration ForwardedRequest::longestWait(TimePoint time)
 {
     if (exchange_->isStreaming()) {
@@ -255,14 +288,14 @@
     }
     // A request that cannot be on time any more leaves its place to one that can.
     const Duration target = route_->latencyTarget;
-    const auto atServer = route_->kind == RequestKind::Stream ? gateway_.stateOf(service_).governor.firstEventLatency()
-                                                               : target / 2;
+    const auto atServer =
+        route_->kind == RequestKind::Stream ? gateway_.stateOf(service_).governor.firstEventLatency() : target / 2;
     return std::max<Duration>(target - atServer, target / 8) - (time - arrivedAt_);
 }
 
 bool ForwardedRequest::tryLeaveQueue()
 {
-    if (route_->kind == RequestKind::Stream && !exchange_->isStreaming() && gateway_.isAtLimit(service_)) {
+    if (route_->kind == RequestKind::Stream && !exchange_->isStreaming() && gateway_.isAtLimit(service_, isLate_)) {
         return false;
     }
     const auto server = gateway_.backends_.choose(
@@ -283,6 +316,9 @@
 void ForwardedRequest::onWaitExpired()
 {
     leaveQueue();
+    if (!isLate_ && !exchange_->isStreaming() && queueAsLate(now())) {
+        return;
+    }
     refuse(GatewayRefusal::Overloaded);
 }
 
@@ -331,6 +367,7 @@
     tried_.push_back(server);
     ++sends_;
     gateway_.backends_.onSent(server, sending.startedAt);
+    gateway_.stateOf(service_).starts.count(sending.startedAt);
     gateway_.peers_.markChanged();
     // The request outlives the connection, which it owns; the callbacks end with the connection.
     sending.connection->call(
@@ -417,6 +454,7 @@
     if (send_->lastEventAt == TimePoint{}) {
         governor.onFirstEvent(time - send_->startedAt);
     } else {
+        longestPause_ = std::max(longestPause_, time - send_->lastEventAt);
         governor.onPause(time - send_->lastEventAt, route_->pauseTarget, time);
     }
     send_->lastEventAt = time;
@@ -606,8 +644,11 @@
               {"version", table_ ? std::to_string(table_->version().value()) : "-"},
               {"server", tried_.empty() ? "-" : tried_.back().name()},
               {"sends", std::to_string(sends_)},
+              {"time_left_ms", formatMilliseconds(deadline_ - arrivedAt_)},
+              {"late", isLate_ ? "yes" : "no"},
               {"events", std::to_string(events_.completeEvents())},
               {"first_ms", firstByteAt_ == TimePoint{} ? "-" : formatMilliseconds(firstByteAt_ - arrivedAt_)},
+              {"pause_ms", formatMilliseconds(longestPause_)},
               {"total_ms", formatMilliseconds(time - arrivedAt_)},
               {"outcome", std::string(outcome)}});
     gateway_.forget(this);
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -92,6 +92,10 @@
     void onTimeout();
     void onCallerLeft();
     void leaveQueue();
+    /** Joins the queue behind those that can still be on time; false if the backlog is too long for it. */
+    bool queueAsLate(TimePoint time);
+    void joinQueue(TimePoint latestStart);
+    std::uint32_t queueRank() const;
     void finish(std::string_view outcome);
     TimePoint now() const;
 
@@ -118,6 +122,9 @@
     std::string failedBody_;
     EventStreamFilter events_;
     TimePoint firstByteAt_;
+    Duration longestPause_{};
+    /** Its latency target is missed already, because the caller came back or because it has waited. */
+    bool isLate_ = false;
     bool hasCallerLeft_ = false;
     bool isFinished_ = false;
 };
