Strike faults at every order of a map switch behind a held pass

Cause: the rule that no pass begins with two maps had no proof for orders without answer that are carried out late.

--- a/testing/fault_matrix/AllFaultCells.cpp
+++ b/testing/fault_matrix/AllFaultCells.cpp
@@ -1,5 +1,6 @@
 #include "fault_matrix/AdmissionFaultCells.h"
 #include "fault_matrix/FaultCell.h"
+#include "fault_matrix/HeldSwitchFaultCells.h"
 #include "fault_matrix/MembershipFaultCells.h"
 #include "fault_matrix/OrderFaultCells.h"
 #include "fault_matrix/RoutingFaultCells.h"
@@ -16,6 +17,7 @@
     addRoutingFaultCells(cells);
     addMembershipFaultCells(cells);
     addGroupFaultCells(cells);
+    addHeldSwitchFaultCells(cells);
     return cells;
 }
 
