Fewer calls to the store: entries tell each other which rows they have seen

Change: waits grow with the entries that are heard (up to 9 s), a wait that misses a row that others have seen is given up, and changes in quick succession are read together.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-Gateway::Gateway(EventLoop &loop, RandomSource &random, GatewaySettings settings)
+Gateway::Gateway(EventLoop &loop, RandomSource &random, GatewaySettings settings, GatewayHooks hooks)
     : loop_(loop)
     , random_(random)
     , settings_(std::move(settings))
@@ -68,7 +68,9 @@
                       }
                       return load;
                   },
-              .isMapHolder = [this] { return settings_.isMapHolder && settings_.isMapHolder(); },
+              .isMapHolder = std::move(hooks.isMapHolder),
+              .tableVersions = std::move(hooks.tableVersions),
+              .peerVersions = std::move(hooks.peerVersions),
               .changed = [this] { serversChanged(); }})
     , callers_(loop,
                {.limits =
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -23,7 +23,7 @@
 class Gateway final
 {
 public:
-    Gateway(EventLoop &loop, RandomSource &random, GatewaySettings settings);
+    Gateway(EventLoop &loop, RandomSource &random, GatewaySettings settings, GatewayHooks hooks);
     ~Gateway();
 
     /** False if an address cannot be bound. */
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -36,6 +36,16 @@
     std::string lastEventId = "Last-Event-Id";
 };
 
+/** What the owner of a gateway tells the other entries, and hears from them, with the loads. */
+struct GatewayHooks
+{
+    /** Whether this process holds the lease of the expert maps. */
+    std::function<bool()> isMapHolder;
+    /** Newest row seen of each table that all entries follow. */
+    std::function<std::vector<std::uint64_t>()> tableVersions;
+    std::function<void(const std::vector<std::uint64_t> &)> peerVersions;
+};
+
 /** Everything that a gateway has to know before it starts. */
 struct GatewaySettings
 {
@@ -61,8 +71,6 @@
     /** A planned stop ends after this time at the latest. */
     std::chrono::milliseconds shutdownBound{8000};
     std::size_t maxConnections = 3000;
-    /** Whether this process holds the lease of the expert maps; told to the other entries. */
-    std::function<bool()> isMapHolder;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -72,7 +72,7 @@
     addPeer(sender);
     auto &peer = peers_[sender];
     peer.heardAt = now;
-    peer.hasBeenHeard = true;
+    callbacks_.peerVersions(message->tableVersions);
     if (loads_.take(*message, now)) {
         callbacks_.changed();
     }
@@ -93,6 +93,7 @@
                                           .sequence = ++sequence_,
                                           .incarnation = options_.incarnation,
                                           .isMapHolder = callbacks_.isMapHolder(),
+                                          .tableVersions = callbacks_.tableVersions(),
                                           .inFlight = callbacks_.ownLoad()});
     for (const auto &[address, peer] : peers_) {
         if (toAll || now - peer.heardAt < options_.silence) {
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -31,6 +31,8 @@
     {
         std::function<std::vector<std::pair<ServerHash, std::uint32_t>>()> ownLoad;
         std::function<bool()> isMapHolder;
+        std::function<std::vector<std::uint64_t>()> tableVersions;
+        std::function<void(const std::vector<std::uint64_t> &)> peerVersions;
         /** The loads of the peers have changed. */
         std::function<void()> changed;
     };
@@ -59,7 +61,6 @@
     {
         TimePoint addedAt;
         TimePoint heardAt;
-        bool hasBeenHeard = false;
     };
 
     void receive(std::string_view bytes, const std::string &sender);
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -55,7 +55,13 @@
                         .sequence = sequence->get<std::uint64_t>(),
                         .incarnation = Incarnation(incarnation->get<std::uint64_t>()),
                         .isMapHolder = document.contains("m") && document["m"] == true,
+                        .tableVersions = {},
                         .inFlight = {}};
+    if (const auto versions = document.find("t"); versions != document.end() && versions->is_array()) {
+        for (const auto &version : *versions) {
+            message.tableVersions.push_back(version.is_number_unsigned() ? version.get<std::uint64_t>() : 0);
+        }
+    }
     for (std::size_t i = 0; i < servers->size(); i += 2) {
         const auto &server = (*servers)[i];
         const auto &count = (*servers)[i + 1];
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -27,6 +27,8 @@
     Incarnation incarnation;
     /** The sender holds the lease of the expert maps. */
     bool isMapHolder = false;
+    /** Newest row that the sender has seen of each table that all entries follow, in a fixed order. */
+    std::vector<std::uint64_t> tableVersions;
     std::vector<std::pair<ServerHash, std::uint32_t>> inFlight;
 };
 
--- a/modules/hornbeamlane_gateway/state/TableFollower.cpp
+++ b/modules/hornbeamlane_gateway/state/TableFollower.cpp
@@ -7,12 +7,15 @@
 
 namespace hornbeamlane {
 
-TableFollower::TableFollower(EventLoop &loop, TableFeed feed, Options options, Callbacks callbacks)
+TableFollower::TableFollower(EventLoop &loop, RandomSource &random, TableFeed feed, Options options,
+                             Callbacks callbacks)
     : loop_(loop)
+    , random_(random)
     , feed_(std::move(feed))
     , options_(std::move(options))
     , callbacks_(std::move(callbacks))
     , timer_(loop, [this] { needsRead_ ? read() : watch(); })
+    , missingTimer_(loop, [this] { onPeerVersion(peerVersion_); })
 {
 }
 
@@ -29,13 +32,65 @@
 
 void TableFollower::read()
 {
-    feed_.readAll(options_.table, [this](const TableFeedReply &reply) { handleSnapshot(reply); });
+    feed_.readAll(options_.table, [this, number = ++callNumber_](const TableFeedReply &reply) {
+        if (number == callNumber_) {
+            handleSnapshot(reply);
+        }
+    });
 }
 
 void TableFollower::watch()
 {
-    feed_.readChanges(options_.table, version_, options_.wait,
-                      [this](const TableFeedReply &reply) { handleChanges(reply); });
+    feed_.readChanges(options_.table, version_, nextWait(),
+                      [this, number = ++callNumber_](const TableFeedReply &reply) {
+                          if (number == callNumber_) {
+                              handleChanges(reply);
+                          }
+                      });
+}
+
+std::chrono::milliseconds TableFollower::nextWait()
+{
+    // The more processes follow the table, the sooner one of them hears of a change and tells the others. Their waits
+    // differ, so that they do not all end late after the store has been silent.
+    const auto peers = static_cast<std::int64_t>(callbacks_.peers());
+    const auto wait = std::clamp(options_.waitPerPeer * peers, options_.wait, options_.maxWait);
+    return wait * 3 / 4 + std::chrono::milliseconds(random_.below(static_cast<std::uint64_t>(wait.count() / 4)));
+}
+
+void TableFollower::noteRows(const std::vector<TableChange> &rows)
+{
+    for (const auto &row : rows) {
+        newestRow_ = std::max(newestRow_, row.version);
+    }
+    if (newestRow_ >= peerVersion_) {
+        missingSince_ = {};
+    }
+}
+
+void TableFollower::onPeerVersion(RowVersion version)
+{
+    peerVersion_ = std::max(peerVersion_, version);
+    if (newestRow_ >= peerVersion_ || isStopped_ || needsRead_) {
+        return;
+    }
+    const auto now = loop_.now();
+    if (missingSince_ == TimePoint{}) {
+        missingSince_ = now;
+        missingTimer_.startOnce(options_.peerLead);
+        return;
+    }
+    if (now - missingSince_ < options_.peerLead) {
+        return;
+    }
+    logEvent(LogLevel::Warning, "table_change_missed",
+             {{"table", options_.table},
+              {"known", std::to_string(newestRow_.value())},
+              {"told", std::to_string(peerVersion_.value())}});
+    missingSince_ = now;
+    missingTimer_.startOnce(options_.peerLead * 2);
+    timer_.stop();
+    watch();
 }
 
 void TableFollower::handleSnapshot(const TableFeedReply &reply)
@@ -60,6 +115,7 @@
     needsRead_ = false;
     hasSnapshot_ = true;
     version_ = reply.version;
+    noteRows(reply.rows);
     callbacks_.snapshot(reply.rows);
     watch();
 }
@@ -85,10 +141,13 @@
     }
     noteAnswer();
     version_ = std::max(version_, reply.version);
-    if (!reply.rows.empty()) {
-        callbacks_.changes(reply.rows);
+    if (reply.rows.empty()) {
+        watch();
+        return;
     }
-    watch();
+    noteRows(reply.rows);
+    callbacks_.changes(reply.rows);
+    timer_.startOnce(options_.changePause);
 }
 
 void TableFollower::noteAnswer()
--- a/modules/hornbeamlane_gateway/state/TableFollower.h
+++ b/modules/hornbeamlane_gateway/state/TableFollower.h
@@ -51,8 +51,15 @@
     struct Options
     {
         std::string table;
-        /** Longest wait for a change; bounds the time for which a silent connection goes unnoticed. */
+        /** Longest wait for a change while nobody else would tell of it; bounds how long silence goes unnoticed. */
         std::chrono::milliseconds wait{2500};
+        /** The same if others follow the table too: for each of them, and at most. */
+        std::chrono::milliseconds waitPerPeer{400};
+        std::chrono::milliseconds maxWait{9000};
+        /** Pause after a change, so that changes in quick succession come with one answer. */
+        std::chrono::milliseconds changePause{350};
+        /** Time after which a change that another process has seen should have been seen here. */
+        std::chrono::milliseconds peerLead{450};
         /** Pause after a failure; doubles up to the bound. */
         std::chrono::milliseconds firstPause{150};
         std::chrono::milliseconds maxPause{800};
@@ -65,13 +72,24 @@
         std::function<void(const std::vector<TableChange> &)> changes;
         /** Contact to the store was lost or is back. */
         std::function<void(bool isReachable)> reachable;
+        /** Processes that follow the table too and tell what they have seen. */
+        std::function<std::size_t()> peers;
     };
 
-    TableFollower(EventLoop &loop, TableFeed feed, Options options, Callbacks callbacks);
+    TableFollower(EventLoop &loop, RandomSource &random, TableFeed feed, Options options, Callbacks callbacks);
 
     void start();
     void stop();
 
+    /** Newest version of a row that has been seen. */
+    RowVersion newestRow() const
+    {
+        return newestRow_;
+    }
+
+    /** Another process has seen a row of this version; a wait that has not told of it by now is given up. */
+    void onPeerVersion(RowVersion version);
+
     bool hasSnapshot() const
     {
         return hasSnapshot_;
@@ -86,12 +104,15 @@
 private:
     void read();
     void watch();
+    std::chrono::milliseconds nextWait();
+    void noteRows(const std::vector<TableChange> &rows);
     void handleSnapshot(const TableFeedReply &reply);
     void handleChanges(const TableFeedReply &reply);
     void noteAnswer();
     void retryLater();
 
     EventLoop &loop_;
+    RandomSource &random_;
     TableFeed feed_;
     Options options_;
     Callbacks callbacks_;
@@ -102,6 +123,13 @@
     bool isReachable_ = true;
     bool isStopped_ = false;
     RowVersion version_;
+    RowVersion newestRow_;
+    /** Newest row that others have told of and since when it is missing here. */
+    RowVersion peerVersion_;
+    TimePoint missingSince_;
+    Timer missingTimer_;
+    /** Number of the call whose answer counts; answers to calls that were given up are ignored. */
+    std::uint64_t callNumber_ = 0;
     std::chrono::milliseconds pause_{0};
     TimePoint lastAnswer_;
 };
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
@@ -80,9 +80,13 @@
 
 void HeldMapSwitch::addOrders(std::vector<EngineOrder> &orders, EngineOrderKind kind, TimePoint now)
 {
-    for (RankIndex index = 0; index < ranks_.size(); ++index) {
+    const auto limit = kind == EngineOrderKind::Prepare ? options_.preparesInFlight : ranks_.size();
+    auto inFlight = static_cast<std::size_t>(
+        std::count_if(ranks_.begin(), ranks_.end(), [](const Rank &rank) { return rank.order == RankState::Sent; }));
+    for (RankIndex index = 0; index < ranks_.size() && inFlight < limit; ++index) {
         auto &rank = ranks_[index];
         if (rank.order == RankState::Unknown) {
+            ++inFlight;
             rank.order = RankState::Sent;
             rank.sentAt = now;
             orders.push_back(order(index, kind));
@@ -103,7 +107,8 @@
 void HeldMapSwitch::resendLost(TimePoint now)
 {
     for (auto &rank : ranks_) {
-        if (rank.order != RankState::Sent || now - rank.sentAt < options_.resendInterval) {
+        const auto interval = phase_ == Phase::Preparing ? options_.prepareResendInterval : options_.resendInterval;
+        if (rank.order != RankState::Sent || now - rank.sentAt < interval) {
             continue;
         }
         if (phase_ == Phase::Arming && !rank.unresolvedArmAt) {
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
@@ -36,6 +36,10 @@
         std::uint64_t leadPasses = 4;
         /** Time after which an order without answer counts as lost and is sent again. */
         std::chrono::milliseconds resendInterval{80};
+        /** The same for the order to prepare, which carries the whole map. */
+        std::chrono::milliseconds prepareResendInterval{1000};
+        /** Ranks that are sent the map at the same time, so that large groups do not fill the controller's link. */
+        std::size_t preparesInFlight = 10;
         /** Pause between two rounds of reports while ranks copy experts. */
         std::chrono::milliseconds reportInterval{120};
         /** Reports are as old as this, so the group is further on by the passes of that time. */
--- /dev/null
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -0,0 +1,177 @@
+#include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceId pool{"pool"};
+const DataCentreId here{"here"};
+const DataCentreId there{"there"};
+const TimePoint start{seconds(100)};
+
+BackendSpec server(const std::string &id, const DataCentreId &dataCentre = here)
+{
+    return {.id = ServerId(id), .service = pool, .address = "127.0.0.1:1", .dataCentre = dataCentre, .slots = 4};
+}
+
+class BackendBookTest : public ::testing::Test
+{
+protected:
+    std::optional<ServerId> choose(TimePoint now = start)
+    {
+        return book_.choose({.service = pool, .dataCentre = here}, now, random_);
+    }
+
+    RandomSource random_{7};
+    BackendBook book_{BackendBook::Options{.entryCount = 4}};
+};
+
+// Guards against work for a server that has announced its leaving.
+TEST_F(BackendBookTest, SkipsDrainingServers)
+{
+    auto leaving = server("a");
+    leaving.isDraining = true;
+    book_.update(leaving, start);
+    EXPECT_FALSE(choose());
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::NoServer);
+    book_.update(server("b"), start);
+    EXPECT_EQ(choose(), ServerId("b"));
+}
+
+// Guards against work for a server whose entry has gone, and against losing one that has only lapsed with the store.
+TEST_F(BackendBookTest, KeepsLapsedServersForAWhile)
+{
+    book_.update(server("a"), start);
+    book_.remove(ServerId("a"), start, true);
+    EXPECT_TRUE(choose(start + milliseconds(1900)));
+    EXPECT_FALSE(choose(start + milliseconds(2100)));
+    book_.update(server("b"), start + seconds(3));
+    book_.remove(ServerId("b"), start + seconds(3), false);
+    EXPECT_FALSE(choose(start + seconds(3)));
+}
+
+// Guards against using a leaving server because its entry was removed while the store was away.
+TEST_F(BackendBookTest, DoesNotTakeADrainedServerForALapsedOne)
+{
+    auto leaving = server("a");
+    leaving.isDraining = true;
+    book_.update(leaving, start);
+    book_.remove(ServerId("a"), start, true);
+    book_.sweep(start);
+    EXPECT_EQ(book_.find(ServerId("a")), nullptr);
+}
+
+// Guards against new work in a data centre that has been taken out.
+TEST_F(BackendBookTest, SkipsEvacuatedDataCentres)
+{
+    book_.update(server("a", there), start);
+    book_.setEvacuated({there});
+    EXPECT_FALSE(choose());
+    book_.setEvacuated({});
+    EXPECT_TRUE(choose());
+}
+
+// Guards against a cold server's crash: all entries together stay below its rate in any second, bursts included.
+TEST_F(BackendBookTest, SharesTheRateOfAColdServer)
+{
+    constexpr double rate = 38;
+    constexpr std::uint32_t entries = 8;
+    constexpr double bound = rate * 1.5 + 5;
+    book_.setEntryCount(entries);
+    book_.setWarmup(pool, seconds(3), rate);
+    auto cold = server("a");
+    cold.warmupLeft = seconds(3);
+    book_.update(cold, start);
+    int sent = 0;
+    for (int ms = 0; ms < 1000; ++ms) {
+        const auto now = start + milliseconds(ms);
+        if (choose(now)) {
+            book_.onSent(ServerId("a"), now);
+            book_.onEnded(ServerId("a"), BackendOutcome::Served, now);
+            ++sent;
+        }
+    }
+    EXPECT_GT(sent, 0);
+    EXPECT_LE(sent * entries, bound);
+}
+
+// Guards against requests for a group that has lost a rank: each of them would wait for a stall and then be rejected.
+TEST_F(BackendBookTest, SkipsBrokenGroups)
+{
+    auto rank = server("a");
+    rank.group = GroupPlace{.group = GroupId("g"), .epoch = 1, .rank = 0, .size = 2, .isOpen = false};
+    book_.update(rank, start);
+    EXPECT_FALSE(choose());
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupBroken);
+    rank.group->isOpen = true;
+    book_.update(rank, start);
+    EXPECT_TRUE(choose());
+}
+
+// Load pattern "many entries, one pool": the load that other entries tell keeps requests from piling up on one rank.
+TEST_F(BackendBookTest, CountsTheLoadOfOtherEntries)
+{
+    book_.update(server("a"), start);
+    book_.update(server("b"), start);
+    book_.setPeersInFlight(ServerId("a"), 3);
+    for (int i = 0; i < 3; ++i) {
+        const auto chosen = choose();
+        ASSERT_EQ(chosen, ServerId("b"));
+        book_.onSent(*chosen, start);
+    }
+    book_.onSent(ServerId("a"), start);
+    book_.onSent(ServerId("b"), start);
+    book_.onSent(ServerId("a"), start);
+    book_.onSent(ServerId("b"), start);
+    EXPECT_FALSE(choose());
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::AllFull);
+}
+
+// Load pattern "one server fails what it gets": a server that answers fast with errors must not attract the work.
+TEST_F(BackendBookTest, AvoidsServersThatFail)
+{
+    book_.update(server("good"), start);
+    book_.update(server("grey"), start);
+    int toGrey = 0;
+    for (int i = 0; i < 200; ++i) {
+        const auto now = start + milliseconds(10 * i);
+        const auto chosen = choose(now);
+        ASSERT_TRUE(chosen);
+        const bool isGrey = *chosen == ServerId("grey");
+        toGrey += isGrey ? 1 : 0;
+        book_.onSent(*chosen, now);
+        book_.onEnded(*chosen, isGrey ? BackendOutcome::Failed : BackendOutcome::Served, now);
+    }
+    EXPECT_LT(toGrey, 40);
+    EXPECT_GT(toGrey, 0) << "a server that has recovered would never be found";
+}
+
+// Guards against a cut-off server that is tried again by every request, and against giving up the last one.
+TEST_F(BackendBookTest, AvoidsUnreachableServersUnlessNoneIsLeft)
+{
+    book_.update(server("a"), start);
+    book_.update(server("b"), start);
+    book_.onSent(ServerId("a"), start);
+    book_.onEnded(ServerId("a"), BackendOutcome::Unreachable, start);
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(choose(start + milliseconds(100)), ServerId("b"));
+    }
+    book_.remove(ServerId("b"), start, false);
+    EXPECT_EQ(choose(start + milliseconds(100)), ServerId("a"));
+}
+
+// Guards against sending a request again to the server that has just rejected it.
+TEST_F(BackendBookTest, ExcludesServersThatWereTried)
+{
+    book_.update(server("a"), start);
+    const std::vector<ServerId> tried = {ServerId("a")};
+    EXPECT_FALSE(book_.choose({.service = pool, .dataCentre = here, .excluded = &tried}, start, random_));
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::AllExcluded);
+}
+
+} // namespace
+} // namespace hornbeamlane
--- /dev/null
+++ b/tests/network/Http1ReadersTest.cpp
@@ -0,0 +1,140 @@
+#include "hornbeamlane_network/http1/Http1Readers.h"
+
+#include "hornbeamlane_base/hornbeamlane_base.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamlane {
+namespace {
+
+Http1Progress readRequest(std::string_view bytes, Http1RequestReader::Limits limits = {})
+{
+    Http1RequestReader reader;
+    reader.start(limits);
+    std::size_t consumed = 0;
+    return reader.consume(bytes, consumed);
+}
+
+// Guards against request smuggling: a peer that frames the body differently sees another request inside it.
+TEST(Http1RequestReaderTest, RejectsAmbiguousFraming)
+{
+    const std::string head = "POST /a/ HTTP/1.1\r\nHost: h\r\n";
+    EXPECT_EQ(readRequest(head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"), Http1Progress::Malformed);
+    EXPECT_EQ(readRequest(head + "Content-Length: +3\r\n\r\nabc"), Http1Progress::Malformed);
+    EXPECT_EQ(readRequest(head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+              Http1Progress::Malformed);
+    EXPECT_EQ(readRequest(head + "Transfer-Encoding: gzip\r\n\r\nabc"), Http1Progress::Malformed);
+    EXPECT_EQ(readRequest(head + "Content-Length : 3\r\n\r\nabc"), Http1Progress::Malformed);
+}
+
+// Guards against a second request in the same bytes being taken for a part of the first one.
+TEST(Http1RequestReaderTest, LeavesBytesOfTheNextRequest)
+{
+    Http1RequestReader reader;
+    reader.start({});
+    const std::string first = "POST /a/?q=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi";
+    std::size_t consumed = 0;
+    ASSERT_EQ(reader.consume(first + "GET /b/ HTTP/1.1\r\n", consumed), Http1Progress::Complete);
+    EXPECT_EQ(consumed, first.size());
+    const auto request = reader.take();
+    EXPECT_EQ(request.target, "/a/?q=1");
+    EXPECT_EQ(request.path(), "/a/");
+    EXPECT_EQ(request.body, "hi");
+}
+
+// Guards against callers that send more than the catalogue allows.
+TEST(Http1RequestReaderTest, NamesTheLimitThatIsExceeded)
+{
+    const Http1RequestReader::Limits limits{.maxHeaderBytes = 64, .maxBodyBytes = 4};
+    EXPECT_EQ(readRequest("GET /" + std::string(100, 'a') + " HTTP/1.1\r\n\r\n", limits), Http1Progress::HeadTooLarge);
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n12345", limits), Http1Progress::BodyTooLarge);
+}
+
+// Guards against requests that arrive byte by byte being lost between two reads.
+TEST(Http1RequestReaderTest, ReadsRequestsInPieces)
+{
+    const std::string text = "POST /x/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    Http1RequestReader reader;
+    reader.start({});
+    std::string pending;
+    Http1Progress progress = Http1Progress::NeedMore;
+    for (const char byte : text) {
+        pending += byte;
+        std::size_t consumed = 0;
+        progress = reader.consume(pending, consumed);
+        pending.erase(0, consumed);
+    }
+    EXPECT_EQ(progress, Http1Progress::Complete);
+    EXPECT_EQ(reader.take().body, "abc");
+}
+
+// Guards against an interim answer being taken for the final one.
+TEST(Http1ResponseReaderTest, SkipsInterimResponses)
+{
+    Http1ResponseReader reader;
+    reader.start(Http1ResponseReader::BodyRule::AsStated);
+    std::size_t consumed = 0;
+    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    ASSERT_EQ(reader.consume(text, consumed), Http1Progress::Complete);
+    EXPECT_EQ(reader.head().status, 200);
+    EXPECT_EQ(reader.takeBody(), "ok");
+}
+
+// Guards against a body without length being taken for complete before the connection has ended.
+TEST(Http1ResponseReaderTest, EndsABodyWithoutLengthWithTheConnection)
+{
+    Http1ResponseReader reader;
+    reader.start(Http1ResponseReader::BodyRule::AsStated);
+    std::size_t consumed = 0;
+    ASSERT_EQ(reader.consume("HTTP/1.1 200 OK\r\n\r\nabc", consumed), Http1Progress::NeedMore);
+    EXPECT_TRUE(reader.endsWithConnection());
+    EXPECT_EQ(reader.takeBody(), "abc");
+    EXPECT_EQ(reader.endOfInput(), Http1Progress::Complete);
+}
+
+// Guards against a cut answer looking complete.
+TEST(Http1ResponseReaderTest, DoesNotCompleteACutBody)
+{
+    Http1ResponseReader reader;
+    reader.start(Http1ResponseReader::BodyRule::AsStated);
+    std::size_t consumed = 0;
+    ASSERT_EQ(reader.consume("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", consumed), Http1Progress::NeedMore);
+    EXPECT_EQ(reader.endOfInput(), Http1Progress::Malformed);
+}
+
+// Guards against random bytes crashing a reader: each result is allowed, but it must be one.
+TEST(Http1ReadersTest, SurviveRandomBytes)
+{
+    constexpr std::uint64_t seed = 20261204;
+    constexpr int inputs = 20000;
+    RandomSource random(seed);
+    const std::vector<std::string> parts = {"GET / HTTP/1.1\r\n",
+                                            "HTTP/1.1 200 OK\r\n",
+                                            "Content-Length: ",
+                                            "Transfer-Encoding: chunked",
+                                            "\r\n",
+                                            ":",
+                                            "7fffffffffffffff",
+                                            "\r\n\r\n",
+                                            "0",
+                                            "Connection: close\r\n",
+                                            "\n",
+                                            "5\r\nabcde\r\n"};
+    for (int i = 0; i < inputs; ++i) {
+        std::string text;
+        for (std::uint64_t n = random.below(12); n > 0; --n) {
+            text += random.below(4) == 0 ? std::string(1, static_cast<char>(random.below(256)))
+                                         : parts[random.below(parts.size())];
+        }
+        readRequest(text);
+        Http1ResponseReader reader;
+        reader.start(Http1ResponseReader::BodyRule::AsStated);
+        std::size_t consumed = 0;
+        reader.consume(text, consumed);
+        EXPECT_LE(consumed, text.size());
+        reader.endOfInput();
+    }
+}
+
+} // namespace
+} // namespace hornbeamlane
