--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -131,6 +131,20 @@
     return !isStopping_ && table_ != nullptr && !backends_.all().empty();
 }
 
+std::uint16_t Gateway::callerPort() const
+{
+    return callers_.port();
+}
+
+std::size_t Gateway::bufferedBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, request] : requests_) {
+        bytes += request->bufferedBytes();
+    }
+    return bytes;
+}
+
 std::optional<EngineModel> Gateway::engineOf(const ServiceId &service) const
 {
     const auto *spec = table_ ? table_->findService(service) : nullptr;
@@ -360,6 +374,7 @@
 std::string Gateway::renderMetrics()
 {
     metrics_.setGauge("requests_running", {}, static_cast<double>(requests_.size()));
+    metrics_.setGauge("buffered_bytes", {}, static_cast<double>(bufferedBytes()));
     metrics_.setGauge("connections_opened", {}, static_cast<double>(pool_.counters().opened));
     metrics_.setGauge("connections_reused", {}, static_cast<double>(pool_.counters().reused));
     metrics_.setGauge("peers_active", {}, static_cast<double>(peers_.loads().activePeers()));
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -50,6 +50,12 @@
 
     bool isReady() const;
 
+    /** Port for callers after a successful start(). */
+    std::uint16_t callerPort() const;
+
+    /** Bytes of answers that wait for callers to read them. */
+    std::size_t bufferedBytes() const;
+
     /** Engine of a service; empty if it has none. */
     std::optional<EngineModel> engineOf(const ServiceId &service) const;
 
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamlane_gateway/peers/PeerLoads.h"
 
+#include "hornbeamlane_messages/codec/CborBounds.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -14,6 +16,12 @@
 /** Servers in one message at most; a datagram stays below the usual size of a frame up to about 200. */
 constexpr std::size_t maxServers = 4096;
 
+bool hasVersion(const nlohmann::json &document)
+{
+    const auto version = document.find("v");
+    return version != document.end() && *version == protocolVersion;
+}
+
 } // namespace
 
 ServerHash hashOfServer(const ServerId &server)
@@ -30,7 +38,8 @@
     }
     const nlohmann::json document = {{"v", protocolVersion},     {"n", message.sender},
                                      {"s", message.sequence},    {"i", message.incarnation.value()},
-                                     {"m", message.isMapHolder}, {"l", std::move(servers)}};
+                                     {"m", message.isMapHolder}, {"t", message.tableVersions},
+                                     {"l", std::move(servers)}};
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
     return bytes;
@@ -38,8 +47,12 @@
 
 std::optional<LoadMessage> decodeLoadMessage(std::string_view bytes)
 {
+    // The library throws for sizes that do not fit its containers, also when asked not to.
+    if (detail::checkCborBounds(bytes) != DecodeFailure::None) {
+        return std::nullopt;
+    }
     const auto document = nlohmann::json::from_cbor(bytes, true, false);
-    if (!document.is_object() || document.value("v", 0) != protocolVersion) {
+    if (!document.is_object() || !hasVersion(document)) {
         return std::nullopt;
     }
     const auto name = document.find("n");
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -53,6 +53,12 @@
     /** The wait for a place has become too long. */
     void onWaitExpired();
 
+    /** Bytes of the answer that wait for the caller to read them. */
+    std::size_t bufferedBytes() const
+    {
+        return exchange_->bufferedBytes();
+    }
+
 private:
     /** One sending of the request to one server. */
     struct Send
--- /dev/null
+++ b/tests/gateway/PeerLoadsTest.cpp
@@ -0,0 +1,80 @@
+#include "hornbeamlane_gateway/hornbeamlane_gateway.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint start{std::chrono::seconds(10)};
+
+LoadMessage message(const std::string &sender, std::uint64_t sequence, std::uint32_t load,
+                    std::uint64_t incarnation = 1)
+{
+    return {.sender = sender,
+            .sequence = sequence,
+            .incarnation = Incarnation(incarnation),
+            .inFlight = {{ServerHash(7), load}}};
+}
+
+// Guards against a codec that loses a field.
+TEST(LoadMessageTest, SurvivesItsEncoding)
+{
+    auto sent = message("entry", 3, 5, 99);
+    sent.isMapHolder = true;
+    sent.tableVersions = {4, 1ULL << 40};
+    const auto received = decodeLoadMessage(encodeLoadMessage(sent));
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->sender, "entry");
+    EXPECT_EQ(received->sequence, 3U);
+    EXPECT_EQ(received->incarnation, Incarnation(99));
+    EXPECT_TRUE(received->isMapHolder);
+    EXPECT_EQ(received->tableVersions, sent.tableVersions);
+    EXPECT_EQ(received->inFlight, sent.inFlight);
+}
+
+// Guards against datagrams of strangers that crash a process or change what it knows.
+TEST(LoadMessageTest, RejectsOtherBytes)
+{
+    constexpr std::uint64_t seed = 4711;
+    constexpr int inputs = 20000;
+    RandomSource random(seed);
+    const auto good = encodeLoadMessage(message("entry", 3, 5));
+    EXPECT_FALSE(decodeLoadMessage(""));
+    EXPECT_FALSE(decodeLoadMessage("hello"));
+    for (int i = 0; i < inputs; ++i) {
+        auto bytes = good;
+        for (std::uint64_t n = 1 + random.below(4); n > 0; --n) {
+            bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+        }
+        decodeLoadMessage(bytes.substr(0, random.below(bytes.size() + 1)));
+    }
+}
+
+// Guards against a datagram that was overtaken and brings back an old load.
+TEST(PeerLoadsTest, IgnoresOldMessages)
+{
+    PeerLoads loads;
+    EXPECT_TRUE(loads.take(message("a", 2, 5), start));
+    EXPECT_FALSE(loads.take(message("a", 1, 9), start));
+    EXPECT_EQ(loads.sumFor(ServerHash(7)), 5U);
+    // A restarted peer counts from the beginning.
+    EXPECT_TRUE(loads.take(message("a", 1, 1, 2), start));
+    EXPECT_EQ(loads.sumFor(ServerHash(7)), 1U);
+}
+
+// Guards against the load of a peer that has gone, which would keep its servers empty.
+TEST(PeerLoadsTest, ForgetsSilentPeers)
+{
+    PeerLoads loads;
+    loads.take(message("a", 1, 5), start);
+    loads.take(message("b", 1, 2), start + milliseconds(1400));
+    EXPECT_EQ(loads.sumFor(ServerHash(7)), 7U);
+    EXPECT_TRUE(loads.expire(start + milliseconds(1600)));
+    EXPECT_EQ(loads.sumFor(ServerHash(7)), 2U);
+    EXPECT_EQ(loads.activePeers(), 1U);
+}
+
+} // namespace
+} // namespace hornbeamlane
--- /dev/null
+++ b/tests/gateway/TableFollowerTest.cpp
@@ -0,0 +1,144 @@
+#include "hornbeamlane_gateway/hornbeamlane_gateway.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A table whose answers the test gives by hand. */
+class TableFollowerTest : public ::testing::Test
+{
+protected:
+    TableFeed feed()
+    {
+        return {.readAll = [this](const std::string &, TableFeed::Handler handler) { reads_.push_back(handler); },
+                .readChanges =
+                    [this](const std::string &, RowVersion since, milliseconds wait, TableFeed::Handler handler) {
+                        watches_.push_back(handler);
+                        since_ = since;
+                        wait_ = wait;
+                    }};
+    }
+
+    void start()
+    {
+        follower_ = std::make_unique<TableFollower>(
+            loop_, random_, feed(),
+            TableFollower::Options{.table = "t", .changePause = milliseconds(20), .peerLead = milliseconds(30)},
+            TableFollower::Callbacks{.snapshot = [this](const auto &rows) { snapshots_.push_back(rows); },
+                                     .changes = [this](const auto &rows) { changes_.push_back(rows); },
+                                     .reachable = [this](bool isReachable) { reachable_ = isReachable; },
+                                     .peers = [this] { return peers_; }});
+        follower_->start();
+    }
+
+    static TableFeedReply reply(std::uint64_t version, std::vector<TableChange> rows = {})
+    {
+        return {.status = TableFeedReply::Status::Ok, .rows = std::move(rows), .version = RowVersion(version)};
+    }
+
+    static TableChange row(const std::string &key, std::uint64_t version)
+    {
+        return {.key = key, .version = RowVersion(version), .value = "v"};
+    }
+
+    void runFor(milliseconds time)
+    {
+        Timer end(loop_, [this] { loop_.stop(); });
+        end.startOnce(time);
+        loop_.run();
+    }
+
+    EventLoop loop_;
+    RandomSource random_{1};
+    std::vector<TableFeed::Handler> reads_;
+    std::vector<TableFeed::Handler> watches_;
+    std::vector<std::vector<TableChange>> snapshots_;
+    std::vector<std::vector<TableChange>> changes_;
+    RowVersion since_;
+    milliseconds wait_{0};
+    std::optional<bool> reachable_;
+    std::size_t peers_ = 0;
+    std::unique_ptr<TableFollower> follower_;
+};
+
+// Guards against changes between the first read and the first wait being missed.
+TEST_F(TableFollowerTest, WaitsFromTheVersionOfTheRead)
+{
+    start();
+    reads_[0](reply(7, {row("a", 5)}));
+    ASSERT_EQ(watches_.size(), 1U);
+    EXPECT_EQ(since_, RowVersion(7));
+    EXPECT_EQ(follower_->newestRow(), RowVersion(5));
+}
+
+// Guards against going on after a gap in the history as if nothing had been missed.
+TEST_F(TableFollowerTest, ReadsAnewWhenTheHistoryIsGone)
+{
+    start();
+    reads_[0](reply(7));
+    watches_[0]({.status = TableFeedReply::Status::HistoryGone});
+    ASSERT_EQ(reads_.size(), 2U);
+    reads_[1](reply(9, {row("a", 9)}));
+    EXPECT_EQ(snapshots_.size(), 2U);
+}
+
+// Guards against an old read that takes back what is already known.
+TEST_F(TableFollowerTest, IgnoresAReadThatIsOlderThanWhatIsKnown)
+{
+    start();
+    reads_[0](reply(7));
+    watches_[0]({.status = TableFeedReply::Status::HistoryGone});
+    reads_[1](reply(6));
+    EXPECT_EQ(snapshots_.size(), 1U);
+    runFor(milliseconds(250));
+    EXPECT_EQ(reads_.size(), 3U);
+}
+
+// Guards against a store that is asked without pause while it is away, and against not noticing its return.
+TEST_F(TableFollowerTest, BacksOffWhileTheStoreIsAway)
+{
+    start();
+    reads_[0](reply(7));
+    watches_[0]({});
+    EXPECT_EQ(reachable_, false);
+    EXPECT_EQ(watches_.size(), 1U);
+    runFor(milliseconds(250));
+    ASSERT_EQ(watches_.size(), 2U);
+    EXPECT_EQ(since_, RowVersion(7));
+    watches_[1](reply(8));
+    EXPECT_EQ(reachable_, true);
+}
+
+// Guards against a connection that has fallen silent: another process has seen a change that does not arrive here.
+TEST_F(TableFollowerTest, GivesUpAWaitThatMissesWhatOthersHaveSeen)
+{
+    start();
+    reads_[0](reply(7, {row("a", 7)}));
+    follower_->onPeerVersion(RowVersion(9));
+    EXPECT_EQ(watches_.size(), 1U);
+    runFor(milliseconds(50));
+    ASSERT_EQ(watches_.size(), 2U);
+    watches_[1](reply(9, {row("a", 9)}));
+    EXPECT_EQ(follower_->newestRow(), RowVersion(9));
+    // The wait that was given up answers after all.
+    watches_[0](reply(8, {row("a", 8)}));
+    EXPECT_EQ(changes_.size(), 1U);
+}
+
+// Guards against waits that are longer than others could make up for.
+TEST_F(TableFollowerTest, WaitsLongerTheMoreOthersFollow)
+{
+    start();
+    reads_[0](reply(7));
+    EXPECT_LE(wait_, milliseconds(2500));
+    peers_ = 40;
+    watches_[0](reply(8));
+    EXPECT_GT(wait_, milliseconds(5000));
+    EXPECT_LE(wait_, milliseconds(9000));
+}
+
+} // namespace
+} // namespace hornbeamlane
