--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
@@ -25,11 +25,11 @@
     struct Policy
     {
         /** Time between two looks at the counts. */
-        std::chrono::milliseconds sampleInterval{800};
+        std::chrono::milliseconds sampleInterval{500};
         /** Ranks whose counts are read each time; all ranks see similar requests. */
         std::uint32_t sampledRanks = 2;
         /** A look is forgotten by half after this time. */
-        std::chrono::milliseconds popularityHalfLife{1200};
+        std::chrono::milliseconds popularityHalfLife{500};
         /** A new map must lower the predicted time of the experts' part by this share of the mean. */
         double worthwhileGain = 0.3;
         /** A single copy must lower the load of a layer's most loaded rank by this share of the mean. */
