--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -35,6 +35,24 @@
 /** HTTP status of a refusal; 503 states that the request has not run. */
 int statusOf(GatewayRefusal refusal);
 
+namespace detail {
+
+/** One sending of the request to one server. */
+struct BackendSend
+{
+    ServerId server;
+    std::string address;
+    std::unique_ptr<Http1ClientConnection> connection;
+    std::optional<Http1ResponseHead> head;
+    /** Collected body of an answer that is not streamed. */
+    std::string body;
+    bool isStreamed = false;
+    TimePoint startedAt;
+    TimePoint lastEventAt;
+};
+
+} // namespace detail
+
 /** One request of a caller on its way to a server and back. */
 class ForwardedRequest final : public std::enable_shared_from_this<ForwardedRequest>
 {
@@ -60,20 +78,6 @@
     }
 
 private:
-    /** One sending of the request to one server. */
-    struct Send
-    {
-        ServerId server;
-        std::string address;
-        std::unique_ptr<Http1ClientConnection> connection;
-        std::optional<Http1ResponseHead> head;
-        /** Collected body of an answer that is not streamed. */
-        std::string body;
-        bool isStreamed = false;
-        TimePoint startedAt;
-        TimePoint lastEventAt;
-    };
-
     bool admit();
     void dispatch(bool mayQueue);
     void send(const ServerId &server);
@@ -117,7 +121,7 @@
     TimePoint arrivedAt_;
     TimePoint deadline_;
     Timer timer_;
-    std::optional<Send> send_;
+    std::optional<detail::BackendSend> send_;
     std::vector<ServerId> tried_;
     /** Servers that may have run the request. */
     std::uint32_t runs_ = 0;
