Keep the maps while the store is away

Change: a holder goes on for 30 s at most while the store does not answer and no other holder is heard.

--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
@@ -52,7 +52,7 @@
     : loop_(loop)
     , api_(std::move(api))
     , options_(std::move(options))
-    , switch_({.ranks = options_.ranks})
+    , switch_({.ranks = options_.ranks, .holdRank = static_cast<RankIndex>(options_.token.value() % options_.ranks)})
     , popularity_({.layers = options_.engine.expertLayers,
                    .expertsPerLayer = static_cast<ExpertIndex>(options_.engine.expertsPerLayer),
                    .halfLife = options_.policy.popularityHalfLife})
--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -43,7 +43,11 @@
     if (!request) {
         return;
     }
-    const auto handler = [this](const TableReply &reply) { lease_.handleReply(reply, loop_.nowWithSuspend()); };
+    const auto handler = [this](const TableReply &reply) {
+        const bool isAnswer = reply.status != TableStatus::NoReply && reply.status != TableStatus::Unavailable;
+        (isAnswer ? tableAnsweredAt_ : tableFailedAt_) = loop_.now();
+        lease_.handleReply(reply, loop_.nowWithSuspend());
+    };
     if (request->write) {
         table_.write(*request->write, handler);
     } else {
@@ -67,10 +71,31 @@
     return groups;
 }
 
+std::optional<FencingToken> MapDuty::tokenToActUnder()
+{
+    const auto token = lease_.token(loop_.nowWithSuspend());
+    if (token) {
+        lapsedAt_.reset();
+        return token;
+    }
+    if (!lapsedAt_) {
+        lapsedAt_ = loop_.now();
+    }
+    return token_ && mayGoOnWithoutStore() ? token_ : std::nullopt;
+}
+
+// Without the store nobody can take the lease, and maps that nobody adapts make every stream slow. If another entry
+// reaches the store after all, two controllers act for a moment; the switch behind a held pass is safe with that.
+bool MapDuty::mayGoOnWithoutStore() const
+{
+    const bool isStoreAway = tableFailedAt_ > tableAnsweredAt_;
+    return isStoreAway && hooks_.holderHeardAt() < *lapsedAt_ && loop_.now() - *lapsedAt_ < options_.holdWithoutStore;
+}
+
 void MapDuty::tick()
 {
     pollLease();
-    const auto token = lease_.token(loop_.nowWithSuspend());
+    const auto token = tokenToActUnder();
     if (token != token_) {
         // A keeper acts under one token only; the next one starts from what the ranks report.
         keepers_.clear();
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -26,6 +26,8 @@
         std::chrono::milliseconds holderSilence{900};
         /** Time between two looks at what is due; replies are handled at once. */
         std::chrono::milliseconds tickInterval{50};
+        /** A holder whose lease ends because the store is away goes on for this time if nobody else takes over. */
+        std::chrono::milliseconds holdWithoutStore{30000};
         GroupMapKeeper::Policy policy;
     };
 
@@ -63,6 +65,8 @@
 
     void tick();
     void pollLease();
+    std::optional<FencingToken> tokenToActUnder();
+    bool mayGoOnWithoutStore() const;
     std::map<GroupId, GroupView> groups() const;
 
     EventLoop &loop_;
@@ -71,6 +75,10 @@
     Hooks hooks_;
     LeaseKeeper lease_;
     std::optional<FencingToken> token_;
+    /** When the lease ended by its time; empty while it is held. */
+    std::optional<TimePoint> lapsedAt_;
+    TimePoint tableAnsweredAt_;
+    TimePoint tableFailedAt_;
     std::map<GroupId, std::unique_ptr<GroupMapKeeper>> keepers_;
     Timer timer_;
 };
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
@@ -20,7 +20,7 @@
     : options_(std::move(options))
     , ranks_(options_.ranks)
 {
-    HORNBEAMLANE_ASSERT(options_.ranks > 0);
+    HORNBEAMLANE_ASSERT(options_.ranks > 0 && options_.holdRank < options_.ranks);
     if (!options_.mayRelease) {
         options_.mayRelease = [](std::size_t armed, std::size_t ranks) { return armed == ranks; };
     }
@@ -173,6 +173,7 @@
             std::all_of(ranks_.begin(), ranks_.end(), [](const Rank &rank) { return rank.isPrepared; });
         if (allPrepared) {
             chooseStep(now);
+            holder_ = options_.holdRank;
             isHoldConfirmed_ = false;
             enter(Phase::Holding, now);
         } else if (now - phaseSince_ > options_.prepareTimeout) {
@@ -217,6 +218,13 @@
     }
 }
 
+void HeldMapSwitch::restartRecovery()
+{
+    ranks_.assign(options_.ranks, Rank{});
+    phase_ = Phase::Recovering;
+    ++counters_.abandoned;
+}
+
 void HeldMapSwitch::chooseStep(TimePoint now)
 {
     const auto age = (now - newestStepAt_) + options_.reportAge;
@@ -298,6 +306,16 @@
         wanted.push_back(holder_);
         return wanted;
     }
+    if (phase_ == Phase::Arming) {
+        // A refused arm means that the pass has begun or that the rank is not prepared; its report tells which.
+        for (RankIndex index = 0; index < ranks_.size(); ++index) {
+            if (ranks_[index].hasRefused) {
+                reportsAskedAt_ = now;
+                wanted.push_back(index);
+            }
+        }
+        return wanted;
+    }
     const bool allAccepted = phase_ == Phase::Preparing && doneCount() == ranks_.size();
     if (phase_ != Phase::Recovering && !allAccepted) {
         return wanted;
@@ -331,8 +349,14 @@
     }
     newestStep_ = step;
     newestStepAt_ = now;
-    if (phase_ == Phase::Settling && newestStep_ >= step_) {
+    if (newestStep_ < step_) {
+        return;
+    }
+    if (phase_ == Phase::Settling) {
         enter(Phase::Idle, now);
+    } else if (phase_ == Phase::Arming || phase_ == Phase::Unwinding) {
+        // Another controller has completed the switch: orders of this one could only disturb the next.
+        restartRecovery();
     }
 }
 
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
@@ -32,6 +32,9 @@
     struct Options
     {
         RankIndex ranks = 1;
+        /** Rank that holds the pass. Controllers of different tokens use different ones, so that the release of one
+            does not release the pass of another. */
+        RankIndex holdRank = 0;
         /** Passes between the newest one known and the held one. */
         std::uint64_t leadPasses = 4;
         /** Time after which an order without answer counts as lost and is sent again. */
@@ -120,6 +123,7 @@
     void enter(Phase phase, TimePoint now);
     void resendLost(TimePoint now);
     void recover(TimePoint now);
+    void restartRecovery();
     void chooseStep(TimePoint now);
     void advance(TimePoint now);
     void noteProgress(StepNumber step, TimePoint now);
--- a/testing/fault_matrix/HeldSwitchFaultCells.cpp
+++ b/testing/fault_matrix/HeldSwitchFaultCells.cpp
@@ -59,6 +59,15 @@
         {.name = "controller frozen for 5 s, old token",
          .strike = [](auto &world, auto &, auto &) { world.freezeController(milliseconds(3000), milliseconds(5000)); }},
     };
+    faults.push_back(
+        {.name = "another controller acts as well", .strike = [](auto &world, auto &, auto &) { world.addRival(); }});
+    faults.push_back({.name = "another controller acts as well, order late",
+                      .strike =
+                          [](auto &world, auto &, auto &delivery) {
+                              world.addRival();
+                              delivery.delay = milliseconds(400);
+                          },
+                      .protectsArms = {"release-needs-all-armed"}});
     for (const int delay : {150, 2000, 6000}) {
         faults.push_back({.name = "carried out " + std::to_string(delay) + " ms late, no answer",
                           .strike = [delay](auto &, auto &, auto &delivery) { delivery.delay = milliseconds(delay); },
--- a/testing/fault_matrix/HeldSwitchWorld.cpp
+++ b/testing/fault_matrix/HeldSwitchWorld.cpp
@@ -59,6 +59,13 @@
     at(now_ + takeover, [this] { addController(); });
 }
 
+void HeldSwitchWorld::addRival()
+{
+    addController();
+    hasRival_ = true;
+    wantsSwitch_ = true;
+}
+
 void HeldSwitchWorld::restartRank(RankIndex rank, milliseconds down)
 {
     (void)rank; // Which rank it is makes no difference: all of them start anew.
@@ -138,8 +145,8 @@
 {
     auto &mapSwitch = *controller.mapSwitch;
     // Only the newest controller holds the lease; an older one finishes what it has begun before it notices.
-    const bool isNewest = &controller == &controllers_.back();
-    if (wantsSwitch_ && isNewest && mapSwitch.phase() == HeldMapSwitch::Phase::Idle) {
+    const bool mayStart = hasRival_ || &controller == &controllers_.back();
+    if (wantsSwitch_ && mayStart && mapSwitch.phase() == HeldMapSwitch::Phase::Idle) {
         ExpertMap map(ExpertMapVersion(controller.token * mapsPerToken + ++mapsMade_), options_.ranks, 1, 4);
         wantsSwitch_ = !mapSwitch.start(map, now_);
     }
--- a/testing/fault_matrix/HeldSwitchWorld.h
+++ b/testing/fault_matrix/HeldSwitchWorld.h
@@ -51,6 +51,8 @@
     void replaceController(std::chrono::milliseconds takeover);
     /** The controller stands still, another one takes over, and the first goes on under its old token. */
     void freezeController(std::chrono::milliseconds takeover, std::chrono::milliseconds frozen);
+    /** Another controller acts beside the present one, and both want to switch. */
+    void addRival();
     /** A rank is lost and comes back after this time; the group then opens in a new epoch. */
     void restartRank(RankIndex rank, std::chrono::milliseconds down);
 
@@ -116,6 +118,7 @@
     std::uint64_t mapsMade_ = 0;
     int ordersSent_ = 0;
     bool wantsSwitch_ = false;
+    bool hasRival_ = false;
 };
 
 } // namespace hornbeamlane::testing
--- /dev/null
+++ b/tests/gateway/MapDutyTest.cpp
@@ -0,0 +1,136 @@
+#include "hornbeamlane_gateway/hornbeamlane_gateway.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** One row, which can be out of reach. */
+class OneRowTable final : public TableClient
+{
+public:
+    explicit OneRowTable(EventLoop &loop)
+        : loop_(loop)
+    {
+    }
+
+    void read(const std::string &key, ReplyHandler handler) override
+    {
+        reply(handler, [this, key] {
+            return version_ == 0
+                ? TableReply{.status = TableStatus::NotFound, .row = std::nullopt}
+                : TableReply{.status = TableStatus::Ok,
+                             .row = TableRow{.key = key, .version = RowVersion(version_), .value = value_}};
+        });
+    }
+
+    void write(const TableWrite &write, ReplyHandler handler) override
+    {
+        reply(handler, [this, write] {
+            if (write.expectedVersion.value() != version_) {
+                return TableReply{.status = TableStatus::Conflict, .row = std::nullopt};
+            }
+            value_ = write.value;
+            ++version_;
+            return TableReply{.status = TableStatus::Ok,
+                              .row = TableRow{.key = write.key, .version = RowVersion(version_), .value = ""}};
+        });
+    }
+
+    void remove(const std::string &, RowVersion, ReplyHandler) override
+    {
+    }
+
+    void list(const std::string &, ListHandler) override
+    {
+    }
+
+    void setAway(bool isAway)
+    {
+        isAway_ = isAway;
+    }
+
+private:
+    void reply(const ReplyHandler &handler, const std::function<TableReply()> &make)
+    {
+        const auto answer = isAway_ ? TableReply{.status = TableStatus::NoReply, .row = std::nullopt} : make();
+        loop_.post([handler, answer] { handler(answer); });
+    }
+
+    EventLoop &loop_;
+    std::string value_;
+    std::uint64_t version_ = 0;
+    bool isAway_ = false;
+};
+
+class MapDutyTest : public ::testing::Test
+{
+protected:
+    MapDutyTest()
+        : duty_(loop_, table_,
+                {.self = Incarnation(5),
+                 .leaseDuration = milliseconds(200),
+                 .renewInterval = milliseconds(50),
+                 .readInterval = milliseconds(30),
+                 .holderSilence = milliseconds(100),
+                 .tickInterval = milliseconds(10),
+                 .holdWithoutStore = milliseconds(600)},
+                {.engines = {},
+                 .servers = [this]() -> const std::map<ServerId, Backend> & { return servers_; },
+                 .engineOf = [](const ServiceId &) { return std::optional<EngineModel>(); },
+                 .holderHeardAt = [this] { return holderHeardAt_; }})
+    {
+        duty_.start();
+        runFor(milliseconds(100));
+    }
+
+    void runFor(milliseconds time)
+    {
+        Timer end(loop_, [this] { loop_.stop(); });
+        end.startOnce(time);
+        loop_.run();
+    }
+
+    EventLoop loop_;
+    OneRowTable table_{loop_};
+    std::map<ServerId, Backend> servers_;
+    TimePoint holderHeardAt_;
+    MapDuty duty_;
+};
+
+// Guards against maps that nobody adapts while the store is away (incident of 2026-12-04).
+TEST_F(MapDutyTest, GoesOnWhileNobodyCanTakeTheLease)
+{
+    ASSERT_TRUE(duty_.isHolder());
+    table_.setAway(true);
+    runFor(milliseconds(400));
+    EXPECT_TRUE(duty_.isHolder());
+    table_.setAway(false);
+    runFor(milliseconds(200));
+    EXPECT_TRUE(duty_.isHolder());
+}
+
+// Guards against two holders for long: one that hears another gives up.
+TEST_F(MapDutyTest, GivesUpWhenAnotherHolderIsHeard)
+{
+    ASSERT_TRUE(duty_.isHolder());
+    table_.setAway(true);
+    runFor(milliseconds(300));
+    holderHeardAt_ = loop_.now();
+    runFor(milliseconds(30));
+    EXPECT_FALSE(duty_.isHolder());
+}
+
+// Guards against a holder without a lease for good.
+TEST_F(MapDutyTest, GivesUpAfterALongTimeWithoutTheStore)
+{
+    ASSERT_TRUE(duty_.isHolder());
+    table_.setAway(true);
+    runFor(milliseconds(1100));
+    EXPECT_FALSE(duty_.isHolder());
+}
+
+} // namespace
+} // namespace hornbeamlane
