--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -1,10 +1,9 @@
 #include "hornbeamlane_gateway/request/ForwardedRequest.h"
 
 #include "hornbeamlane_gateway/Gateway.h"
+#include "hornbeamlane_gateway/request/RequestHeaders.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <utility>
 
 namespace hornbeamlane {
@@ -30,19 +29,6 @@
 
 constexpr int statusMisdirected = 421;
 
-std::optional<milliseconds> parseMilliseconds(const std::string *text)
-{
-    if (text == nullptr) {
-        return std::nullopt;
-    }
-    std::int64_t value = 0;
-    const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
-    if (error != std::errc() || end == text->data() || value < 0) {
-        return std::nullopt;
-    }
-    return milliseconds(value);
-}
-
 std::string formatMilliseconds(Duration time)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
@@ -53,91 +39,8 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/** Whether the header is listed in a Connection header and so concerns this connection only. */
-bool isListedInConnection(const HttpHeaders &headers, std::string_view name)
-{
-    const auto *list = findHeader(headers, "Connection");
-    if (list == nullptr) {
-        return false;
-    }
-    std::string_view rest = *list;
-    while (!rest.empty()) {
-        const auto comma = rest.find(',');
-        auto token = rest.substr(0, comma);
-        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
-        const auto begin = token.find_first_not_of(" \t");
-        if (begin == std::string_view::npos) {
-            continue;
-        }
-        token = token.substr(begin, token.find_last_not_of(" \t") - begin + 1);
-        if (isSameHeader(token, name)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-GatewayRefusal refusalFor(BackendBook::NoChoice reason)
-{
-    switch (reason) {
-    case BackendBook::NoChoice::NoServer:
-        return GatewayRefusal::NoServer;
-    case BackendBook::NoChoice::GroupBroken:
-        return GatewayRefusal::GroupBroken;
-    case BackendBook::NoChoice::AllFull:
-        return GatewayRefusal::Overloaded;
-    case BackendBook::NoChoice::AllExcluded:
-        return GatewayRefusal::RetriesUsedUp;
-    }
-    return GatewayRefusal::NoServer;
-}
-
-HttpHeaders endToEndHeaders(const HttpHeaders &headers)
-{
-    HttpHeaders result;
-    result.reserve(headers.size());
-    for (const auto &header : headers) {
-        if (!isHopByHopHeader(header.first) && !isListedInConnection(headers, header.first)) {
-            result.push_back(header);
-        }
-    }
-    return result;
-}
-
 } // namespace
 
-std::string_view toString(GatewayRefusal refusal)
-{
-    static constexpr std::array<std::string_view, 11> names = {
-        "not_ready",  "no_route",        "unknown_key",   "bad_request", "no_server",        "group_broken",
-        "overloaded", "retries_used_up", "server_failed", "timed_out",   "timed_out_waiting"};
-    return names[static_cast<std::size_t>(refusal)];
-}
-
-int statusOf(GatewayRefusal refusal)
-{
-    switch (refusal) {
-    case GatewayRefusal::NoRoute:
-        return 404;
-    case GatewayRefusal::UnknownKey:
-        return 401;
-    case GatewayRefusal::BadRequest:
-        return 400;
-    case GatewayRefusal::ServerFailed:
-        return 502;
-    case GatewayRefusal::TimedOut:
-        return 504;
-    case GatewayRefusal::NotReady:
-    case GatewayRefusal::NoServer:
-    case GatewayRefusal::GroupBroken:
-    case GatewayRefusal::Overloaded:
-    case GatewayRefusal::RetriesUsedUp:
-    case GatewayRefusal::TimedOutWaiting:
-        return 503;
-    }
-    return 503;
-}
-
 ForwardedRequest::ForwardedRequest(Gateway &gateway, std::shared_ptr<Http1Exchange> exchange)
     : gateway_(gateway)
     , exchange_(std::move(exchange))
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+#include "hornbeamlane_gateway/request/GatewayRefusal.h"
 #include "hornbeamlane_network/http1/Http1ClientConnection.h"
 #include "hornbeamlane_network/http1/Http1Server.h"
 #include "hornbeamlane_network/loop/Timer.h"
@@ -15,26 +16,6 @@
 
 class Gateway;
 
-/** Why a gateway answered a request itself. */
-enum class GatewayRefusal {
-    NotReady, ///< No catalogue is known yet.
-    NoRoute,
-    UnknownKey,
-    BadRequest,
-    NoServer, ///< No server of the service can be used now.
-    GroupBroken, ///< The group that serves the model has lost a rank.
-    Overloaded, ///< No place became free in time.
-    RetriesUsedUp, ///< The server rejected the request and it may not be sent again.
-    ServerFailed, ///< The server broke off; the request may have run.
-    TimedOut, ///< The time ran out at a server; the request may have run.
-    TimedOutWaiting, ///< The time ran out before the request was sent.
-};
-
-std::string_view toString(GatewayRefusal refusal);
-
-/** HTTP status of a refusal; 503 states that the request has not run. */
-int statusOf(GatewayRefusal refusal);
-
 namespace detail {
 
 /** One sending of the request to one server. */
--- /dev/null
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
@@ -0,0 +1,54 @@
+#include "hornbeamlane_gateway/request/GatewayRefusal.h"
+
+#include <array>
+
+namespace hornbeamlane {
+
+std::string_view toString(GatewayRefusal refusal)
+{
+    static constexpr std::array<std::string_view, 11> names = {
+        "not_ready",  "no_route",        "unknown_key",   "bad_request", "no_server",        "group_broken",
+        "overloaded", "retries_used_up", "server_failed", "timed_out",   "timed_out_waiting"};
+    return names[static_cast<std::size_t>(refusal)];
+}
+
+int statusOf(GatewayRefusal refusal)
+{
+    switch (refusal) {
+    case GatewayRefusal::NoRoute:
+        return 404;
+    case GatewayRefusal::UnknownKey:
+        return 401;
+    case GatewayRefusal::BadRequest:
+        return 400;
+    case GatewayRefusal::ServerFailed:
+        return 502;
+    case GatewayRefusal::TimedOut:
+        return 504;
+    case GatewayRefusal::NotReady:
+    case GatewayRefusal::NoServer:
+    case GatewayRefusal::GroupBroken:
+    case GatewayRefusal::Overloaded:
+    case GatewayRefusal::RetriesUsedUp:
+    case GatewayRefusal::TimedOutWaiting:
+        return 503;
+    }
+    return 503;
+}
+
+GatewayRefusal refusalFor(BackendBook::NoChoice reason)
+{
+    switch (reason) {
+    case BackendBook::NoChoice::NoServer:
+        return GatewayRefusal::NoServer;
+    case BackendBook::NoChoice::GroupBroken:
+        return GatewayRefusal::GroupBroken;
+    case BackendBook::NoChoice::AllFull:
+        return GatewayRefusal::Overloaded;
+    case BackendBook::NoChoice::AllExcluded:
+        return GatewayRefusal::RetriesUsedUp;
+    }
+    return GatewayRefusal::NoServer;
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+
+#include <string_view>
+
+namespace hornbeamlane {
+
+/** Why a gateway answered a request itself. */
+enum class GatewayRefusal {
+    NotReady, ///< No catalogue is known yet.
+    NoRoute,
+    UnknownKey,
+    BadRequest,
+    NoServer, ///< No server of the service can be used now.
+    GroupBroken, ///< The group that serves the model has lost a rank.
+    Overloaded, ///< No place became free in time.
+    RetriesUsedUp, ///< The server rejected the request and it may not be sent again.
+    ServerFailed, ///< The server broke off; the request may have run.
+    TimedOut, ///< The time ran out at a server; the request may have run.
+    TimedOutWaiting, ///< The time ran out before the request was sent.
+};
+
+std::string_view toString(GatewayRefusal refusal);
+
+/** HTTP status of a refusal; 503 states that the request has not run. */
+int statusOf(GatewayRefusal refusal);
+
+/** What a caller is told when no server could be chosen. */
+GatewayRefusal refusalFor(BackendBook::NoChoice reason);
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
@@ -0,0 +1,62 @@
+#include "hornbeamlane_gateway/request/RequestHeaders.h"
+
+#include <charconv>
+
+namespace hornbeamlane {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Whether the header is listed in a Connection header and so concerns this connection only. */
+bool isListedInConnection(const HttpHeaders &headers, std::string_view name)
+{
+    const auto *list = findHeader(headers, "Connection");
+    if (list == nullptr) {
+        return false;
+    }
+    std::string_view rest = *list;
+    while (!rest.empty()) {
+        const auto comma = rest.find(',');
+        auto token = rest.substr(0, comma);
+        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+        const auto begin = token.find_first_not_of(" \t");
+        if (begin == std::string_view::npos) {
+            continue;
+        }
+        token = token.substr(begin, token.find_last_not_of(" \t") - begin + 1);
+        if (isSameHeader(token, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders result;
+    result.reserve(headers.size());
+    for (const auto &header : headers) {
+        if (!isHopByHopHeader(header.first) && !isListedInConnection(headers, header.first)) {
+            result.push_back(header);
+        }
+    }
+    return result;
+}
+
+std::optional<milliseconds> parseMilliseconds(const std::string *text)
+{
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (error != std::errc() || end == text->data() || value < 0) {
+        return std::nullopt;
+    }
+    return milliseconds(value);
+}
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_observability/logging/Log.cpp
+++ b/modules/hornbeamlane_observability/logging/Log.cpp
@@ -8,13 +8,68 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 
+#include <algorithm>
 #include <array>
-#include <iostream>
+#include <climits>
+#include <cstdint>
+#include <ostream>
+#include <streambuf>
+#include <utility>
+
+#include <poll.h>
+#include <unistd.h>
 
 namespace hornbeamlane {
 
 namespace {
 
+/**
+    Writes whole lines to standard output and drops them while it cannot take any.
+
+    A reader of the log that stands still must not stop the process.
+*/
+class DroppingOutput final : public std::streambuf
+{
+protected:
+    int_type overflow(int_type character) override
+    {
+        if (character != traits_type::eof()) {
+            line_ += static_cast<char>(character);
+        }
+        return character;
+    }
+
+    std::streamsize xsputn(const char *text, std::streamsize size) override
+    {
+        line_.append(text, static_cast<std::size_t>(size));
+        return size;
+    }
+
+    int sync() override
+    {
+        pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+        if (poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0) {
+            if (dropped_ > 0) {
+                line_ = "warning log_lines_dropped count=" + std::to_string(std::exchange(dropped_, 0)) + "\n" + line_;
+            }
+            // A pipe that polls as writable takes a line of this size at once.
+            if (write(STDOUT_FILENO, line_.data(), std::min(line_.size(), maxLineBytes)) < 0) {
+                ++dropped_;
+            }
+        } else {
+            ++dropped_;
+        }
+        line_.clear();
+        return 0;
+    }
+
+private:
+    static constexpr std::size_t maxLineBytes = PIPE_BUF;
+
+    std::string line_;
+    std::uint64_t dropped_ = 0;
+};
+
 constexpr std::array<std::string_view, 4> levelNames = {"debug", "info", "warning", "error"};
 
 struct LogState
@@ -30,6 +85,13 @@
     return instance;
 }
 
+std::ostream &output()
+{
+    static DroppingOutput buffer;
+    static std::ostream stream(&buffer);
+    return stream;
+}
+
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
@@ -74,7 +136,7 @@
     boost::log::add_common_attributes();
     namespace expressions = boost::log::expressions;
     boost::log::add_console_log(
-        std::clog, boost::log::keywords::auto_flush = true,
+        output(), boost::log::keywords::auto_flush = true,
         boost::log::keywords::format = expressions::stream
             << expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f") << ' '
             << expressions::smessage);
--- a/modules/hornbeamlane_observability/logging/Log.h
+++ b/modules/hornbeamlane_observability/logging/Log.h
@@ -13,7 +13,7 @@
 /** Inverse of the level names "debug", "info", "warning", "error". */
 std::optional<LogLevel> logLevelFromString(std::string_view text);
 
-/** Sends the log to standard error with the name of the process on each line. Call once at start. */
+/** Sends the log to standard output, or nowhere while that cannot take a line. Call once at start. */
 void startLog(const std::string &processName, LogLevel level);
 
 /** Changes the level while the process runs. */
