Count the grace of lapsed servers from the store's return; bound the load messages of one entry

Change: LapseWindow: only removals within 0.6 s of the return may be lapses, and the grace ends 2 s after the return. Load messages go to 48 entries at a time, in turn, so that their number does not grow with the square of the entries.

--- a/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
+++ b/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
@@ -12,4 +12,5 @@
 #include "hornbeamlane_dispatch/queue/AdmissionQueue.h"
 #include "hornbeamlane_dispatch/retry/RetryAllowance.h"
 #include "hornbeamlane_dispatch/servers/BackendBook.h"
+#include "hornbeamlane_dispatch/servers/LapseWindow.h"
 #include "hornbeamlane_dispatch/stream/EventStreamFilter.h"
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -35,25 +35,25 @@
     backend.coldUntil = std::max(backend.coldUntil, now + spec.warmupLeft);
 }
 
-void BackendBook::remove(const ServerId &server, TimePoint now, bool mayHaveLapsed)
+void BackendBook::remove(const ServerId &server, std::optional<TimePoint> usableUntil)
 {
     const auto found = backends_.find(server);
     if (found == backends_.end() || found->second.isGone || found->second.lapsesAt) {
         return;
     }
     // A server that had announced its leaving has not lapsed.
-    if (mayHaveLapsed && !found->second.spec.isDraining) {
-        found->second.lapsesAt = now + options_.lapseGrace;
+    if (usableUntil && !found->second.spec.isDraining) {
+        found->second.lapsesAt = usableUntil;
         return;
     }
     found->second.isGone = true;
 }
 
-void BackendBook::retainOnly(const std::set<ServerId> &listed, TimePoint now, bool mayHaveLapsed)
+void BackendBook::retainOnly(const std::set<ServerId> &listed, std::optional<TimePoint> usableUntil)
 {
     for (const auto &[id, backend] : backends_) {
         if (!listed.contains(id)) {
-            remove(id, now, mayHaveLapsed);
+            remove(id, usableUntil);
         }
     }
 }
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -89,8 +89,6 @@
     {
         /** Requests beyond its slots that a server may hold, as a share of its slots. */
         double queueShare = 0.25;
-        /** A server whose entry lapsed while the store was away is used for this time after the store's return. */
-        std::chrono::milliseconds lapseGrace{2000};
         /** Time for which a server gets no work after its first failure in a row to connect; doubles up to the bound.
          */
         std::chrono::milliseconds avoidAfterFailure{200};
@@ -128,11 +126,11 @@
     /** Adds a server or takes over what it says now. */
     void update(const BackendSpec &spec, TimePoint now);
 
-    /** The server's entry has gone; with a store that has just been away it may only have lapsed. */
-    void remove(const ServerId &server, TimePoint now, bool mayHaveLapsed);
+    /** The server's entry has gone; one that may only have lapsed is used until the given time. */
+    void remove(const ServerId &server, std::optional<TimePoint> usableUntil);
 
     /** All servers that the store lists; the others count as removed. */
-    void retainOnly(const std::set<ServerId> &listed, TimePoint now, bool mayHaveLapsed);
+    void retainOnly(const std::set<ServerId> &listed, std::optional<TimePoint> usableUntil);
 
     void setWarmup(const ServiceId &service, std::chrono::milliseconds warmup, double requestsPerSecond);
     void setEvacuated(std::set<DataCentreId> dataCentres);
--- a/modules/hornbeamlane_gateway/peers/DatagramSocket.cpp
+++ b/modules/hornbeamlane_gateway/peers/DatagramSocket.cpp
@@ -96,6 +96,14 @@
     return event_add(implementation_->readable, nullptr) == 0;
 }
 
+std::uint16_t DatagramSocket::port() const
+{
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    getsockname(implementation_->socket, reinterpret_cast<sockaddr *>(&address), &length);
+    return ntohs(address.sin_port);
+}
+
 void DatagramSocket::send(const std::string &address, std::string_view bytes)
 {
     const auto target = parseAddress(address);
--- a/modules/hornbeamlane_gateway/peers/DatagramSocket.h
+++ b/modules/hornbeamlane_gateway/peers/DatagramSocket.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_network/loop/EventLoop.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,6 +26,9 @@
     /** False if the address cannot be bound. */
     bool bind(const std::string &address);
 
+    /** Port in use after a successful bind(). */
+    std::uint16_t port() const;
+
     void send(const std::string &address, std::string_view bytes);
 
 private:
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -78,6 +78,23 @@
     }
 }
 
+std::vector<std::string> PeerExchange::nextPeers(TimePoint now, bool alsoSilent)
+{
+    std::vector<std::string> addresses;
+    auto next = peers_.upper_bound(lastTold_);
+    for (std::size_t looked = 0; looked < peers_.size() && addresses.size() < options_.fanOut; ++looked) {
+        if (next == peers_.end()) {
+            next = peers_.begin();
+        }
+        if (alsoSilent || now - next->second.heardAt < options_.silence) {
+            addresses.push_back(next->first);
+        }
+        lastTold_ = next->first;
+        ++next;
+    }
+    return addresses;
+}
+
 void PeerExchange::tick()
 {
     const auto now = loop_.now();
@@ -95,12 +112,11 @@
                                           .isMapHolder = callbacks_.isMapHolder(),
                                           .tableVersions = callbacks_.tableVersions(),
                                           .inFlight = callbacks_.ownLoad()});
-    for (const auto &[address, peer] : peers_) {
-        if (toAll || now - peer.heardAt < options_.silence) {
-            socket_.send(address, bytes);
-        }
+    for (const auto &address : nextPeers(now, toAll)) {
+        socket_.send(address, bytes);
     }
-    hasChanged_ = false;
+    // With more peers than are told at a time, the next tick goes on with the others.
+    hasChanged_ = peers_.size() > options_.fanOut;
     lastSent_ = now;
     if (toAll) {
         lastSentToAll_ = now;
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -23,6 +23,8 @@
         std::chrono::milliseconds interval{40};
         /** Time between two messages without changes. */
         std::chrono::milliseconds idleInterval{300};
+        /** Peers told at a time; with more of them each is told in turn, so that the cost does not grow with them. */
+        std::size_t fanOut = 48;
         /** A peer that has not been heard for this time is told less often. */
         std::chrono::milliseconds silence{3000};
     };
@@ -65,6 +67,7 @@
 
     void receive(std::string_view bytes, const std::string &sender);
     void tick();
+    std::vector<std::string> nextPeers(TimePoint now, bool alsoSilent);
 
     EventLoop &loop_;
     Options options_;
@@ -74,6 +77,8 @@
     std::map<std::string, Peer> peers_;
     Timer timer_;
     std::uint64_t sequence_ = 0;
+    /** Address after which the next round of messages goes on. */
+    std::string lastTold_;
     bool hasChanged_ = true;
     TimePoint lastSent_;
     TimePoint lastSentToAll_;
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -46,11 +46,11 @@
 TEST_F(BackendBookTest, KeepsLapsedServersForAWhile)
 {
     book_.update(server("a"), start);
-    book_.remove(ServerId("a"), start, true);
+    book_.remove(ServerId("a"), start + seconds(2));
     EXPECT_TRUE(choose(start + milliseconds(1900)));
     EXPECT_FALSE(choose(start + milliseconds(2100)));
     book_.update(server("b"), start + seconds(3));
-    book_.remove(ServerId("b"), start + seconds(3), false);
+    book_.remove(ServerId("b"), std::nullopt);
     EXPECT_FALSE(choose(start + seconds(3)));
 }
 
@@ -60,7 +60,7 @@
     auto leaving = server("a");
     leaving.isDraining = true;
     book_.update(leaving, start);
-    book_.remove(ServerId("a"), start, true);
+    book_.remove(ServerId("a"), start + seconds(2));
     book_.sweep(start);
     EXPECT_EQ(book_.find(ServerId("a")), nullptr);
 }
@@ -160,7 +160,7 @@
     for (int i = 0; i < 10; ++i) {
         EXPECT_EQ(choose(start + milliseconds(100)), ServerId("b"));
     }
-    book_.remove(ServerId("b"), start, false);
+    book_.remove(ServerId("b"), std::nullopt);
     EXPECT_EQ(choose(start + milliseconds(100)), ServerId("a"));
 }
 
@@ -173,5 +173,18 @@
     EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::AllExcluded);
 }
 
+// Guards against a server that leaves just after the store's return being used beyond its leaving: the grace of lapsed
+// entries runs from the return (hunt of hsinchu-coop, DRAIN at 2,000 ms).
+TEST(LapseWindowTest, EndsWithTheGraceAfterTheReturn)
+{
+    LapseWindow lapses;
+    EXPECT_FALSE(lapses.usableUntil(start));
+    lapses.onReachable(false, start);
+    lapses.onReachable(true, start + seconds(5));
+    EXPECT_EQ(lapses.usableUntil(start + seconds(5)), start + seconds(7));
+    EXPECT_EQ(lapses.usableUntil(start + milliseconds(5500)), start + seconds(7));
+    EXPECT_FALSE(lapses.usableUntil(start + milliseconds(5700)));
+}
+
 } // namespace
 } // namespace hornbeamlane
