--- a/tests/gateway/TableFollowerTest.cpp
+++ b/tests/gateway/TableFollowerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+
 namespace hornbeamlane {
 namespace {
 
@@ -13,10 +15,11 @@
 protected:
     TableFeed feed()
     {
-        return {.readAll = [this](const std::string &, TableFeed::Handler handler) { reads_.push_back(handler); },
+        return {.readAll = [this](const std::string &,
+                                  TableFeed::Handler handler) { reads_.push_back(std::move(handler)); },
                 .readChanges =
                     [this](const std::string &, RowVersion since, milliseconds wait, TableFeed::Handler handler) {
-                        watches_.push_back(handler);
+                        watches_.push_back(std::move(handler));
                         since_ = since;
                         wait_ = wait;
                     }};
