Do not let a request's callbacks keep it alive

Cause: the sanitizer build reports a leak: the callback of a running call held the request that owns the connection, so both stayed when the gateway ended with requests running (GatewayTest.BoundsTheMemoryOfASlowCaller fails under the leak check). Change: the callback refers to its owner, which outlives it.

--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -272,12 +272,13 @@
     gateway_.backends_.onSent(server, sending.startedAt);
     gateway_.stateOf(service_).starts.count(sending.startedAt);
     gateway_.peers_.markChanged();
-    // The request outlives the connection, which it owns; the callbacks end with the connection.
+    // The request outlives the connection, which it owns; the callbacks end with the connection. A reference held by
+    // them would keep both for good when the gateway ends with requests running.
     sending.connection->call(
         {.method = request.method, .target = request.target, .headers = requestHeaders(server), .body = request.body},
         {.head = [this](const Http1ResponseHead &head) { return handleHead(head); },
          .data = [this](std::string_view bytes) { handleData(bytes); },
-         .end = [self = shared_from_this()](Http1CallEnd end) { self->handleEnd(end); }});
+         .end = [this](Http1CallEnd end) { handleEnd(end); }});
 }
 
 bool ForwardedRequest::handleHead(const Http1ResponseHead &head)
