--- a/modules/hornbeamlane_dispatch/retry/RetryAllowance.cpp
+++ b/modules/hornbeamlane_dispatch/retry/RetryAllowance.cpp
@@ -37,12 +37,6 @@
     return true;
 }
 
-double RetryAllowance::usedShare(TimePoint now)
-{
-    forget(now);
-    return limit() <= 0 ? 1.0 : std::min(1.0, static_cast<double>(retries_.size()) / limit());
-}
-
 void RetryAllowance::forget(TimePoint now)
 {
     const auto start = now - options_.window;
--- a/modules/hornbeamlane_dispatch/retry/RetryAllowance.h
+++ b/modules/hornbeamlane_dispatch/retry/RetryAllowance.h
@@ -35,9 +35,6 @@
     /** Takes one retry; false if the share of the window that ends now is used up. */
     bool takeRetry(TimePoint now);
 
-    /** Part of the share that is used, 0 to 1. */
-    double usedShare(TimePoint now);
-
 private:
     void forget(TimePoint now);
     double limit() const;
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -277,13 +277,6 @@
     return forgotten;
 }
 
-std::size_t BackendBook::usableCount(const ServiceId &service, TimePoint now) const
-{
-    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [&](const auto &entry) {
-        return entry.second.spec.service == service && isUsable(entry.second, now);
-    }));
-}
-
 BackendBook::Occupancy BackendBook::occupancy(const ServiceId &service, TimePoint now) const
 {
     Occupancy result;
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -158,9 +158,6 @@
     /** Forgets lapsed servers and those without work that have gone; returns the ids of those forgotten. */
     std::vector<ServerId> sweep(TimePoint now);
 
-    /** Usable servers of the service. */
-    std::size_t usableCount(const ServiceId &service, TimePoint now) const;
-
     /** Places of a service's usable servers and how many of them are taken. */
     struct Occupancy
     {
