Give the decoder's test its bytes without an embedded NUL in a literal

clang-tidy's bugprone-string-literal-with-embedded-nul fails the lint step on the literal, and rightly: the literal was cut at its NUL byte, so the test decoded one byte instead of three. The bytes are now listed one by one. Lint over all sources afterwards: no finding.

--- a/tests/platform/RowDecodersTest.cpp
+++ b/tests/platform/RowDecodersTest.cpp
@@ -72,7 +72,7 @@
     EXPECT_TRUE(rejects(server, "\"10.0.0.1:80\"", "\"nowhere\""));
     EXPECT_TRUE(rejects(server, "\"Service\":\"pool\",", ""));
     std::string reason;
-    EXPECT_FALSE(decodeServer("i-1", "\xff\x00{", reason));
+    EXPECT_FALSE(decodeServer("i-1", std::string{char(0xff), char(0), char(0x7b)}, reason));
 }
 
 // Guards against rows that crash the decoder: each cut and each changed byte is a result or a reason.
