--- a/cmake/HornbeamlaneModule.cmake
+++ b/cmake/HornbeamlaneModule.cmake
@@ -27,3 +27,8 @@
     target_link_libraries(${name} PRIVATE ${TESTS_LIBRARIES} GTest::gmock GTest::gtest_main hornbeamlane_compiler_settings)
     gtest_discover_tests(${name} DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 1200)
 endfunction()
+
+# hornbeamlane_compile_separately(<target>...): for targets whose sources share names in their anonymous namespaces.
+function(hornbeamlane_compile_separately)
+    set_target_properties(${ARGV} PROPERTIES UNITY_BUILD OFF)
+endfunction()
--- a/modules/hornbeamlane_network/loop/EventLoop.cpp
+++ b/modules/hornbeamlane_network/loop/EventLoop.cpp
@@ -11,26 +11,22 @@
 
 namespace hornbeamlane {
 
-namespace {
-
-struct EventDeleter
+struct EventLoop::Implementation
 {
-    void operator()(event *handle) const
+    struct EventDeleter
     {
-        event_free(handle);
-    }
-};
-
-struct SignalHandler
-{
-    std::function<void()> handler;
-    std::unique_ptr<event, EventDeleter> handle;
-};
+        void operator()(event *handle) const
+        {
+            event_free(handle);
+        }
+    };
 
-} // namespace
+    struct SignalHandler
+    {
+        std::function<void()> handler;
+        std::unique_ptr<event, EventDeleter> handle;
+    };
 
-struct EventLoop::Implementation
-{
     event_base *base = nullptr;
     std::vector<std::function<void()>> tasks;
     std::list<SignalHandler> signals;
@@ -121,7 +117,7 @@
     entry.handler = std::move(handler);
     entry.handle.reset(evsignal_new(
         implementation_->base, signalNumber,
-        [](evutil_socket_t, short, void *context) { static_cast<SignalHandler *>(context)->handler(); }, &entry));
+        [](evutil_socket_t, short, void *context) { static_cast<Implementation::SignalHandler *>(context)->handler(); }, &entry));
     evsignal_add(entry.handle.get(), nullptr);
 }
 
