Close a group for new requests once a rank names a lost one

Cause: when a rank is lost the others stall for 1.5 s and then reject all work; their entries in the store say so only later. Until then each request went from rank to rank, used up the retries that all entries share, and its caller was told to come back within 0.3 to 1.2 s, which is before the group can form again: the caller was refused again and lost. The servers name the server at fault in their rejection; a server that is only full names itself. Change: a rejection that names another address closes the group of the rejecting rank for this entry, for the epoch in which the request was sent and 3 s at most. Rejections are logged with the server they name.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -79,9 +79,16 @@
         && (!backend.lapsesAt || now < *backend.lapsesAt);
 }
 
-bool BackendBook::isGroupOpen(const Backend &backend)
+bool BackendBook::isGroupOpen(const Backend &backend, TimePoint now) const
 {
-    return !backend.spec.group || backend.spec.group->isOpen;
+    const auto &place = backend.spec.group;
+    if (!place) {
+        return true;
+    }
+    const auto found = stalledGroups_.find(place->group);
+    const bool isStalled =
+        found != stalledGroups_.end() && place->epoch <= found->second.epoch && now < found->second.until;
+    return place->isOpen && !isStalled;
 }
 
 bool BackendBook::isFull(const Backend &backend) const
@@ -145,7 +152,7 @@
         }
         anyUsable = true;
         // A group that has lost a rank serves nothing before it has formed again, which changes its entry.
-        if (!isGroupOpen(backend)) {
+        if (!isGroupOpen(backend, now)) {
             continue;
         }
         anyOpen = true;
@@ -251,6 +258,19 @@
     }
 }
 
+void BackendBook::onRankLost(const ServerId &reporter, std::uint64_t epoch, TimePoint now)
+{
+    const auto found = backends_.find(reporter);
+    if (found == backends_.end() || !found->second.spec.group) {
+        return;
+    }
+    // A rejection may arrive after the group has formed again; the epoch tells which of the two it speaks of.
+    auto &stalled = stalledGroups_[found->second.spec.group->group];
+    if (epoch > stalled.epoch || stalled.until == TimePoint{}) {
+        stalled = {.epoch = epoch, .until = now + options_.stalledGroupTime};
+    }
+}
+
 void BackendBook::setPeersInFlight(const ServerId &server, std::uint32_t inFlight)
 {
     const auto found = backends_.find(server);
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -99,6 +99,8 @@
         double failurePenalty = 3.0;
         /** Load over slots that a server in another data centre costs. */
         double distancePenalty = 0.02;
+        /** Longest time for which a rank's word that its group is broken counts; the group's entries follow by then. */
+        std::chrono::milliseconds stalledGroupTime{3000};
         /** Entries that share the bounds of a cold server; see setEntryCount(). */
         std::uint32_t entryCount = 16;
     };
@@ -153,6 +155,9 @@
     /** The server says that it is cold for this time. */
     void onWarmup(const ServerId &server, std::chrono::milliseconds left, TimePoint now);
 
+    /** A rank rejected a request that was sent in this epoch because another rank of its group is lost. */
+    void onRankLost(const ServerId &reporter, std::uint64_t epoch, TimePoint now);
+
     void setPeersInFlight(const ServerId &server, std::uint32_t inFlight);
 
     /** Forgets lapsed servers and those without work that have gone; returns the ids of those forgotten. */
@@ -179,8 +184,15 @@
         double requestsPerSecond = 0;
     };
 
+    /** A group that was heard to have lost a rank in an epoch, before its entries say so. */
+    struct StalledGroup
+    {
+        std::uint64_t epoch = 0;
+        TimePoint until;
+    };
+
     bool isUsable(const Backend &backend, TimePoint now) const;
-    static bool isGroupOpen(const Backend &backend);
+    bool isGroupOpen(const Backend &backend, TimePoint now) const;
     bool isFull(const Backend &backend) const;
     double coldCredit(const Backend &backend, TimePoint now) const;
     double coldRateShare(const Backend &backend) const;
@@ -193,6 +205,7 @@
     Options options_;
     std::map<ServerId, Backend> backends_;
     std::map<ServiceId, Warmup> warmups_;
+    std::map<GroupId, StalledGroup> stalledGroups_;
     std::set<DataCentreId> evacuated_;
     NoChoice lastFailure_ = NoChoice::NoServer;
 };
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -28,6 +28,9 @@
     std::string signature = "X-Server-Signature";
     /** States that the server has not run the request. */
     std::string notRun = "X-Not-Run";
+    /** Address of the server because of which a request was rejected; another one than the rejecting server may be
+     * lost. */
+    std::string faultyServer = "X-Faulty-Server";
     /** Running, waiting and slots of the server. */
     std::string load = "X-Server-Load";
     /** Time for which the server stays cold, in milliseconds. */
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -265,6 +265,7 @@
     auto &sending = send_.emplace();
     sending.server = server;
     sending.address = backend->spec.address;
+    sending.groupEpoch = backend->spec.group ? backend->spec.group->epoch : 0;
     sending.startedAt = now();
     sending.connection = gateway_.pool_.acquire(server, sending.address);
     tried_.push_back(server);
@@ -392,8 +393,7 @@
         return;
     }
     if (isNotRun(head)) {
-        endSend(head.status == statusMisdirected ? BackendOutcome::Misdirected : BackendOutcome::Rejected);
-        retryOrRefuse(GatewayRefusal::RetriesUsedUp);
+        handleRejection();
         return;
     }
     ++runs_;
@@ -419,6 +419,22 @@
     refuse(GatewayRefusal::ServerFailed);
 }
 
+void ForwardedRequest::handleRejection()
+{
+    const auto status = send_->head->status;
+    const auto *named = send_->head->header(gateway_.settings_.headers.faultyServer);
+    const std::string faulty = named == nullptr ? "" : *named;
+    logEvent(
+        LogLevel::Info, "request_rejected",
+        {{"id", attemptId_}, {"server", send_->server.name()}, {"status", std::to_string(status)}, {"faulty", faulty}});
+    // A rank that rejects a request because of a server elsewhere speaks for its whole group.
+    if (status != statusMisdirected && !faulty.empty() && faulty != send_->address) {
+        gateway_.backends_.onRankLost(send_->server, send_->groupEpoch, now());
+    }
+    endSend(status == statusMisdirected ? BackendOutcome::Misdirected : BackendOutcome::Rejected);
+    retryOrRefuse(GatewayRefusal::RetriesUsedUp);
+}
+
 void ForwardedRequest::deliverAnswer()
 {
     const auto status = send_->head->status;
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -28,6 +28,8 @@
     /** Collected body of an answer that is not streamed. */
     std::string body;
     bool isStreamed = false;
+    /** Epoch of the server's group when the request was sent. */
+    std::uint64_t groupEpoch = 0;
     TimePoint startedAt;
     TimePoint lastEventAt;
 };
@@ -67,6 +69,7 @@
     void handleData(std::string_view bytes);
     void handleEnd(Http1CallEnd end);
     void handleCompleteAnswer();
+    void handleRejection();
     /** Sends the request again if it may be repeated and the retry budget allows it; refuses it otherwise. */
     void retryOrRefuse(GatewayRefusal reason);
     bool mayRepeat() const;
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -112,6 +112,37 @@
     EXPECT_TRUE(choose());
 }
 
+// Load pattern "a rank is lost under full load": the first rejection that names the lost rank keeps all further
+// requests from the other ranks, whose entries say only later that the group is broken. Each would stall and come back
+// in vain.
+TEST_F(BackendBookTest, BelievesARankThatNamesALostOne)
+{
+    for (const std::uint32_t number : {0U, 1U}) {
+        auto rank = server(number == 0 ? "a" : "b");
+        rank.group = GroupPlace{.group = GroupId("g"), .epoch = 4, .rank = number, .size = 2, .isOpen = true};
+        book_.update(rank, start);
+    }
+    book_.onRankLost(ServerId("a"), 4, start);
+    EXPECT_FALSE(choose(start + milliseconds(2900)));
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupBroken);
+    // Entries that never change, as while the store is away, must not keep a sound group out for good.
+    EXPECT_TRUE(choose(start + milliseconds(3100)));
+}
+
+// Guards against a late rejection of the last epoch that closes the group which has formed since.
+TEST_F(BackendBookTest, DoesNotHoldALostRankAgainstTheNextEpoch)
+{
+    auto rank = server("a");
+    rank.group = GroupPlace{.group = GroupId("g"), .epoch = 4, .rank = 0, .size = 1, .isOpen = true};
+    book_.update(rank, start);
+    book_.onRankLost(ServerId("a"), 4, start);
+    rank.group->epoch = 5;
+    book_.update(rank, start);
+    EXPECT_TRUE(choose());
+    book_.onRankLost(ServerId("a"), 4, start + milliseconds(50));
+    EXPECT_TRUE(choose());
+}
+
 // Load pattern "many entries, one pool": the load that other entries tell keeps requests from piling up on one rank.
 TEST_F(BackendBookTest, CountsTheLoadOfOtherEntries)
 {
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -87,13 +87,14 @@
                 .maxAttempts = attempts};
     }
 
-    void addServer(const ScriptedServer &server, const std::string &id)
+    void addServer(const ScriptedServer &server, const std::string &id, std::optional<GroupPlace> group = std::nullopt)
     {
         gateway_->backends().update({.id = ServerId(id),
                                      .service = ServiceId("desk"),
                                      .address = server.address(),
                                      .dataCentre = DataCentreId("here"),
-                                     .slots = 8},
+                                     .slots = 8,
+                                     .group = std::move(group)},
                                     loop_.now());
     }
 
@@ -223,6 +224,34 @@
     EXPECT_EQ(second.requests(), 1);
 }
 
+// Load pattern "a rank is lost under full load": once a rank has named the lost one, callers are told at once when to
+// come back, instead of stalling at one rank after the other and using up the retries that all entries share.
+TEST_F(GatewayTest, StopsSendingToAGroupThatHasLostARank)
+{
+    std::string faulty = "127.0.0.1:9";
+    ScriptedServer server(loop_, [&](Connection &connection, const std::string &head, int) {
+        connection.send(answer(head, 503, "", "X-Not-Run: 1\r\nX-Faulty-Server: " + faulty + "\r\n"));
+    });
+    GroupPlace place{.group = GroupId("g"), .epoch = 1, .rank = 0, .size = 2, .isOpen = true};
+    addServer(server, "s1", place);
+    // A rank that is itself too busy says nothing about the group.
+    faulty = server.address();
+    expectStatus(send("GET", "/look/"), 503);
+    EXPECT_EQ(server.requests(), 1);
+    faulty = "127.0.0.1:9";
+    expectStatus(send("GET", "/look/"), 503);
+    EXPECT_EQ(server.requests(), 2);
+    const auto refused = send("GET", "/look/");
+    expectStatus(refused, 503);
+    EXPECT_EQ(server.requests(), 2);
+    EXPECT_EQ(refused->body, "group_broken\n");
+    // The group has formed again.
+    place.epoch = 2;
+    addServer(server, "s1", place);
+    expectStatus(send("GET", "/look/"), 503);
+    EXPECT_EQ(server.requests(), 3);
+}
+
 // Guards against another caller's answer: one that arrives late on a kept connection belongs to an earlier request.
 TEST_F(GatewayTest, SkipsTheAnswerOfAnotherRequest)
 {
