Let requests wait for a group whose ranks are all back; look at the group before the limit

Cause: between the return of the last rank and the opening of the group lie 0.3 to 0.6 s, in which callers were refused and told to come back seconds later. While a group was broken, requests over the concurrency limit were told overload, with an early return, because the limit was looked at first. A second rejection in the same epoch did not close the group again. Change: a broken group of which all ranks are listed counts as forming, for which requests wait as for a place. The state of the group decides before the limit, for waiting requests too. Each rejection renews the closing.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -142,7 +142,9 @@
     };
     std::vector<Candidate> candidates;
     std::vector<Candidate> avoided;
+    std::map<GroupId, std::uint32_t> ranksBack;
     bool anyUsable = false;
+    bool anyForming = false;
     bool anyOpen = false;
     bool anyNotExcluded = false;
     for (const auto &[id, backend] : backends_) {
@@ -153,6 +155,8 @@
         anyUsable = true;
         // A group that has lost a rank serves nothing before it has formed again, which changes its entry.
         if (!isGroupOpen(backend, now)) {
+            const auto &place = *backend.spec.group;
+            anyForming = anyForming || (!place.isOpen && !backend.lapsesAt && ++ranksBack[place.group] == place.size);
             continue;
         }
         anyOpen = true;
@@ -174,7 +178,7 @@
         if (!anyUsable) {
             lastFailure_ = NoChoice::NoServer;
         } else if (!anyOpen) {
-            lastFailure_ = NoChoice::GroupBroken;
+            lastFailure_ = anyForming ? NoChoice::GroupForming : NoChoice::GroupBroken;
         } else {
             lastFailure_ = anyNotExcluded ? NoChoice::AllFull : NoChoice::AllExcluded;
         }
@@ -266,7 +270,7 @@
     }
     // A rejection may arrive after the group has formed again; the epoch tells which of the two it speaks of.
     auto &stalled = stalledGroups_[found->second.spec.group->group];
-    if (epoch > stalled.epoch || stalled.until == TimePoint{}) {
+    if (epoch >= stalled.epoch) {
         stalled = {.epoch = epoch, .until = now + options_.stalledGroupTime};
     }
 }
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -118,6 +118,7 @@
     enum class NoChoice {
         NoServer, ///< No server of the service is known and usable.
         GroupBroken, ///< All servers that could take it are ranks of groups that have lost a rank.
+        GroupForming, ///< All ranks of such a group are back; it opens within a second.
         AllFull,
         AllExcluded, ///< Each usable server has been tried already.
     };
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -34,6 +34,12 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
 
+/** Whether a place is expected soon, so that waiting for it makes sense. */
+bool isWorthWaiting(BackendBook::NoChoice failure)
+{
+    return failure == BackendBook::NoChoice::AllFull || failure == BackendBook::NoChoice::GroupForming;
+}
+
 bool isPromiseOfNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -128,22 +134,17 @@
 {
     auto &state = gateway_.stateOf(service_);
     const auto time = now();
-    std::optional<ServerId> server;
     // Those that wait already come first, unless they have missed their target and this one has not.
     const auto first = state.queue.front();
     const bool isBehindOthers = mayQueue && first && first->priority <= queueRank();
     const bool isLimited = mayQueue && route_->kind == RequestKind::Stream && gateway_.isAtLimit(service_, isLate_);
-    if (!isBehindOthers && !isLimited) {
-        server = gateway_.backends_.choose(
-            {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &tried_}, time,
-            gateway_.random_);
-    }
-    if (server) {
-        send(*server);
+    const auto server = chooseServer();
+    if (!server && !isWorthWaiting(gateway_.backends_.lastFailure())) {
+        refuse(refusalFor(gateway_.backends_.lastFailure()));
         return;
     }
-    if (!isBehindOthers && !isLimited && gateway_.backends_.lastFailure() != BackendBook::NoChoice::AllFull) {
-        refuse(refusalFor(gateway_.backends_.lastFailure()));
+    if (server && !isBehindOthers && !isLimited) {
+        send(*server);
         return;
     }
     const auto wait = longestWait(time);
@@ -156,6 +157,13 @@
     }
 }
 
+std::optional<ServerId> ForwardedRequest::chooseServer()
+{
+    return gateway_.backends_.choose(
+        {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &tried_}, now(),
+        gateway_.random_);
+}
+
 std::uint32_t ForwardedRequest::queueRank() const
 {
     // A stream that has begun comes first: its caller has waited longest and its place was counted already.
@@ -198,13 +206,12 @@
 
 bool ForwardedRequest::tryLeaveQueue()
 {
-    if (route_->kind == RequestKind::Stream && !exchange_->isStreaming() && gateway_.isAtLimit(service_, isLate_)) {
+    const auto server = chooseServer();
+    if (!server && isWorthWaiting(gateway_.backends_.lastFailure())) {
         return false;
     }
-    const auto server = gateway_.backends_.choose(
-        {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &tried_}, now(),
-        gateway_.random_);
-    if (!server && gateway_.backends_.lastFailure() == BackendBook::NoChoice::AllFull) {
+    if (server && route_->kind == RequestKind::Stream && !exchange_->isStreaming()
+        && gateway_.isAtLimit(service_, isLate_)) {
         return false;
     }
     leaveQueue();
@@ -427,7 +434,8 @@
     logEvent(
         LogLevel::Info, "request_rejected",
         {{"id", attemptId_}, {"server", send_->server.name()}, {"status", std::to_string(status)}, {"faulty", faulty}});
-    // A rank that rejects a request because of a server elsewhere speaks for its whole group.
+    // A rank that rejects a request because of a server elsewhere speaks for its whole group. One that names itself is
+    // full or cut off itself.
     if (status != statusMisdirected && !faulty.empty() && faulty != send_->address) {
         gateway_.backends_.onRankLost(send_->server, send_->groupEpoch, now());
     }
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -63,6 +63,7 @@
 private:
     bool admit();
     void dispatch(bool mayQueue);
+    std::optional<ServerId> chooseServer();
     void send(const ServerId &server);
     HttpHeaders requestHeaders(const ServerId &server) const;
     bool handleHead(const Http1ResponseHead &head);
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
@@ -43,6 +43,7 @@
         return GatewayRefusal::NoServer;
     case BackendBook::NoChoice::GroupBroken:
         return GatewayRefusal::GroupBroken;
+    case BackendBook::NoChoice::GroupForming:
     case BackendBook::NoChoice::AllFull:
         return GatewayRefusal::Overloaded;
     case BackendBook::NoChoice::AllExcluded:
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -127,6 +127,35 @@
     EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupBroken);
     // Entries that never change, as while the store is away, must not keep a sound group out for good.
     EXPECT_TRUE(choose(start + milliseconds(3100)));
+    // The next request finds it still broken.
+    book_.onRankLost(ServerId("b"), 4, start + milliseconds(3200));
+    EXPECT_FALSE(choose(start + milliseconds(6100)));
+}
+
+// Load pattern "all callers come back": a group whose ranks are all back opens within a second, so that waiting for it
+// is shorter than coming back. Guards against taking a group for one that is back while a rank is missing or has
+// lapsed.
+TEST_F(BackendBookTest, TellsAGroupThatIsForming)
+{
+    auto rank = server("a");
+    rank.group = GroupPlace{.group = GroupId("g"), .epoch = 4, .rank = 0, .size = 2, .isOpen = false};
+    auto other = server("b");
+    other.group = GroupPlace{.group = GroupId("g"), .epoch = 4, .rank = 1, .size = 2, .isOpen = false};
+    book_.update(rank, start);
+    EXPECT_FALSE(choose());
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupBroken);
+    book_.update(other, start);
+    EXPECT_FALSE(choose());
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupForming);
+    book_.remove(ServerId("b"), start + seconds(5));
+    EXPECT_FALSE(choose());
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupBroken);
+    // The lost rank's own entry, which it wrote before it was lost, does not count.
+    other.group->isOpen = true;
+    book_.update(other, start);
+    book_.onRankLost(ServerId("a"), 4, start);
+    EXPECT_FALSE(choose());
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupBroken);
 }
 
 // Guards against a late rejection of the last epoch that closes the group which has formed since.
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -252,6 +252,46 @@
     EXPECT_EQ(server.requests(), 3);
 }
 
+// Load pattern "all callers come back": requests wait for a group that is about to open, and are served as it opens.
+TEST_F(GatewayTest, WaitsForAGroupThatIsForming)
+{
+    ScriptedServer server(loop_, [](Connection &connection, const std::string &head, int) {
+        connection.send(answer(head, 200, "done"));
+    });
+    GroupPlace place{.group = GroupId("g"), .epoch = 1, .rank = 0, .size = 1, .isOpen = false};
+    addServer(server, "s1", place);
+    const auto waiting = send("GET", "/look/");
+    runFor(milliseconds(30));
+    EXPECT_FALSE(waiting->end);
+    place.epoch = 2;
+    place.isOpen = true;
+    addServer(server, "s1", place);
+    gateway_->serversChanged();
+    expectStatus(waiting, 200);
+}
+
+// Guards against requests that wait for a place at a group which has lost a rank meanwhile.
+TEST_F(GatewayTest, RefusesWaitingRequestsWhenTheGroupBreaks)
+{
+    ScriptedServer server(loop_, [](Connection &, const std::string &, int) {});
+    GroupPlace place{.group = GroupId("g"), .epoch = 1, .rank = 0, .size = 2, .isOpen = true};
+    addServer(server, "s1", place);
+    // The server takes eight and queues two more.
+    std::vector<std::shared_ptr<CallerAnswer>> running;
+    for (int i = 0; i < 10; ++i) {
+        running.push_back(send("GET", "/look/"));
+    }
+    runUntil([&] { return server.requests() == 10; });
+    const auto waiting = send("GET", "/look/");
+    runFor(milliseconds(20));
+    EXPECT_FALSE(waiting->end);
+    place.isOpen = false;
+    addServer(server, "s1", place);
+    gateway_->serversChanged();
+    expectStatus(waiting, 503);
+    EXPECT_EQ(waiting->body, "group_broken\n");
+}
+
 // Guards against another caller's answer: one that arrives late on a kept connection belongs to an earlier request.
 TEST_F(GatewayTest, SkipsTheAnswerOfAnotherRequest)
 {
