Start a group's concurrency limit low when it has formed again

Cause: a group that has formed again runs the uniform map, so its passes take up to three times as long until the first adapted map. The limit from before the break let in 150 of 192 places at once, and all streams paused too long for two seconds, until the governor had shrunk it. Change: in a new epoch the limit starts at 0.45 of the places at most.

--- a/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.cpp
+++ b/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.cpp
@@ -58,6 +58,12 @@
     share_ = std::clamp(share_, options_.smallestShare, options_.largestShare);
 }
 
+void ConcurrencyGovernor::restart()
+{
+    share_ = std::min(share_, options_.restartShare);
+    samples_.clear();
+}
+
 std::uint32_t ConcurrencyGovernor::limit(std::uint32_t places) const
 {
     return static_cast<std::uint32_t>(share_ * places);
--- a/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.h
+++ b/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.h
@@ -31,6 +31,8 @@
         double growFactor = 1.05;
         /** Smallest bound as a share of the servers' places. */
         double smallestShare = 0.35;
+        /** Bound after a restart, as a share of the servers' places. */
+        double restartShare = 0.45;
         /** Largest bound as a share of the servers' places. */
         double largestShare = 1.25;
     };
@@ -47,6 +49,9 @@
     /** Moves the bound if a window is over; `inFlight` is what the service has now, of all entries. */
     void update(std::uint32_t inFlight, std::uint32_t places, TimePoint now);
 
+    /** The engines have started anew, with experts placed without regard to demand; nothing is known of their pace. */
+    void restart();
+
     /** Requests that the service may have at once, of all entries. */
     std::uint32_t limit(std::uint32_t places) const;
 
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -188,12 +188,24 @@
 {
     for (const auto &[id, backend] : backends_.all()) {
         backends_.setPeersInFlight(id, peers_.loads().sumFor(hashOfServer(id)));
+        if (backend.spec.group && backend.spec.group->isOpen) {
+            noteGroupEpoch(backend.spec.service, *backend.spec.group);
+        }
     }
     for (auto &[service, state] : services_) {
         serveQueue(service);
     }
 }
 
+void Gateway::noteGroupEpoch(const ServiceId &service, const GroupPlace &place)
+{
+    auto &epoch = groupEpochs_[place.group];
+    if (place.epoch > epoch) {
+        epoch = place.epoch;
+        stateOf(service).governor.restart();
+    }
+}
+
 bool Gateway::isAtLimit(const ServiceId &service, bool isLate)
 {
     auto &governor = stateOf(service).governor;
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -80,6 +80,8 @@
     void handleStatusRequest(const std::shared_ptr<Http1Exchange> &exchange);
     ServiceState &stateOf(const ServiceId &service);
     void serveQueue(const ServiceId &service);
+    /** Restarts the pace of the service when a group has formed again. */
+    void noteGroupEpoch(const ServiceId &service, const GroupPlace &place);
     /** Whether the service has as many requests as its pace allows; late ones leave room for those that are not. */
     bool isAtLimit(const ServiceId &service, bool isLate);
     /** Whether more requests wait for the service than can start before their callers give up. */
@@ -108,6 +110,8 @@
     /** Shared with the requests that were admitted under it. */
     std::shared_ptr<const RouteTable> table_;
     std::map<ServiceId, ServiceState> services_;
+    /** Newest epoch in which each group was seen open. */
+    std::map<GroupId, std::uint64_t> groupEpochs_;
     /** Longest time that a caller of each route has stated. */
     std::unordered_map<RouteId, std::chrono::milliseconds> longestTimeLeft_;
     std::unordered_map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> requests_;
--- a/tests/dispatch/QueueAndBudgetTest.cpp
+++ b/tests/dispatch/QueueAndBudgetTest.cpp
@@ -80,6 +80,41 @@
     EXPECT_GT(inFlight, 100U);
 }
 
+// Load pattern "all callers come back to a group that has formed again": its experts are placed anew, without regard to
+// demand, so a pass takes three times as long as before. A bound from before the break lets twice as many streams in as the
+// group can keep pace with, and all of them are late.
+TEST(ConcurrencyGovernorTest, StartsLowAfterARestart)
+{
+    constexpr std::uint32_t places = 192;
+    constexpr std::chrono::milliseconds target{120};
+    ConcurrencyGovernor governor;
+    EXPECT_GT(governor.limit(places), places);
+    governor.restart();
+    // 90 ms and 0.3 ms more for each request: 100 requests reach the target.
+    EXPECT_LT(milliseconds(90) + std::chrono::microseconds(300) * governor.limit(places), target);
+    // Short pauses raise it again within seconds.
+    auto now = start;
+    for (int window = 0; window < 24; ++window) {
+        for (int sample = 0; sample < 10; ++sample) {
+            governor.onPause(milliseconds(50), target, now);
+        }
+        now += milliseconds(260);
+        governor.update(governor.limit(places), places, now);
+    }
+    EXPECT_GT(governor.limit(places), places);
+    // A bound that is lower already stays.
+    for (int window = 0; window < 40; ++window) {
+        for (int sample = 0; sample < 10; ++sample) {
+            governor.onPause(milliseconds(300), target, now);
+        }
+        now += milliseconds(260);
+        governor.update(governor.limit(places), places, now);
+    }
+    const auto low = governor.limit(places);
+    governor.restart();
+    EXPECT_EQ(governor.limit(places), low);
+}
+
 // Guards against a bound that stays low after the overload is over.
 TEST(ConcurrencyGovernorTest, GrowsAgainWhenPausesAreShort)
 {
