--- a/modules/hornbeamlane_network/loop/EventLoop.cpp
+++ b/modules/hornbeamlane_network/loop/EventLoop.cpp
@@ -117,7 +117,8 @@
     entry.handler = std::move(handler);
     entry.handle.reset(evsignal_new(
         implementation_->base, signalNumber,
-        [](evutil_socket_t, short, void *context) { static_cast<Implementation::SignalHandler *>(context)->handler(); }, &entry));
+        [](evutil_socket_t, short, void *context) { static_cast<Implementation::SignalHandler *>(context)->handler(); },
+        &entry));
     evsignal_add(entry.handle.get(), nullptr);
 }
 
--- a/tests/dispatch/QueueAndBudgetTest.cpp
+++ b/tests/dispatch/QueueAndBudgetTest.cpp
@@ -81,8 +81,8 @@
 }
 
 // Load pattern "all callers come back to a group that has formed again": its experts are placed anew, without regard to
-// demand, so a pass takes three times as long as before. A bound from before the break lets twice as many streams in as the
-// group can keep pace with, and all of them are late.
+// demand, so a pass takes three times as long as before. A bound from before the break lets twice as many streams in as
+// the group can keep pace with, and all of them are late.
 TEST(ConcurrencyGovernorTest, StartsLowAfterARestart)
 {
     constexpr std::uint32_t places = 192;
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -277,9 +277,8 @@
     GroupPlace place{.group = GroupId("g"), .epoch = 1, .rank = 0, .size = 2, .isOpen = true};
     addServer(server, "s1", place);
     // The server takes eight and queues two more.
-    std::vector<std::shared_ptr<CallerAnswer>> running;
     for (int i = 0; i < 10; ++i) {
-        running.push_back(send("GET", "/look/"));
+        send("GET", "/look/");
     }
     runUntil([&] { return server.requests() == 10; });
     const auto waiting = send("GET", "/look/");
