Spread the first requests of all entries to a cold server

Each of 44 entries started with the right to one request, and a server without load is everybody's first choice; rights that were saved while demand was low could be used together as well. Change: an entry gets turns at a cold server one period apart, the first at a random time within one period, and a turn that is not used within 150 ms is lost. This replaces the saved credit.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -97,27 +97,33 @@
     return backend.inFlight() >= places;
 }
 
-double BackendBook::coldRateShare(const Backend &backend) const
+Duration BackendBook::coldPeriod(const Backend &backend) const
 {
     const auto found = warmups_.find(backend.spec.service);
-    return found == warmups_.end() ? 0 : found->second.requestsPerSecond / options_.entryCount;
-}
-
-/** Requests that may be sent at once; kept small, because the bursts of all entries may fall together. */
-double BackendBook::coldBurst(const Backend &backend) const
-{
-    return std::max(1.0, coldRateShare(backend) / 4);
-}
-
-double BackendBook::coldCredit(const Backend &backend, TimePoint now) const
-{
-    const auto elapsed = std::chrono::duration<double>(now - backend.coldCreditAt).count();
-    return std::min(coldBurst(backend), backend.coldCredit + elapsed * coldRateShare(backend));
+    if (found == warmups_.end() || found->second.requestsPerSecond <= 0) {
+        return Duration::zero();
+    }
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(options_.entryCount / found->second.requestsPerSecond));
 }
 
-bool BackendBook::isColdFull(const Backend &backend, TimePoint now) const
+bool BackendBook::isColdFull(Backend &backend, TimePoint now, RandomSource &random) const
 {
-    return now < backend.coldUntil && coldRateShare(backend) > 0 && coldCredit(backend, now) < 1;
+    const auto period = coldPeriod(backend);
+    if (now >= backend.coldUntil || period <= Duration::zero()) {
+        backend.coldSlotAt.reset();
+        return false;
+    }
+    // The first turns of all entries are spread over one period. A server that has just come is everybody's first
+    // choice, so that many entries with one request each would exceed its rate at once.
+    if (!backend.coldSlotAt) {
+        backend.coldSlotAt =
+            now + Duration(static_cast<Duration::rep>(random.below(static_cast<std::uint64_t>(period.count()))));
+    }
+    while (now >= *backend.coldSlotAt + options_.coldTurnTime) {
+        *backend.coldSlotAt += period;
+    }
+    return now < *backend.coldSlotAt;
 }
 
 double BackendBook::failureShare(const Backend &backend, TimePoint now) const
@@ -147,7 +153,7 @@
     bool anyForming = false;
     bool anyOpen = false;
     bool anyNotExcluded = false;
-    for (const auto &[id, backend] : backends_) {
+    for (auto &[id, backend] : backends_) {
         if (backend.spec.service != request.service || !isUsable(backend, now)
             || (request.allowed != nullptr && !request.allowed->contains(backend.spec.dataCentre))) {
             continue;
@@ -165,7 +171,7 @@
             continue;
         }
         anyNotExcluded = true;
-        if (isFull(backend) || isColdFull(backend, now)) {
+        if (isFull(backend) || isColdFull(backend, now, random)) {
             continue;
         }
         auto &list = now < backend.avoidUntil ? avoided : candidates;
@@ -198,7 +204,7 @@
     return found == backends_.end() ? nullptr : &found->second;
 }
 
-void BackendBook::onSent(const ServerId &server, TimePoint now)
+void BackendBook::onSent(const ServerId &server)
 {
     const auto found = backends_.find(server);
     if (found == backends_.end()) {
@@ -206,9 +212,8 @@
     }
     auto &backend = found->second;
     ++backend.ownInFlight;
-    if (now < backend.coldUntil) {
-        backend.coldCredit = coldCredit(backend, now) - 1;
-        backend.coldCreditAt = now;
+    if (backend.coldSlotAt) {
+        *backend.coldSlotAt += coldPeriod(backend);
     }
 }
 
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -60,9 +60,8 @@
     /** It gets no work before this time unless no other server can take it. */
     TimePoint avoidUntil;
     std::uint32_t failuresInRow = 0;
-    /** Requests that a cold server may still be sent at coldCreditAt. */
-    double coldCredit = 1;
-    TimePoint coldCreditAt;
+    /** From then on this entry may send the next request to the cold server; empty before the first choice. */
+    std::optional<TimePoint> coldSlotAt;
     bool isGone = false;
 
     std::uint32_t inFlight() const
@@ -101,6 +100,9 @@
         double distancePenalty = 0.02;
         /** Longest time for which a rank's word that its group is broken counts; the group's entries follow by then. */
         std::chrono::milliseconds stalledGroupTime{3000};
+        /** Time for which an entry may use its turn at a cold server; turns kept for longer could all be used at once.
+         */
+        std::chrono::milliseconds coldTurnTime{150};
         /** Entries that share the bounds of a cold server; see setEntryCount(). */
         std::uint32_t entryCount = 16;
     };
@@ -150,7 +152,7 @@
     /** Why and on what the last choice was made, for the log. */
     const Backend *find(const ServerId &server) const;
 
-    void onSent(const ServerId &server, TimePoint now);
+    void onSent(const ServerId &server);
     void onEnded(const ServerId &server, BackendOutcome outcome, TimePoint now);
 
     /** The server says that it is cold for this time. */
@@ -195,10 +197,9 @@
     bool isUsable(const Backend &backend, TimePoint now) const;
     bool isGroupOpen(const Backend &backend, TimePoint now) const;
     bool isFull(const Backend &backend) const;
-    double coldCredit(const Backend &backend, TimePoint now) const;
-    double coldRateShare(const Backend &backend) const;
-    double coldBurst(const Backend &backend) const;
-    bool isColdFull(const Backend &backend, TimePoint now) const;
+    /** Time between two requests of this entry to a cold server; zero if its rate is not limited. */
+    Duration coldPeriod(const Backend &backend) const;
+    bool isColdFull(Backend &backend, TimePoint now, RandomSource &random) const;
     double failureShare(const Backend &backend, TimePoint now) const;
     double score(const Backend &backend, const Request &request, TimePoint now) const;
     void countFailure(Backend &backend, bool isUnreachable, TimePoint now);
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -277,7 +277,7 @@
     sending.connection = gateway_.pool_.acquire(server, sending.address);
     tried_.push_back(server);
     ++sends_;
-    gateway_.backends_.onSent(server, sending.startedAt);
+    gateway_.backends_.onSent(server);
     gateway_.stateOf(service_).starts.count(sending.startedAt);
     gateway_.peers_.markChanged();
     // The request outlives the connection, which it owns; the callbacks end with the connection. A reference held by
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -90,7 +90,7 @@
     for (int ms = 0; ms < 1000; ++ms) {
         const auto now = start + milliseconds(ms);
         if (choose(now)) {
-            book_.onSent(ServerId("a"), now);
+            book_.onSent(ServerId("a"));
             book_.onEnded(ServerId("a"), BackendOutcome::Served, now);
             ++sent;
         }
@@ -99,6 +99,52 @@
     EXPECT_LE(sent * entries, bound);
 }
 
+// Load pattern "a cold server among many entries": each of 44 entries sent it one request at once when it came, as the
+// server with the least load, and again whenever all had saved a turn; it may get 15 a second, half as many more and 5.
+TEST(ColdServerTest, KeepsItsRateAmongManyEntries)
+{
+    constexpr std::uint32_t entries = 44;
+    constexpr double rate = 15;
+    constexpr double bound = rate * 1.5 + 5;
+    constexpr milliseconds warmup{6000};
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        std::vector<BackendBook> books(entries, BackendBook({.entryCount = entries}));
+        std::vector<RandomSource> randoms;
+        randoms.reserve(entries);
+        for (std::uint32_t i = 0; i < entries; ++i) {
+            randoms.emplace_back(seed * 1000 + i);
+            books[i].setWarmup(pool, seconds(6), rate);
+            auto cold = server("a");
+            cold.warmupLeft = warmup;
+            books[i].update(cold, start);
+        }
+        std::vector<int> sentAt(static_cast<std::size_t>(warmup.count()));
+        for (int ms = 0; ms < warmup.count(); ++ms) {
+            // Full demand, then hardly any, then full demand again.
+            const bool isBusy = ms < 2000 || ms >= 4000;
+            for (std::uint32_t i = 0; i < entries; ++i) {
+                const auto now = start + milliseconds(ms);
+                const bool asks = isBusy || randoms[i].below(1000) == 0;
+                if (asks && books[i].choose({.service = pool, .dataCentre = here}, now, randoms[i])) {
+                    books[i].onSent(ServerId("a"));
+                    books[i].onEnded(ServerId("a"), BackendOutcome::Served, now);
+                    ++sentAt[static_cast<std::size_t>(ms)];
+                }
+            }
+        }
+        int inWindow = 0;
+        int most = 0;
+        int total = 0;
+        for (std::size_t ms = 0; ms < sentAt.size(); ++ms) {
+            total += sentAt[ms];
+            inWindow += sentAt[ms] - (ms >= 1000 ? sentAt[ms - 1000] : 0);
+            most = std::max(most, inWindow);
+        }
+        EXPECT_LE(most, bound) << "seed " << seed;
+        EXPECT_GT(total, rate * 4 * 0.8) << "seed " << seed;
+    }
+}
+
 // Guards against requests for a group that has lost a rank: each of them would wait for a stall and then be rejected.
 TEST_F(BackendBookTest, SkipsBrokenGroups)
 {
@@ -181,12 +227,12 @@
     for (int i = 0; i < 3; ++i) {
         const auto chosen = choose();
         ASSERT_EQ(chosen, ServerId("b"));
-        book_.onSent(*chosen, start);
+        book_.onSent(*chosen);
     }
-    book_.onSent(ServerId("a"), start);
-    book_.onSent(ServerId("b"), start);
-    book_.onSent(ServerId("a"), start);
-    book_.onSent(ServerId("b"), start);
+    book_.onSent(ServerId("a"));
+    book_.onSent(ServerId("b"));
+    book_.onSent(ServerId("a"));
+    book_.onSent(ServerId("b"));
     EXPECT_FALSE(choose());
     EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::AllFull);
 }
@@ -203,7 +249,7 @@
         ASSERT_TRUE(chosen);
         const bool isGrey = *chosen == ServerId("grey");
         toGrey += isGrey ? 1 : 0;
-        book_.onSent(*chosen, now);
+        book_.onSent(*chosen);
         book_.onEnded(*chosen, isGrey ? BackendOutcome::Failed : BackendOutcome::Served, now);
     }
     EXPECT_LT(toGrey, 40);
@@ -215,7 +261,7 @@
 {
     book_.update(server("a"), start);
     book_.update(server("b"), start);
-    book_.onSent(ServerId("a"), start);
+    book_.onSent(ServerId("a"));
     book_.onEnded(ServerId("a"), BackendOutcome::Unreachable, start);
     for (int i = 0; i < 10; ++i) {
         EXPECT_EQ(choose(start + milliseconds(100)), ServerId("b"));
