--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -98,7 +98,7 @@
         double failurePenalty = 3.0;
         /** Load over slots that a server in another data centre costs. */
         double distancePenalty = 0.02;
-        /** Longest time for which a rank's word that its group is broken counts; the group's entries follow by then. */
+        /** Longest time for which a group stays closed after a rank's rejection; the group's entries follow by then. */
         std::chrono::milliseconds stalledGroupTime{3000};
         /** Time for which an entry may use its turn at a cold server; turns kept for longer could all be used at once.
          */
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -80,7 +80,7 @@
     void handleStatusRequest(const std::shared_ptr<Http1Exchange> &exchange);
     ServiceState &stateOf(const ServiceId &service);
     void serveQueue(const ServiceId &service);
-    /** Restarts the pace of the service when a group has formed again. */
+    /** Restarts the governor of the service when a group has formed again or is seen for the first time. */
     void noteGroupEpoch(const ServiceId &service, const GroupPlace &place);
     /** Whether the service has as many requests as its pace allows; late ones leave room for those that are not. */
     bool isAtLimit(const ServiceId &service, bool isLate);
