Look at the epochs of groups only when servers change

The load messages of other entries, many times a second, looked up the epoch of each server's group again, though only the entries of servers change it. The messages now have a function of their own; serving all queues is written once. Behaviour is the same. An accessor that nothing calls is removed.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -71,7 +71,7 @@
               .isMapHolder = std::move(hooks.isMapHolder),
               .tableVersions = std::move(hooks.tableVersions),
               .peerVersions = std::move(hooks.peerVersions),
-              .changed = [this] { serversChanged(); }})
+              .changed = [this] { peerLoadsChanged(); }})
     , callers_(loop,
                {.limits =
                     [this] {
@@ -187,11 +187,23 @@
 void Gateway::serversChanged()
 {
     for (const auto &[id, backend] : backends_.all()) {
-        backends_.setPeersInFlight(id, peers_.loads().sumFor(hashOfServer(id)));
         if (backend.spec.group && backend.spec.group->isOpen) {
             noteGroupEpoch(backend.spec.service, *backend.spec.group);
         }
     }
+    peerLoadsChanged();
+}
+
+void Gateway::peerLoadsChanged()
+{
+    for (const auto &[id, backend] : backends_.all()) {
+        backends_.setPeersInFlight(id, peers_.loads().sumFor(hashOfServer(id)));
+    }
+    serveQueues();
+}
+
+void Gateway::serveQueues()
+{
     for (auto &[service, state] : services_) {
         serveQueue(service);
     }
@@ -289,9 +301,7 @@
         stateLoggedAt_ = now;
         logServiceStates();
     }
-    for (auto &[service, state] : services_) {
-        serveQueue(service);
-    }
+    serveQueues();
 }
 
 void Gateway::logServiceStates()
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -45,7 +45,7 @@
         return peers_;
     }
 
-    /** Servers, load or health have changed, so waiting requests may find a place. */
+    /** Servers or their groups have changed, so waiting requests may find a place. */
     void serversChanged();
 
     bool isReady() const;
@@ -59,11 +59,6 @@
     /** Engine of a service; empty if it has none. */
     std::optional<EngineModel> engineOf(const ServiceId &service) const;
 
-    const GatewaySettings &settings() const
-    {
-        return settings_;
-    }
-
 private:
     friend class ForwardedRequest;
 
@@ -79,7 +74,10 @@
     void handle(const std::shared_ptr<Http1Exchange> &exchange);
     void handleStatusRequest(const std::shared_ptr<Http1Exchange> &exchange);
     ServiceState &stateOf(const ServiceId &service);
+    /** Another entry has told its load; comes many times a second with many entries. */
+    void peerLoadsChanged();
     void serveQueue(const ServiceId &service);
+    void serveQueues();
     /** Restarts the governor of the service when a group has formed again or is seen for the first time. */
     void noteGroupEpoch(const ServiceId &service, const GroupPlace &place);
     /** Whether the service has as many requests as its pace allows; late ones leave room for those that are not. */
