Parse socket addresses, find headers and reset connections in one place each

Five places turned "<ip>:<port>" into a socket address, five asked for the port of a socket, two set the option that resets a connection, two searched headers without regard to case and two split a time into seconds. Each is one function now, in hornbeamlane_network/socket and HttpMessages. Removed, because nothing uses them: the caller's address, the reason and length of a response, the callback for idle connections that close, the state of having connected, and the count of connections to a server.

--- a/modules/hornbeamlane_gateway/backends/BackendPool.cpp
+++ b/modules/hornbeamlane_gateway/backends/BackendPool.cpp
@@ -18,7 +18,6 @@
         connections.idle.clear();
         connections.address = address;
     }
-    ++connections.busy;
     const auto now = loop_.now();
     // The connection used last is the one that the server closes last.
     while (!connections.idle.empty()) {
@@ -31,17 +30,13 @@
     }
     ++counters_.opened;
     return std::make_unique<Http1ClientConnection>(
-        loop_,
-        Http1ClientConnection::Options{.address = address, .peerTimeout = options_.peerTimeout, .closedWhileIdle = {}});
+        loop_, Http1ClientConnection::Options{.address = address, .peerTimeout = options_.peerTimeout});
 }
 
 void BackendPool::release(const ServerId &server, const std::string &address,
                           std::unique_ptr<Http1ClientConnection> connection)
 {
     const auto found = servers_.find(server);
-    if (found != servers_.end()) {
-        found->second.busy -= std::min<std::size_t>(found->second.busy, 1);
-    }
     if (found == servers_.end() || found->second.address != address || !connection->isReusable()) {
         discard(std::move(connection));
         return;
@@ -58,12 +53,6 @@
         {.connection = std::move(connection), .expiresAt = loop_.now() + (allowed - options_.idleMargin)});
 }
 
-std::size_t BackendPool::connectionCount(const ServerId &server) const
-{
-    const auto found = servers_.find(server);
-    return found == servers_.end() ? 0 : found->second.idle.size() + found->second.busy;
-}
-
 void BackendPool::forget(const ServerId &server)
 {
     servers_.erase(server);
--- a/modules/hornbeamlane_gateway/backends/BackendPool.h
+++ b/modules/hornbeamlane_gateway/backends/BackendPool.h
@@ -38,9 +38,6 @@
     /** Keeps the connection for the next request if it can carry one. */
     void release(const ServerId &server, const std::string &address, std::unique_ptr<Http1ClientConnection> connection);
 
-    /** Connections to the server that carry requests or are kept. */
-    std::size_t connectionCount(const ServerId &server) const;
-
     void forget(const ServerId &server);
 
     /** Closes connections that have been idle for too long. */
@@ -62,7 +59,6 @@
     {
         std::string address;
         std::vector<Idle> idle;
-        std::size_t busy = 0;
     };
 
     /** Destroys a connection outside its own callbacks. */
--- a/modules/hornbeamlane_gateway/peers/DatagramSocket.cpp
+++ b/modules/hornbeamlane_gateway/peers/DatagramSocket.cpp
@@ -1,11 +1,10 @@
 #include "hornbeamlane_gateway/peers/DatagramSocket.h"
 
-#include "hornbeamlane_network/http/HttpCall.h"
+#include "hornbeamlane_network/socket/SocketAddress.h"
 
 #include <event2/event.h>
 
 #include <array>
-#include <optional>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -19,18 +18,6 @@
 
 constexpr std::size_t maxDatagramBytes = 64 * 1024;
 
-std::optional<sockaddr_in> parseAddress(const std::string &address)
-{
-    const auto parts = splitAddress(address);
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    if (!parts || inet_pton(AF_INET, parts->first.c_str(), &result.sin_addr) != 1) {
-        return std::nullopt;
-    }
-    result.sin_port = htons(parts->second);
-    return result;
-}
-
 std::string formatAddress(const sockaddr_in &address)
 {
     std::array<char, INET_ADDRSTRLEN> text{};
@@ -80,7 +67,7 @@
 
 bool DatagramSocket::bind(const std::string &address)
 {
-    const auto target = parseAddress(address);
+    const auto target = toSocketAddress(address);
     if (!target) {
         return false;
     }
@@ -98,15 +85,12 @@
 
 std::uint16_t DatagramSocket::port() const
 {
-    sockaddr_in address{};
-    socklen_t length = sizeof(address);
-    getsockname(implementation_->socket, reinterpret_cast<sockaddr *>(&address), &length);
-    return ntohs(address.sin_port);
+    return boundPort(implementation_->socket);
 }
 
 void DatagramSocket::send(const std::string &address, std::string_view bytes)
 {
-    const auto target = parseAddress(address);
+    const auto target = toSocketAddress(address);
     if (target && implementation_->socket >= 0) {
         // A lost datagram is replaced by the next one, so a failure to send needs no handling.
         sendto(implementation_->socket, bytes.data(), bytes.size(), MSG_DONTWAIT,
--- a/modules/hornbeamlane_network/http/HttpMessages.cpp
+++ b/modules/hornbeamlane_network/http/HttpMessages.cpp
@@ -1,21 +1,32 @@
 #include "hornbeamlane_network/http/HttpMessages.h"
 
-#include <strings.h>
-
 #include <algorithm>
 #include <cctype>
 #include <charconv>
 
 namespace hornbeamlane {
 
-std::optional<std::string> HttpRequest::header(std::string_view name) const
+bool isSameHeader(std::string_view first, std::string_view second)
+{
+    return first.size() == second.size() && std::equal(first.begin(), first.end(), second.begin(), [](char a, char b) {
+               return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
+           });
+}
+
+const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
 {
     for (const auto &[key, value] : headers) {
-        if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0) {
-            return value;
+        if (isSameHeader(key, name)) {
+            return &value;
         }
     }
-    return std::nullopt;
+    return nullptr;
+}
+
+std::optional<std::string> HttpRequest::header(std::string_view name) const
+{
+    const auto *value = findHeader(headers, name);
+    return value == nullptr ? std::nullopt : std::optional(*value);
 }
 
 std::string percentEncode(std::string_view text)
--- a/modules/hornbeamlane_network/http/HttpMessages.h
+++ b/modules/hornbeamlane_network/http/HttpMessages.h
@@ -10,6 +10,12 @@
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/** Value of the first header of that name, in any case of letters. */
+const std::string *findHeader(const HttpHeaders &headers, std::string_view name);
+
+/** Whether two header names are the same; letters compare in any case. */
+bool isSameHeader(std::string_view first, std::string_view second);
+
 /** A complete request as received. */
 struct HttpRequest
 {
--- a/modules/hornbeamlane_network/http/HttpServer.cpp
+++ b/modules/hornbeamlane_network/http/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamlane_network/http/HttpServer.h"
 
+#include "hornbeamlane_network/socket/SocketAddress.h"
+
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -359,10 +361,7 @@
     if (implementation_->socket == nullptr) {
         return false;
     }
-    sockaddr_in bound{};
-    socklen_t length = sizeof(bound);
-    getsockname(evhttp_bound_socket_get_fd(implementation_->socket), reinterpret_cast<sockaddr *>(&bound), &length);
-    implementation_->port = ntohs(bound.sin_port);
+    implementation_->port = boundPort(evhttp_bound_socket_get_fd(implementation_->socket));
     return true;
 }
 
--- a/modules/hornbeamlane_network/http1/Http1Caller.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Caller.cpp
@@ -41,8 +41,7 @@
         }
     }
     return std::make_unique<Http1ClientConnection>(
-        loop_,
-        Http1ClientConnection::Options{.address = call.address, .peerTimeout = call.timeout, .closedWhileIdle = {}});
+        loop_, Http1ClientConnection::Options{.address = call.address, .peerTimeout = call.timeout});
 }
 
 void Http1Caller::call(const Call &call, Handler handler)
--- a/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
@@ -1,8 +1,8 @@
 #include "hornbeamlane_network/http1/Http1ClientConnection.h"
 
-#include "hornbeamlane_network/http/HttpCall.h"
 #include "hornbeamlane_network/http1/Http1Readers.h"
-#include "hornbeamlane_network/http1/SocketOptions.h"
+#include "hornbeamlane_network/socket/SocketAddress.h"
+#include "hornbeamlane_network/socket/SocketOptions.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -75,15 +75,14 @@
     void cancel()
     {
         close();
-        options.closedWhileIdle = {};
         // One of the callbacks may be running, so they are destroyed on the next turn.
         loop.post([kept = std::exchange(callbacks, {})] {});
     }
 
     bool open()
     {
-        const auto parts = splitAddress(options.address);
-        if (!parts) {
+        const auto target = toSocketAddress(options.address);
+        if (!target) {
             return false;
         }
         stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
@@ -91,7 +90,7 @@
         const auto timeout = toTimeval(options.peerTimeout);
         bufferevent_set_timeouts(stream, nullptr, &timeout);
         bufferevent_enable(stream, EV_READ | EV_WRITE);
-        if (!connectStream(stream, parts->first, parts->second)) {
+        if (!connectStream(stream, *target)) {
             return false;
         }
         setPeerTimeout(bufferevent_getfd(stream), options.peerTimeout);
@@ -192,7 +191,7 @@
         // Callbacks may drop the last outside reference.
         const auto self = shared_from_this();
         if (state == State::Idle) {
-            closeIdle();
+            close();
             return;
         }
         while (state == State::Busy && stream != nullptr) {
@@ -211,27 +210,16 @@
         }
     }
 
-    void closeIdle()
-    {
-        close();
-        if (options.closedWhileIdle) {
-            // Copied: the handler may destroy this object.
-            const auto handler = options.closedWhileIdle;
-            handler();
-        }
-    }
-
     void handleEvent(short events)
     {
         const auto self = shared_from_this();
         if ((events & BEV_EVENT_CONNECTED) != 0) {
-            isConnected = true;
             // From here on the socket's own time limit covers unacknowledged bytes; a slow reader is no failure.
             bufferevent_set_timeouts(stream, nullptr, nullptr);
             return;
         }
         if (state == State::Idle) {
-            closeIdle();
+            close();
             return;
         }
         if (state != State::Busy) {
@@ -270,7 +258,6 @@
     std::size_t requestBytes = 0;
     bool isHeadAccepted = false;
     bool isHeadRejected = false;
-    bool isConnected = false;
     std::optional<std::chrono::seconds> keepAlive;
 };
 
@@ -318,9 +305,4 @@
     }
 }
 
-bool Http1ClientConnection::hasConnected() const
-{
-    return implementation_->isConnected;
-}
-
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_network/http1/Http1ClientConnection.h
+++ b/modules/hornbeamlane_network/http1/Http1ClientConnection.h
@@ -31,8 +31,6 @@
         std::string address;
         /** Time after which unacknowledged bytes or a pending connect end the connection. */
         std::chrono::milliseconds peerTimeout{1500};
-        /** Called once when an idle connection ends. */
-        std::function<void()> closedWhileIdle;
     };
 
     struct Request
@@ -71,8 +69,6 @@
     void pauseReading();
     void resumeReading();
 
-    bool hasConnected() const;
-
 private:
     struct Implementation;
     std::shared_ptr<Implementation> implementation_;
--- a/modules/hornbeamlane_network/http1/Http1Messages.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Messages.cpp
@@ -2,27 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace hornbeamlane {
 
-bool isSameHeader(std::string_view first, std::string_view second)
-{
-    return first.size() == second.size() && std::equal(first.begin(), first.end(), second.begin(), [](char a, char b) {
-               return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
-           });
-}
-
-const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
-{
-    for (const auto &[key, value] : headers) {
-        if (isSameHeader(key, name)) {
-            return &value;
-        }
-    }
-    return nullptr;
-}
-
 bool isHopByHopHeader(std::string_view name)
 {
     static constexpr std::array<std::string_view, 11> names = {
--- a/modules/hornbeamlane_network/http1/Http1Messages.h
+++ b/modules/hornbeamlane_network/http1/Http1Messages.h
@@ -2,19 +2,11 @@
 
 #include "hornbeamlane_network/http/HttpMessages.h"
 
-#include <cstddef>
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace hornbeamlane {
 
-/** Value of the first header of that name, in any case of letters. */
-const std::string *findHeader(const HttpHeaders &headers, std::string_view name);
-
-/** Whether two header names are the same; letters compare in any case. */
-bool isSameHeader(std::string_view first, std::string_view second);
-
 /** Whether the header concerns one connection only and must not be passed on. */
 bool isHopByHopHeader(std::string_view name);
 
@@ -45,11 +37,8 @@
 struct Http1ResponseHead
 {
     int status = 0;
-    std::string reason;
     HttpHeaders headers;
     bool isKeepAlive = true;
-    /** Length of the body if it is stated. */
-    std::optional<std::size_t> contentLength;
 
     const std::string *header(std::string_view name) const
     {
--- a/modules/hornbeamlane_network/http1/Http1Readers.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Readers.cpp
@@ -149,15 +149,9 @@
     void takeHead()
     {
         const auto &message = parser->get();
-        Http1ResponseHead result{.status = static_cast<int>(message.result_int()),
-                                 .reason = std::string(message.reason()),
+        head = Http1ResponseHead{.status = static_cast<int>(message.result_int()),
                                  .headers = copyHeaders(message),
-                                 .isKeepAlive = parser->keep_alive(),
-                                 .contentLength = std::nullopt};
-        if (const auto length = parser->content_length()) {
-            result.contentLength = static_cast<std::size_t>(*length);
-        }
-        head = std::move(result);
+                                 .isKeepAlive = parser->keep_alive()};
     }
 };
 
--- a/modules/hornbeamlane_network/http1/Http1Server.h
+++ b/modules/hornbeamlane_network/http1/Http1Server.h
@@ -23,9 +23,6 @@
 
     const Http1Request &request() const;
 
-    /** Address of the caller's end of the connection. */
-    const std::string &callerAddress() const;
-
     /** Sends a complete answer. */
     void reply(int status, const HttpHeaders &headers, std::string_view body);
 
--- a/modules/hornbeamlane_network/link/Link.cpp
+++ b/modules/hornbeamlane_network/link/Link.cpp
@@ -1,7 +1,7 @@
 #include "hornbeamlane_network/link/Link.h"
 
-#include "hornbeamlane_network/http/HttpCall.h"
 #include "hornbeamlane_network/loop/Timer.h"
+#include "hornbeamlane_network/socket/SocketAddress.h"
 #include "websocket_session/WebSocketSession.h"
 
 #include <arpa/inet.h>
@@ -254,16 +254,8 @@
     const auto state = std::make_shared<Implementation>(loop, std::move(options), std::move(callbacks));
     state->target = address;
     state->setUp(-1);
-    const auto parts = splitAddress(address);
-    sockaddr_in peerAddress{};
-    peerAddress.sin_family = AF_INET;
-    if (parts) {
-        peerAddress.sin_port = htons(parts->second);
-    }
-    const bool isValid = parts && inet_pton(AF_INET, parts->first.c_str(), &peerAddress.sin_addr) == 1;
-    if (!isValid
-        || bufferevent_socket_connect(state->stream, reinterpret_cast<sockaddr *>(&peerAddress), sizeof(peerAddress))
-            != 0) {
+    const auto peerAddress = toSocketAddress(address);
+    if (!peerAddress || !connectStream(state->stream, *peerAddress)) {
         loop.post([state] { state->end(LinkEnd::ConnectFailed); });
     }
     return std::make_unique<Link>(state);
--- a/modules/hornbeamlane_network/link/LinkListener.cpp
+++ b/modules/hornbeamlane_network/link/LinkListener.cpp
@@ -1,8 +1,7 @@
 #include "hornbeamlane_network/link/LinkListener.h"
 
-#include "hornbeamlane_network/http/HttpCall.h"
+#include "hornbeamlane_network/socket/SocketAddress.h"
 
-#include <arpa/inet.h>
 #include <event2/listener.h>
 
 namespace hornbeamlane {
@@ -29,26 +28,21 @@
 
 bool LinkListener::listen(const std::string &address)
 {
-    const auto parts = splitAddress(address);
-    sockaddr_in local{};
-    local.sin_family = AF_INET;
-    if (!parts || inet_pton(AF_INET, parts->first.c_str(), &local.sin_addr) != 1) {
+    const auto local = toSocketAddress(address);
+    if (!local) {
         return false;
     }
-    local.sin_port = htons(parts->second);
     implementation_->listener = evconnlistener_new_bind(
         implementation_->loop.base(),
         [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *context) {
             static_cast<Implementation *>(context)->handler(socket);
         },
         implementation_.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
-        reinterpret_cast<sockaddr *>(&local), sizeof(local));
+        reinterpret_cast<const sockaddr *>(&*local), sizeof(*local));
     if (implementation_->listener == nullptr) {
         return false;
     }
-    socklen_t length = sizeof(local);
-    getsockname(evconnlistener_get_fd(implementation_->listener), reinterpret_cast<sockaddr *>(&local), &length);
-    implementation_->port = ntohs(local.sin_port);
+    implementation_->port = boundPort(evconnlistener_get_fd(implementation_->listener));
     return true;
 }
 
--- a/modules/hornbeamlane_network/loop/Timer.cpp
+++ b/modules/hornbeamlane_network/loop/Timer.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamlane_network/loop/Timer.h"
 
+#include "hornbeamlane_network/socket/SocketOptions.h"
+
 #include <event2/event.h>
 
 namespace hornbeamlane {
@@ -13,9 +15,7 @@
 
     void start(Duration duration)
     {
-        const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
-        interval.tv_sec = static_cast<decltype(interval.tv_sec)>(micros / 1'000'000);
-        interval.tv_usec = static_cast<decltype(interval.tv_usec)>(micros % 1'000'000);
+        interval = toTimeval(std::chrono::duration_cast<std::chrono::microseconds>(duration));
         event_add(handle, &interval);
     }
 
--- a/modules/hornbeamlane_network/http1/SocketOptions.cpp
+++ b/modules/hornbeamlane_network/socket/SocketOptions.cpp
@@ -1,10 +1,7 @@
-#include "hornbeamlane_network/http1/SocketOptions.h"
-
-#include <event2/bufferevent.h>
+#include "hornbeamlane_network/socket/SocketOptions.h"
 
 #include <algorithm>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -18,17 +15,6 @@
     return {.tv_sec = seconds.count(), .tv_usec = (time - seconds).count()};
 }
 
-bool connectStream(bufferevent *stream, const std::string &address, std::uint16_t port)
-{
-    sockaddr_in target{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(port);
-    if (inet_pton(AF_INET, address.c_str(), &target.sin_addr) != 1) {
-        return false;
-    }
-    return bufferevent_socket_connect(stream, reinterpret_cast<sockaddr *>(&target), sizeof(target)) == 0;
-}
-
 void setPeerTimeout(evutil_socket_t socket, std::chrono::milliseconds timeout)
 {
     const int on = 1;
@@ -45,4 +31,10 @@
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
 
+void resetOnClose(evutil_socket_t socket)
+{
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 } // namespace hornbeamlane
--- a/testing/standins/ScriptedServer.cpp
+++ b/testing/standins/ScriptedServer.cpp
@@ -1,5 +1,8 @@
 #include "standins/ScriptedServer.h"
 
+#include "hornbeamlane_network/socket/SocketAddress.h"
+#include "hornbeamlane_network/socket/SocketOptions.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -67,8 +70,7 @@
     void reset() override
     {
         if (stream_ != nullptr) {
-            const linger now{.l_onoff = 1, .l_linger = 0};
-            setsockopt(bufferevent_getfd(stream_), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+            resetOnClose(bufferevent_getfd(stream_));
             free();
         }
     }
@@ -152,9 +154,8 @@
         },
         implementation_.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, reinterpret_cast<sockaddr *>(&address),
         sizeof(address));
-    socklen_t length = sizeof(address);
-    getsockname(evconnlistener_get_fd(implementation_->listener), reinterpret_cast<sockaddr *>(&address), &length);
-    implementation_->address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    implementation_->address =
+        "127.0.0.1:" + std::to_string(boundPort(evconnlistener_get_fd(implementation_->listener)));
 }
 
 ScriptedServer::~ScriptedServer()
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -103,9 +103,7 @@
     {
         auto result = std::make_shared<CallerAnswer>();
         auto &connection = callers_.emplace_back(std::make_unique<Http1ClientConnection>(
-            loop_,
-            Http1ClientConnection::Options{.address = "127.0.0.1:" + std::to_string(gateway_->callerPort()),
-                                           .closedWhileIdle = {}}));
+            loop_, Http1ClientConnection::Options{.address = "127.0.0.1:" + std::to_string(gateway_->callerPort())}));
         HttpHeaders headers = {{"Host", "h"},
                                {"X-Attempt-Id", "a" + std::to_string(++attempts_)},
                                {"X-Time-Left-Ms", timeLeft},
