--- a/modules/hornbeamlane_daemon/settings/SettingsFile.cpp
+++ b/modules/hornbeamlane_daemon/settings/SettingsFile.cpp
@@ -14,14 +14,12 @@
     if (path.empty()) {
         return nlohmann::json::object();
     }
-    std::ifstream file(path);
-    if (!file) {
+    const auto text = readWholeFile(path);
+    if (!text) {
         faults.push_back({DocumentFaultKind::NotJson, "", "cannot read the file " + path});
         return std::nullopt;
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    auto json = nlohmann::json::parse(text.str(), nullptr, false);
+    auto json = nlohmann::json::parse(*text, nullptr, false);
     if (json.is_discarded()) {
         faults.push_back({DocumentFaultKind::NotJson, "", path + " is not valid JSON"});
         return std::nullopt;
@@ -31,6 +29,17 @@
 
 } // namespace
 
+std::optional<std::string> readWholeFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 std::optional<std::string> readSettingsFile(const std::string &path, const SettingsOverrides &overrides,
                                             const std::function<void(detail::ObjectReader &)> &visitor,
                                             DocumentFaults &faults)
--- a/modules/hornbeamlane_daemon/settings/SettingsFile.h
+++ b/modules/hornbeamlane_daemon/settings/SettingsFile.h
@@ -16,6 +16,9 @@
 /** Values from the command line that replace values of the settings file, by field name. */
 using SettingsOverrides = std::map<std::string, std::string>;
 
+/** Reads a whole file; empty if it cannot be read. */
+std::optional<std::string> readWholeFile(const std::string &path);
+
 /**
     Reads a settings file, applies the overrides and lets the visitor read the fields.
 
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -31,8 +31,6 @@
     /** Address of the server because of which a request was rejected; another one than the rejecting server may be
      * lost. */
     std::string faultyServer = "X-Faulty-Server";
-    /** Running, waiting and slots of the server. */
-    std::string load = "X-Server-Load";
     /** Time for which the server stays cold, in milliseconds. */
     std::string warmup = "X-Warmup-Ms";
     /** Position in a stream after which it goes on. */
@@ -54,8 +52,6 @@
 {
     std::string name;
     DataCentreId dataCentre;
-    /** Region of each data centre. */
-    std::map<DataCentreId, RegionId> regions;
     /** "<ip>:<port>" for callers. */
     std::string callerAddress;
     /** "<ip>:<port>" for the balancer's readiness checks and for metrics. */
--- a/modules/hornbeamlane_gateway/state/TableFollower.cpp
+++ b/modules/hornbeamlane_gateway/state/TableFollower.cpp
@@ -152,7 +152,6 @@
 
 void TableFollower::noteAnswer()
 {
-    lastAnswer_ = loop_.now();
     pause_ = std::chrono::milliseconds(0);
     if (!isReachable_) {
         isReachable_ = true;
--- a/modules/hornbeamlane_gateway/state/TableFollower.h
+++ b/modules/hornbeamlane_gateway/state/TableFollower.h
@@ -90,17 +90,6 @@
     /** Another process has seen a row of this version; a wait that has not told of it by now is given up. */
     void onPeerVersion(RowVersion version);
 
-    bool hasSnapshot() const
-    {
-        return hasSnapshot_;
-    }
-
-    /** Time of the last answer. */
-    TimePoint lastAnswer() const
-    {
-        return lastAnswer_;
-    }
-
 private:
     void read();
     void watch();
@@ -131,7 +120,6 @@
     /** Number of the call whose answer counts; answers to calls that were given up are ignored. */
     std::uint64_t callNumber_ = 0;
     std::chrono::milliseconds pause_{0};
-    TimePoint lastAnswer_;
 };
 
 } // namespace hornbeamlane
