Choose a route's service in the core; move header rules out of ForwardedRequest

The choice among a route's weighted services is a decision without I/O and now has a test of its own. Behaviour is the same.

--- a/modules/hornbeamlane_dispatch/catalogue/RouteTable.cpp
+++ b/modules/hornbeamlane_dispatch/catalogue/RouteTable.cpp
@@ -69,4 +69,20 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
+ServiceId chooseService(const RouteSpec &route, RandomSource &random)
+{
+    std::uint64_t total = 0;
+    for (const auto &part : route.services) {
+        total += part.weight;
+    }
+    auto pick = total == 0 ? 0 : random.below(total);
+    for (const auto &part : route.services) {
+        if (pick < part.weight) {
+            return part.service;
+        }
+        pick -= part.weight;
+    }
+    return route.services.front().service;
+}
+
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_dispatch/catalogue/RouteTable.h
+++ b/modules/hornbeamlane_dispatch/catalogue/RouteTable.h
@@ -46,4 +46,7 @@
     std::unordered_map<ServiceId, const ServiceSpec *> services_;
 };
 
+/** Picks one of the route's services by their weights; the route names at least one. */
+ServiceId chooseService(const RouteSpec &route, RandomSource &random);
+
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -27,8 +27,6 @@
 /** Answers that are not streams are collected up to this size. */
 constexpr std::size_t maxCollectedBytes = 8 * 1024 * 1024;
 
-constexpr int statusMisdirected = 421;
-
 std::string formatMilliseconds(Duration time)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
@@ -40,11 +38,6 @@
     return failure == BackendBook::NoChoice::AllFull || failure == BackendBook::NoChoice::GroupForming;
 }
 
-bool isPromiseOfNotRun(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 } // namespace
 
 ForwardedRequest::ForwardedRequest(Gateway &gateway, std::shared_ptr<Http1Exchange> exchange)
@@ -108,19 +101,7 @@
         }
     }
     priority_ = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
-    std::uint64_t total = 0;
-    for (const auto &part : route_->services) {
-        total += part.weight;
-    }
-    auto pick = total == 0 ? 0 : gateway_.random_.below(total);
-    service_ = route_->services.front().service;
-    for (const auto &part : route_->services) {
-        if (pick < part.weight) {
-            service_ = part.service;
-            break;
-        }
-        pick -= part.weight;
-    }
+    service_ = chooseService(*route_, gateway_.random_);
     const auto stated = parseMilliseconds(request.header(names.timeLeft));
     isLate_ = stated && gateway_.isShortened(*route_, *stated);
     deadline_ = arrivedAt_ + std::min(stated.value_or(route_->timeout), route_->timeout);
@@ -246,14 +227,7 @@
 HttpHeaders ForwardedRequest::requestHeaders(const ServerId &server) const
 {
     const auto &names = gateway_.settings_.headers;
-    HttpHeaders headers;
-    for (auto &header : endToEndHeaders(exchange_->request().headers)) {
-        if (!isSameHeader(header.first, names.key) && !isSameHeader(header.first, names.timeLeft)
-            && !isSameHeader(header.first, names.team) && !isSameHeader(header.first, names.expectedServer)
-            && !isSameHeader(header.first, names.lastEventId)) {
-            headers.push_back(std::move(header));
-        }
-    }
+    auto headers = callerHeaders(exchange_->request().headers, names);
     headers.emplace_back(names.timeLeft, formatMilliseconds(std::max(Duration::zero(), deadline_ - now())));
     headers.emplace_back(names.expectedServer, server.name());
     if (team_ != nullptr) {
@@ -291,36 +265,24 @@
 
 bool ForwardedRequest::handleHead(const Http1ResponseHead &head)
 {
-    const auto *echoed = head.header(gateway_.settings_.headers.attemptId);
+    const auto &names = gateway_.settings_.headers;
+    const auto *echoed = head.header(names.attemptId);
     if (echoed != nullptr && *echoed != attemptId_) {
         logEvent(LogLevel::Warning, "answer_of_other_request",
                  {{"id", attemptId_}, {"server", send_->server.name()}, {"answered", *echoed}});
         return false;
     }
-    if (const auto left = parseMilliseconds(head.header(gateway_.settings_.headers.warmup))) {
+    if (const auto left = parseMilliseconds(head.header(names.warmup))) {
         gateway_.backends_.onWarmup(send_->server, *left, now());
     }
     send_->head = head;
-    send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head);
+    send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head, names);
     if (firstByteAt_ == TimePoint{}) {
         firstByteAt_ = now();
     }
     return true;
 }
 
-bool ForwardedRequest::isValidSuccess(const Http1ResponseHead &head) const
-{
-    const auto &names = gateway_.settings_.headers;
-    return head.header(names.signature) != nullptr && head.header(names.attemptId) != nullptr
-        && head.header("Content-Encoding") == nullptr;
-}
-
-bool ForwardedRequest::isNotRun(const Http1ResponseHead &head) const
-{
-    return head.status == statusMisdirected
-        || (isPromiseOfNotRun(head.status) && head.header(gateway_.settings_.headers.notRun) != nullptr);
-}
-
 void ForwardedRequest::handleData(std::string_view bytes)
 {
     if (send_->isStreamed) {
@@ -394,18 +356,19 @@
 
 void ForwardedRequest::handleCompleteAnswer()
 {
+    const auto &names = gateway_.settings_.headers;
     const auto &head = *send_->head;
     if (send_->isStreamed) {
         finishStream();
         return;
     }
-    if (isNotRun(head)) {
+    if (isNotRun(head, names)) {
         handleRejection();
         return;
     }
     ++runs_;
     const bool isSuccess = head.status / 100 == 2;
-    if ((isSuccess && !isValidSuccess(head)) || isPromiseOfNotRun(head.status)) {
+    if ((isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
         endSend(BackendOutcome::Failed);
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -74,8 +74,6 @@
     /** Sends the request again if it may be repeated and the retry budget allows it; refuses it otherwise. */
     void retryOrRefuse(GatewayRefusal reason);
     bool mayRepeat() const;
-    bool isValidSuccess(const Http1ResponseHead &head) const;
-    bool isNotRun(const Http1ResponseHead &head) const;
     void deliverAnswer();
     /** Longest time from now for which waiting for a place makes sense. */
     Duration longestWait(TimePoint time);
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
@@ -46,6 +46,33 @@
     return result;
 }
 
+HttpHeaders callerHeaders(const HttpHeaders &headers, const GatewayHeaders &names)
+{
+    auto result = endToEndHeaders(headers);
+    std::erase_if(result, [&names](const auto &header) {
+        return isSameHeader(header.first, names.key) || isSameHeader(header.first, names.timeLeft)
+            || isSameHeader(header.first, names.team) || isSameHeader(header.first, names.expectedServer)
+            || isSameHeader(header.first, names.lastEventId);
+    });
+    return result;
+}
+
+bool isPromiseOfNotRun(int status)
+{
+    return status == 408 || status == statusMisdirected || status == 429 || status == 503;
+}
+
+bool isNotRun(const Http1ResponseHead &head, const GatewayHeaders &names)
+{
+    return head.status == statusMisdirected || (isPromiseOfNotRun(head.status) && head.header(names.notRun) != nullptr);
+}
+
+bool isValidSuccess(const Http1ResponseHead &head, const GatewayHeaders &names)
+{
+    return head.header(names.signature) != nullptr && head.header(names.attemptId) != nullptr
+        && head.header("Content-Encoding") == nullptr;
+}
+
 std::optional<milliseconds> parseMilliseconds(const std::string *text)
 {
     if (text == nullptr) {
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.h
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamlane_gateway/GatewaySettings.h"
 #include "hornbeamlane_network/http1/Http1Messages.h"
 
 #include <chrono>
@@ -14,4 +15,19 @@
 /** A time in whole milliseconds; empty if the header is missing or no such time. */
 std::optional<std::chrono::milliseconds> parseMilliseconds(const std::string *text);
 
+/** Headers of a caller that a server gets: none of those that the gateway sets itself, and never the key. */
+HttpHeaders callerHeaders(const HttpHeaders &headers, const GatewayHeaders &names);
+
+/** Another server has the address. */
+constexpr int statusMisdirected = 421;
+
+/** Whether the status states that the request has not run and never will. */
+bool isPromiseOfNotRun(int status);
+
+/** Whether a server says that it has not run the request. */
+bool isNotRun(const Http1ResponseHead &head, const GatewayHeaders &names);
+
+/** Whether a success is the server's own answer with an unchanged body. */
+bool isValidSuccess(const Http1ResponseHead &head, const GatewayHeaders &names);
+
 } // namespace hornbeamlane
--- a/tests/dispatch/RouteTableTest.cpp
+++ b/tests/dispatch/RouteTableTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace hornbeamlane {
 namespace {
 
@@ -41,5 +43,21 @@
     EXPECT_EQ(routes.findTeam(""), nullptr);
 }
 
+// Guards against a split that sends requests to a service without weight, or not by the weights.
+TEST(RouteTableTest, DividesRequestsByWeight)
+{
+    RandomSource random(5);
+    const RouteSpec route{.services = {{.service = ServiceId("none"), .weight = 0},
+                                       {.service = ServiceId("few"), .weight = 1},
+                                       {.service = ServiceId("many"), .weight = 3}}};
+    constexpr int requests = 4000;
+    std::map<ServiceId, int> counts;
+    for (int i = 0; i < requests; ++i) {
+        ++counts[chooseService(route, random)];
+    }
+    EXPECT_EQ(counts[ServiceId("none")], 0);
+    EXPECT_NEAR(counts[ServiceId("many")], 0.75 * requests, 0.05 * requests);
+}
+
 } // namespace
 } // namespace hornbeamlane
