Let a lease end on the table service's clock

Change: the service tells its time in each reply. A lease row names the end of the lease on that clock, an upper bound from when the time was asked for; a contender compares it with a lower bound from when the answer came. Without a time the old waiting rule holds. Lease of 1 s renewed each 0.3 s; contenders spread their writes over 0.2 s.

--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -15,7 +15,9 @@
               .holder = options.self,
               .duration = options.leaseDuration,
               .renewInterval = options.renewInterval,
-              .readInterval = options.readInterval})
+              .readInterval = options.readInterval,
+              .takeoverDelay = std::chrono::milliseconds(options.self.value()
+                                                         % static_cast<std::uint64_t>(options.takeoverSpread.count()))})
     , timer_(loop, [this] { tick(); })
 {
 }
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -19,11 +19,13 @@
         /** Key of the lease row. */
         std::string leaseKey = "duties/expert-maps";
         Incarnation self;
-        std::chrono::milliseconds leaseDuration{1500};
-        std::chrono::milliseconds renewInterval{500};
-        std::chrono::milliseconds readInterval{400};
+        std::chrono::milliseconds leaseDuration{1000};
+        std::chrono::milliseconds renewInterval{300};
+        std::chrono::milliseconds readInterval{200};
+        /** The entries' writes to take over a lease that has ended are spread over this time. */
+        std::chrono::milliseconds takeoverSpread{200};
         /** While the holder is heard that recently, the lease row is not read. */
-        std::chrono::milliseconds holderSilence{900};
+        std::chrono::milliseconds holderSilence{600};
         /** Time between two looks at what is due; replies are handled at once. */
         std::chrono::milliseconds tickInterval{50};
         /** A holder whose lease ends because the store is away goes on for this time if nobody else takes over. */
--- a/modules/hornbeamlane_membership/lease/LeaseKeeper.cpp
+++ b/modules/hornbeamlane_membership/lease/LeaseKeeper.cpp
@@ -29,8 +29,7 @@
         if ((!wantsLease_ && !mustFree_) || now < nextReadAt_) {
             return std::nullopt;
         }
-        pending_ = Pending::Read;
-        return LeaseRequest{.key = options_.key, .write = std::nullopt};
+        return makeRead(now);
     }
     if (mustFree_) {
         if (!observedRow_ || observedRow_->holder != options_.holder) {
@@ -54,8 +53,7 @@
     if (now < nextReadAt_) {
         return std::nullopt;
     }
-    pending_ = Pending::Read;
-    return LeaseRequest{.key = options_.key, .write = std::nullopt};
+    return makeRead(now);
 }
 
 void LeaseKeeper::handleReply(const TableReply &reply, TimePoint now)
@@ -63,6 +61,9 @@
     HORNBEAMLANE_ASSERT(pending_ != Pending::None);
     const Pending pending = std::exchange(pending_, Pending::None);
     nextReadAt_ = now + options_.readInterval;
+    if (reply.serviceTime) {
+        serviceTime_ = {.time = *reply.serviceTime, .askedAt = askedAt_, .answeredAt = now};
+    }
     if (pending == Pending::Read) {
         if (reply.status == TableStatus::NotFound) {
             observe(RowVersion(), std::nullopt, now);
@@ -120,11 +121,20 @@
     wantsLease_ = true;
 }
 
+LeaseRequest LeaseKeeper::makeRead(TimePoint now)
+{
+    pending_ = Pending::Read;
+    askedAt_ = now;
+    return LeaseRequest{.key = options_.key, .write = std::nullopt};
+}
+
 LeaseRequest LeaseKeeper::makeWrite(Pending kind, const LeaseRow &row, TimePoint now)
 {
     pending_ = kind;
+    askedAt_ = now;
     LeaseRow numbered = row;
     if (kind != Pending::Free) {
+        numbered.expiresAt = expiryOfLeaseFrom(now);
         numbered.sequence = ++sequence_;
         sentAt_[sequence_] = now;
     }
@@ -175,7 +185,24 @@
         // The own holding time is over, so the new token has no other user.
         return true;
     }
-    return now - unchangedSince_ >= options_.takeoverWait(options_.duration);
+    const auto at = now - options_.takeoverDelay;
+    return hasExpired(*observedRow_, at) || at - unchangedSince_ >= options_.takeoverWait(options_.duration);
+}
+
+std::optional<std::chrono::milliseconds> LeaseKeeper::expiryOfLeaseFrom(TimePoint now) const
+{
+    if (!serviceTime_) {
+        return std::nullopt;
+    }
+    // The service answered at some time after it was asked, so this is the latest that its clock can show now.
+    const auto latest = serviceTime_->time + (now - serviceTime_->askedAt);
+    return std::chrono::ceil<std::chrono::milliseconds>(latest + options_.duration);
+}
+
+bool LeaseKeeper::hasExpired(const LeaseRow &row, TimePoint now) const
+{
+    // The service answered before its answer arrived, so this is the earliest that its clock can show now.
+    return row.expiresAt && serviceTime_ && serviceTime_->time + (now - serviceTime_->answeredAt) >= *row.expiresAt;
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_membership/lease/LeaseKeeper.h
+++ b/modules/hornbeamlane_membership/lease/LeaseKeeper.h
@@ -20,6 +20,9 @@
 /**
     Acquires, renews and releases one lease row by conditional writes.
 
+    Where the table service tells its time, the row names the end of the lease on that clock and a contender takes over
+    then; otherwise it takes over after it has seen the row unchanged for long enough.
+
     The owner sends the request that poll() returns and passes its reply to handleReply(); at most one request is
     outstanding. Holding ends by the holder's own clock, without any message.
 */
@@ -41,6 +44,8 @@
         std::function<Duration(Duration duration)> holdTime;
         /** How long a contender must see the row unchanged before it takes over. Default: 150 % of the duration. */
         std::function<Duration(Duration duration)> takeoverWait;
+        /** Wait of this contender after the end of a lease; different ones keep contenders from writing all at once. */
+        Duration takeoverDelay{};
         /** Start of the holding time of a write. Default: when it was sent, because it may take effect at once. */
         std::function<TimePoint(TimePoint sentAt, TimePoint answeredAt)> holdStart;
     };
@@ -71,15 +76,29 @@
 private:
     enum class Pending { None, Read, Acquire, Renew, Free };
 
+    /** A time of the table service's clock, and when it was asked for and learned on the own clock. */
+    struct ServiceTime
+    {
+        std::chrono::milliseconds time{0};
+        TimePoint askedAt;
+        TimePoint answeredAt;
+    };
+
+    LeaseRequest makeRead(TimePoint now);
     LeaseRequest makeWrite(Pending kind, const LeaseRow &row, TimePoint now);
     void observe(RowVersion version, const std::optional<LeaseRow> &row, TimePoint now);
     void adoptOwnRow(const LeaseRow &row, RowVersion version, TimePoint answeredAt);
     bool mayAcquire(TimePoint now) const;
+    /** End of a lease that starts now, on the service's clock; not too early, however long replies take. */
+    std::optional<std::chrono::milliseconds> expiryOfLeaseFrom(TimePoint now) const;
+    bool hasExpired(const LeaseRow &row, TimePoint now) const;
 
     Options options_;
     bool wantsLease_ = true;
     bool mustFree_ = false;
     Pending pending_ = Pending::None;
+    TimePoint askedAt_;
+    std::optional<ServiceTime> serviceTime_;
     std::uint64_t sequence_ = 0;
     /** When each write was sent whose outcome is not known; the row names the one that took effect. */
     std::map<std::uint64_t, TimePoint> sentAt_;
--- a/modules/hornbeamlane_membership/lease/LeaseRow.cpp
+++ b/modules/hornbeamlane_membership/lease/LeaseRow.cpp
@@ -7,28 +7,42 @@
 
 std::string LeaseRow::toString() const
 {
-    return std::to_string(holder.value()) + ' ' + std::to_string(sequence) + ' ' + std::to_string(token.value());
+    auto text = std::to_string(holder.value()) + ' ' + std::to_string(sequence) + ' ' + std::to_string(token.value());
+    if (expiresAt) {
+        text += ' ' + std::to_string(expiresAt->count());
+    }
+    return text;
 }
 
 std::optional<LeaseRow> LeaseRow::fromString(std::string_view text)
 {
-    std::array<std::uint64_t, 3> numbers{};
+    constexpr std::size_t withoutExpiry = 3;
+    std::array<std::uint64_t, withoutExpiry + 1> numbers{};
+    std::size_t count = 0;
     const char *position = text.data();
     const char *const end = text.data() + text.size();
-    for (std::size_t i = 0; i < numbers.size(); ++i) {
-        if (i > 0 && (position == end || *position++ != ' ')) {
+    while (count < numbers.size()) {
+        if (count > 0 && (position == end || *position++ != ' ')) {
             return std::nullopt;
         }
-        const auto [next, error] = std::from_chars(position, end, numbers[i]);
+        const auto [next, error] = std::from_chars(position, end, numbers[count]);
         if (error != std::errc()) {
             return std::nullopt;
         }
         position = next;
+        ++count;
+        if (count == withoutExpiry && position == end) {
+            break;
+        }
     }
     if (position != end) {
         return std::nullopt;
     }
-    return LeaseRow{.holder = Incarnation(numbers[0]), .sequence = numbers[1], .token = FencingToken(numbers[2])};
+    LeaseRow row{.holder = Incarnation(numbers[0]), .sequence = numbers[1], .token = FencingToken(numbers[2])};
+    if (count > withoutExpiry) {
+        row.expiresAt = std::chrono::milliseconds(numbers[withoutExpiry]);
+    }
+    return row;
 }
 
 FencingToken fencingTokenOf(const TableRow &row)
--- a/modules/hornbeamlane_membership/lease/LeaseRow.h
+++ b/modules/hornbeamlane_membership/lease/LeaseRow.h
@@ -18,10 +18,12 @@
     std::uint64_t sequence = 0;
     /** Row version at acquisition; zero in the row that the acquisition itself wrote. */
     FencingToken token;
+    /** End of the lease on the table service's clock; empty if the service does not tell its time. */
+    std::optional<std::chrono::milliseconds> expiresAt = std::nullopt;
 
     bool operator==(const LeaseRow &) const = default;
 
-    /** Text form "<holder> <sequence> <token>", each in decimal. */
+    /** Text form "<holder> <sequence> <token>[ <expiresAt in ms>]", each in decimal. */
     std::string toString() const;
 
     /** Inverse of toString(); empty for any other text. */
--- a/modules/hornbeamlane_membership/table/TableClient.h
+++ b/modules/hornbeamlane_membership/table/TableClient.h
@@ -35,6 +35,8 @@
     TableStatus status = TableStatus::Unavailable;
     /** The row as read, or as written by a successful write. Its value is empty after a write. */
     std::optional<TableRow> row;
+    /** Time on the service's own steady clock when it answered, if it tells. */
+    std::optional<std::chrono::milliseconds> serviceTime = std::nullopt;
 };
 
 /** A conditional write: takes effect only if the row has exactly this version (0: is absent). */
--- a/testing/group_fakes/FakeTable.h
+++ b/testing/group_fakes/FakeTable.h
@@ -35,6 +35,14 @@
         return request.write ? write(*request.write) : read(request.key);
     }
 
+    /** The same, with the time on the service's clock in the reply. */
+    TableReply apply(const LeaseRequest &request, std::chrono::milliseconds serviceTime)
+    {
+        auto reply = apply(request);
+        reply.serviceTime = serviceTime;
+        return reply;
+    }
+
 private:
     std::map<std::string, TableRow> rows_;
     std::uint64_t lastVersion_ = 0;
--- a/tests/membership/LeaseKeeperTest.cpp
+++ b/tests/membership/LeaseKeeperTest.cpp
@@ -42,6 +42,72 @@
     EXPECT_GT(*contender.token(start + 15s), *firstToken);
 }
 
+/** Time on the table service's clock, which has another zero than the processes' clock. */
+std::chrono::milliseconds serviceTimeAt(TimePoint now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - start) + 77s;
+}
+
+void serveWithTime(LeaseKeeper &keeper, FakeTable &table, TimePoint now)
+{
+    while (const auto request = keeper.poll(now)) {
+        keeper.handleReply(table.apply(*request, serviceTimeAt(now)), now);
+    }
+}
+
+// Guards against maps that nobody adapts for seconds after their holder was killed: where the service tells its time, a
+// contender needs no wait of its own beyond the end of the lease.
+TEST(LeaseKeeper, TakesOverWhenTheLeaseEndsOnTheServicesClock)
+{
+    FakeTable table;
+    auto holder = makeKeeper(1);
+    auto contender = makeKeeper(2);
+    serveWithTime(holder, table, start);
+    serveWithTime(holder, table, start + 2s);
+    ASSERT_TRUE(holder.token(start + 2s));
+    serveWithTime(contender, table, start + 5s);
+    serveWithTime(contender, table, start + 2s + 9990ms);
+    EXPECT_FALSE(contender.token(start + 2s + 9990ms));
+    serveWithTime(contender, table, start + 2s + 10s);
+    EXPECT_TRUE(contender.token(start + 2s + 10s));
+}
+
+// Guards against a process that starts after the holder's death and waits as long as one that saw it alive.
+TEST(LeaseKeeper, TakesAnEndedLeaseAtItsFirstLook)
+{
+    FakeTable table;
+    auto holder = makeKeeper(1);
+    serveWithTime(holder, table, start);
+    serveWithTime(holder, table, start + 2s);
+    auto contender = makeKeeper(2);
+    serveWithTime(contender, table, start + 20s);
+    EXPECT_TRUE(contender.token(start + 20s));
+}
+
+// Guards against contenders that all write at the moment at which a lease ends.
+TEST(LeaseKeeper, WaitsItsOwnDelayBeyondTheEnd)
+{
+    FakeTable table;
+    auto holder = makeKeeper(1);
+    LeaseKeeper contender({.key = "group", .holder = Incarnation(2), .takeoverDelay = 300ms});
+    serveWithTime(holder, table, start);
+    serveWithTime(holder, table, start + 2s);
+    serveWithTime(contender, table, start + 2s + 10200ms);
+    EXPECT_FALSE(contender.token(start + 2s + 10200ms));
+    serveWithTime(contender, table, start + 2s + 10300ms);
+    EXPECT_TRUE(contender.token(start + 2s + 10300ms));
+}
+
+// Guards against a row of the form with an end that is read as malformed, and so as free.
+TEST(LeaseRow, KeepsItsEndInTheTextForm)
+{
+    const LeaseRow row{.holder = Incarnation(3), .sequence = 4, .token = FencingToken(5), .expiresAt = 6789ms};
+    EXPECT_EQ(LeaseRow::fromString(row.toString()), row);
+    EXPECT_FALSE(LeaseRow::fromString("3 4 5 "));
+    EXPECT_FALSE(LeaseRow::fromString("3 4 5 6 7"));
+    EXPECT_EQ(LeaseRow::fromString("3 4 5")->expiresAt, std::nullopt);
+}
+
 // Guards against a token that changes with each renewal, which would fence a controller off from its own orders.
 TEST(LeaseKeeper, RenewalKeepsTheToken)
 {
@@ -70,8 +136,14 @@
     EXPECT_TRUE(contender.token(start));
 }
 
+class LeaseKeeperFaults : public ::testing::TestWithParam<bool>
+{
+};
+
+INSTANTIATE_TEST_SUITE_P(ServiceTellsItsTime, LeaseKeeperFaults, ::testing::Bool());
+
 // Guards against two holders when requests and replies are delayed, lost or applied late, and processes pause.
-TEST(LeaseKeeper, NeverTwoHoldersUnderRandomFaults)
+TEST_P(LeaseKeeperFaults, NeverTwoHolders)
 {
     struct InFlight
     {
@@ -92,7 +164,8 @@
         for (TimePoint now = start; now < start + 600s; now += 100ms) {
             for (auto &message : inFlight) {
                 if (!message.reply && message.appliedAt <= now) {
-                    message.reply = table.apply(message.request);
+                    message.reply =
+                        GetParam() ? table.apply(message.request, serviceTimeAt(now)) : table.apply(message.request);
                 }
             }
             int holders = 0;
