Let the bound on concurrency grow with the room that pauses show

Change: growth in proportion to what the pauses are below growBelow, a quarter a window at most; growBelow 0.85 and shrinkAbove 1.0 in place of 0.75 and 0.9.

--- a/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.cpp
+++ b/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.cpp
@@ -52,8 +52,12 @@
     if (lastPressure_ > options_.shrinkAbove) {
         share_ = std::min(share_, used) * options_.shrinkFactor;
     } else if (lastPressure_ < options_.growBelow) {
+        // Pauses grow with the load, so short ones tell that there is much room: a group that has formed again is met
+        // by all the callers that it could not serve meanwhile.
+        const double growth =
+            std::min(1 + options_.growthPerPressure * (options_.growBelow - lastPressure_), options_.largestGrowth);
         // A bound that is not reached says nothing about what would happen beyond it.
-        share_ = std::max(share_, std::min(share_ * options_.growFactor, used * options_.growFactor + 0.1));
+        share_ = std::max(share_, std::min(share_ * growth, used * growth + 0.1));
     }
     share_ = std::clamp(share_, options_.smallestShare, options_.largestShare);
 }
--- a/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.h
+++ b/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.h
@@ -25,10 +25,12 @@
         /** Share of the pauses of a window that have to stay below the target. */
         double quantile = 0.98;
         /** The bound shrinks if the quantile is above this share of the target, and grows below growBelow. */
-        double shrinkAbove = 0.9;
-        double growBelow = 0.75;
+        double shrinkAbove = 1.0;
+        double growBelow = 0.85;
         double shrinkFactor = 0.92;
-        double growFactor = 1.05;
+        /** Growth of a window for each unit by which the quantile over the target is below growBelow. */
+        double growthPerPressure = 1.2;
+        double largestGrowth = 1.25;
         /** Smallest bound as a share of the servers' places. */
         double smallestShare = 0.35;
         /** Bound after a restart, as a share of the servers' places. */
--- a/tests/dispatch/QueueAndBudgetTest.cpp
+++ b/tests/dispatch/QueueAndBudgetTest.cpp
@@ -115,6 +115,32 @@
     EXPECT_EQ(governor.limit(places), low);
 }
 
+// Load pattern "all callers come back to a group that has formed again": the bound starts low, and while it grows by a
+// twentieth a window, a third of the returning callers are refused a second time by a pool with room.
+TEST(ConcurrencyGovernorTest, RegainsItsPaceWithinTwoSecondsOfARestart)
+{
+    constexpr std::uint32_t places = 192;
+    constexpr std::chrono::milliseconds target{120};
+    ConcurrencyGovernor governor;
+    governor.restart();
+    ASSERT_LT(governor.limit(places), 100U);
+    auto now = start;
+    Duration longestPause{};
+    // 35 ms and 0.45 ms more for each request: 150 requests leave an eighth of the target.
+    while (now < start + std::chrono::seconds(2)) {
+        const auto inFlight = governor.limit(places);
+        const Duration pause = milliseconds(35) + std::chrono::microseconds(450) * inFlight;
+        longestPause = std::max(longestPause, pause);
+        now += pause;
+        for (int stream = 0; stream < 20; ++stream) {
+            governor.onPause(pause, target, now);
+        }
+        governor.update(inFlight, places, now);
+    }
+    EXPECT_GE(governor.limit(places), 140U);
+    EXPECT_LE(longestPause, target);
+}
+
 // Guards against a bound that stays low after the overload is over.
 TEST(ConcurrencyGovernorTest, GrowsAgainWhenPausesAreShort)
 {
