Let entries tell each other their bound on concurrency

Cause: an entry that starts bounds the pool as if its engines had just formed, at 0.45 of the places of which the other entries fill more.

Change: load messages carry the bound for services whose pace the sender has seen. An entry that sees the engines for the first time takes the median over, one that knows their pace is drawn to it; after a new epoch only own pauses count, since the others may still tell the bound of the old one. growBelow 0.85 stays, shrinkAbove 0.92 in place of 1.0.

--- a/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.cpp
+++ b/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.cpp
@@ -48,6 +48,7 @@
     std::nth_element(samples_.begin(), samples_.begin() + at, samples_.end());
     lastPressure_ = samples_[static_cast<std::size_t>(at)];
     samples_.clear();
+    isMeasured_ = true;
     const double used = static_cast<double>(inFlight) / places;
     if (lastPressure_ > options_.shrinkAbove) {
         share_ = std::min(share_, used) * options_.shrinkFactor;
@@ -62,12 +63,24 @@
     share_ = std::clamp(share_, options_.smallestShare, options_.largestShare);
 }
 
-void ConcurrencyGovernor::restart()
+void ConcurrencyGovernor::restart(RestartCause cause)
 {
+    // Entries learn of new engines one after the other, and until then tell the bound of the old ones.
+    trustsPeers_ = cause == RestartCause::FirstSight;
     share_ = std::min(share_, options_.restartShare);
+    isMeasured_ = false;
     samples_.clear();
 }
 
+void ConcurrencyGovernor::onPeerShare(std::optional<double> share)
+{
+    if (!share || (!isMeasured_ && !trustsPeers_)) {
+        return;
+    }
+    const double weight = isMeasured_ ? options_.peerWeight : 1.0;
+    share_ = std::clamp(share_ + (*share - share_) * weight, options_.smallestShare, options_.largestShare);
+}
+
 std::uint32_t ConcurrencyGovernor::limit(std::uint32_t places) const
 {
     return static_cast<std::uint32_t>(share_ * places);
--- a/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.h
+++ b/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.h
@@ -3,6 +3,7 @@
 #include "hornbeamlane_base/hornbeamlane_base.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace hornbeamlane {
@@ -25,7 +26,7 @@
         /** Share of the pauses of a window that have to stay below the target. */
         double quantile = 0.98;
         /** The bound shrinks if the quantile is above this share of the target, and grows below growBelow. */
-        double shrinkAbove = 1.0;
+        double shrinkAbove = 0.92;
         double growBelow = 0.85;
         double shrinkFactor = 0.92;
         /** Growth of a window for each unit by which the quantile over the target is below growBelow. */
@@ -35,6 +36,8 @@
         double smallestShare = 0.35;
         /** Bound after a restart, as a share of the servers' places. */
         double restartShare = 0.45;
+        /** Part of the difference to the other entries' bound by which the own bound moves when it is told. */
+        double peerWeight = 0.1;
         /** Largest bound as a share of the servers' places. */
         double largestShare = 1.25;
     };
@@ -51,8 +54,23 @@
     /** Moves the bound if a window is over; `inFlight` is what the service has now, of all entries. */
     void update(std::uint32_t inFlight, std::uint32_t places, TimePoint now);
 
-    /** The engines have started anew, with experts placed without regard to demand; nothing is known of their pace. */
-    void restart();
+    /** Why nothing is known of the engines' pace. */
+    enum class RestartCause {
+        NewEngines, ///< They have started anew, with experts placed without regard to demand.
+        FirstSight, ///< This entry sees them for the first time; other entries may know their pace.
+    };
+
+    void restart(RestartCause cause);
+
+    /** Bound that other entries keep, as a share of the places. A governor that sees the engines for the first time
+        takes it over; one that has seen their pauses is drawn to it. */
+    void onPeerShare(std::optional<double> share);
+
+    /** The bound as a share of the places; empty before pauses have been seen. */
+    std::optional<double> measuredShare() const
+    {
+        return isMeasured_ ? std::optional(share_) : std::nullopt;
+    }
 
     /** Requests that the service may have at once, of all entries. */
     std::uint32_t limit(std::uint32_t places) const;
@@ -73,6 +91,10 @@
     Options options_;
     /** Bound as a share of the places. */
     double share_;
+    /** Whether the bound rests on pauses that were seen since the start or the last restart. */
+    bool isMeasured_ = false;
+    /** Whether bounds of other entries can be of the same engines. */
+    bool trustsPeers_ = true;
     std::vector<double> samples_;
     TimePoint windowStart_;
     double lastPressure_ = 0;
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -68,6 +68,7 @@
                       }
                       return load;
                   },
+              .bounds = [this] { return ownBounds(); },
               .isMapHolder = std::move(hooks.isMapHolder),
               .tableVersions = std::move(hooks.tableVersions),
               .peerVersions = std::move(hooks.peerVersions),
@@ -211,11 +212,13 @@
 
 void Gateway::noteGroupEpoch(const ServiceId &service, const GroupPlace &place)
 {
-    auto &epoch = groupEpochs_[place.group];
-    if (place.epoch > epoch) {
-        epoch = place.epoch;
-        stateOf(service).governor.restart();
+    const auto [known, isNew] = groupEpochs_.try_emplace(place.group, place.epoch);
+    if (!isNew && place.epoch <= known->second) {
+        return;
     }
+    known->second = place.epoch;
+    stateOf(service).governor.restart(isNew ? ConcurrencyGovernor::RestartCause::FirstSight
+                                            : ConcurrencyGovernor::RestartCause::NewEngines);
 }
 
 bool Gateway::isAtLimit(const ServiceId &service, bool isLate)
@@ -288,6 +291,17 @@
     armWaitTimer();
 }
 
+std::vector<std::pair<ServiceHash, std::uint32_t>> Gateway::ownBounds() const
+{
+    std::vector<std::pair<ServiceHash, std::uint32_t>> bounds;
+    for (const auto &[service, state] : services_) {
+        if (const auto share = state.governor.measuredShare()) {
+            bounds.emplace_back(hashOfService(service), static_cast<std::uint32_t>(*share * boundScale));
+        }
+    }
+    return bounds;
+}
+
 void Gateway::sweep()
 {
     const auto now = loop_.now();
@@ -297,6 +311,9 @@
     }
     pool_.sweep(now);
     setEntryCount(peers_.entryCount(now));
+    for (auto &[service, state] : services_) {
+        state.governor.onPeerShare(peers_.loads().boundFor(hashOfService(service)));
+    }
     if (now - stateLoggedAt_ >= stateLogInterval) {
         stateLoggedAt_ = now;
         logServiceStates();
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -86,6 +86,8 @@
     bool isBacklogTooLong(const ServiceId &service);
     /** Whether the caller has less time than callers of the route usually have, because it comes back. */
     bool isShortened(const RouteSpec &route, std::chrono::milliseconds timeLeft);
+    /** Bounds that this entry keeps at services whose pace it has seen. */
+    std::vector<std::pair<ServiceHash, std::uint32_t>> ownBounds() const;
     void expireWaiting();
     void armWaitTimer();
     void sweep();
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -111,7 +111,8 @@
                                           .incarnation = options_.incarnation,
                                           .isMapHolder = callbacks_.isMapHolder(),
                                           .tableVersions = callbacks_.tableVersions(),
-                                          .inFlight = callbacks_.ownLoad()});
+                                          .inFlight = callbacks_.ownLoad(),
+                                          .bounds = callbacks_.bounds()});
     for (const auto &address : nextPeers(now, toAll)) {
         socket_.send(address, bytes);
     }
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -13,8 +13,35 @@
 
 constexpr int protocolVersion = 1;
 
-/** Servers in one message at most; a datagram stays below the usual size of a frame up to about 200. */
-constexpr std::size_t maxServers = 4096;
+/** Servers or services in one message at most; a datagram stays below the usual size of a frame up to about 200. */
+constexpr std::size_t maxPairs = 4096;
+
+using NumberPairs = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
+
+nlohmann::json flatten(const NumberPairs &pairs)
+{
+    auto numbers = nlohmann::json::array();
+    for (const auto &[name, value] : pairs) {
+        numbers.push_back(name);
+        numbers.push_back(value);
+    }
+    return numbers;
+}
+
+std::optional<NumberPairs> pairsFrom(const nlohmann::json &numbers)
+{
+    if (!numbers.is_array() || numbers.size() % 2 != 0 || numbers.size() > 2 * maxPairs) {
+        return std::nullopt;
+    }
+    NumberPairs pairs;
+    for (std::size_t i = 0; i < numbers.size(); i += 2) {
+        if (!numbers[i].is_number_unsigned() || !numbers[i + 1].is_number_unsigned()) {
+            return std::nullopt;
+        }
+        pairs.emplace_back(numbers[i].get<std::uint32_t>(), numbers[i + 1].get<std::uint32_t>());
+    }
+    return pairs;
+}
 
 bool hasVersion(const nlohmann::json &document)
 {
@@ -29,17 +56,17 @@
     return static_cast<ServerHash>(hash64(server.name()));
 }
 
+ServiceHash hashOfService(const ServiceId &service)
+{
+    return static_cast<ServiceHash>(hash64(service.name()));
+}
+
 std::string encodeLoadMessage(const LoadMessage &message)
 {
-    auto servers = nlohmann::json::array();
-    for (const auto &[server, count] : message.inFlight) {
-        servers.push_back(server);
-        servers.push_back(count);
-    }
-    const nlohmann::json document = {{"v", protocolVersion},     {"n", message.sender},
-                                     {"s", message.sequence},    {"i", message.incarnation.value()},
-                                     {"m", message.isMapHolder}, {"t", message.tableVersions},
-                                     {"l", std::move(servers)}};
+    const nlohmann::json document = {{"v", protocolVersion},           {"n", message.sender},
+                                     {"s", message.sequence},          {"i", message.incarnation.value()},
+                                     {"m", message.isMapHolder},       {"t", message.tableVersions},
+                                     {"l", flatten(message.inFlight)}, {"b", flatten(message.bounds)}};
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
     return bytes;
@@ -60,8 +87,11 @@
     const auto incarnation = document.find("i");
     const auto servers = document.find("l");
     if (name == document.end() || !name->is_string() || sequence == document.end() || !sequence->is_number_unsigned()
-        || incarnation == document.end() || !incarnation->is_number_unsigned() || servers == document.end()
-        || !servers->is_array() || servers->size() % 2 != 0 || servers->size() > 2 * maxServers) {
+        || incarnation == document.end() || !incarnation->is_number_unsigned()) {
+        return std::nullopt;
+    }
+    auto inFlight = servers == document.end() ? std::nullopt : pairsFrom(*servers);
+    if (!inFlight) {
         return std::nullopt;
     }
     LoadMessage message{.sender = name->get<std::string>(),
@@ -69,19 +99,15 @@
                         .incarnation = Incarnation(incarnation->get<std::uint64_t>()),
                         .isMapHolder = document.contains("m") && document["m"] == true,
                         .tableVersions = {},
-                        .inFlight = {}};
+                        .inFlight = std::move(*inFlight),
+                        .bounds = {}};
     if (const auto versions = document.find("t"); versions != document.end() && versions->is_array()) {
         for (const auto &version : *versions) {
             message.tableVersions.push_back(version.is_number_unsigned() ? version.get<std::uint64_t>() : 0);
         }
     }
-    for (std::size_t i = 0; i < servers->size(); i += 2) {
-        const auto &server = (*servers)[i];
-        const auto &count = (*servers)[i + 1];
-        if (!server.is_number_unsigned() || !count.is_number_unsigned()) {
-            return std::nullopt;
-        }
-        message.inFlight.emplace_back(server.get<ServerHash>(), count.get<std::uint32_t>());
+    if (const auto bounds = document.find("b"); bounds != document.end()) {
+        message.bounds = pairsFrom(*bounds).value_or(NumberPairs());
     }
     return message;
 }
@@ -149,4 +175,22 @@
     return found == sums_.end() ? 0 : found->second;
 }
 
+std::optional<double> PeerLoads::boundFor(ServiceHash service) const
+{
+    std::vector<std::uint32_t> bounds;
+    for (const auto &[name, peer] : peers_) {
+        for (const auto &[told, bound] : peer.last.bounds) {
+            if (told == service) {
+                bounds.push_back(bound);
+            }
+        }
+    }
+    if (bounds.empty()) {
+        return std::nullopt;
+    }
+    const auto middle = bounds.begin() + static_cast<std::ptrdiff_t>(bounds.size() / 2);
+    std::nth_element(bounds.begin(), middle, bounds.end());
+    return *middle / boundScale;
+}
+
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -18,6 +18,14 @@
 
 ServerHash hashOfServer(const ServerId &server);
 
+/** Short name of a service in load messages. */
+using ServiceHash = std::uint32_t;
+
+ServiceHash hashOfService(const ServiceId &service);
+
+/** Bounds are told in thousandths of a service's places. */
+constexpr double boundScale = 1000;
+
 /** What one entry tells the others about its requests at the servers. */
 struct LoadMessage
 {
@@ -30,6 +38,9 @@
     /** Newest row that the sender has seen of each table that all entries follow, in a fixed order. */
     std::vector<std::uint64_t> tableVersions;
     std::vector<std::pair<ServerHash, std::uint32_t>> inFlight;
+    /** Bound on the requests of all entries at a service, in thousandths of its places; only where the sender has seen
+        the pace of the service. */
+    std::vector<std::pair<ServiceHash, std::uint32_t>> bounds;
 };
 
 /** CBOR form of the message; decode() is empty for bytes that are no such message. */
@@ -57,6 +68,9 @@
 
     std::uint32_t sumFor(ServerHash server) const;
 
+    /** Median of the bounds that peers keep at a service, as a share of its places; empty if none has told one. */
+    std::optional<double> boundFor(ServiceHash service) const;
+
     /** When a peer last said that it holds the lease of the expert maps. */
     TimePoint mapHolderHeardAt() const
     {
--- a/tests/dispatch/QueueAndBudgetTest.cpp
+++ b/tests/dispatch/QueueAndBudgetTest.cpp
@@ -89,7 +89,7 @@
     constexpr std::chrono::milliseconds target{120};
     ConcurrencyGovernor governor;
     EXPECT_GT(governor.limit(places), places);
-    governor.restart();
+    governor.restart(ConcurrencyGovernor::RestartCause::NewEngines);
     // 90 ms and 0.3 ms more for each request: 100 requests reach the target.
     EXPECT_LT(milliseconds(90) + std::chrono::microseconds(300) * governor.limit(places), target);
     // Short pauses raise it again within seconds.
@@ -111,7 +111,7 @@
         governor.update(governor.limit(places), places, now);
     }
     const auto low = governor.limit(places);
-    governor.restart();
+    governor.restart(ConcurrencyGovernor::RestartCause::NewEngines);
     EXPECT_EQ(governor.limit(places), low);
 }
 
@@ -122,7 +122,7 @@
     constexpr std::uint32_t places = 192;
     constexpr std::chrono::milliseconds target{120};
     ConcurrencyGovernor governor;
-    governor.restart();
+    governor.restart(ConcurrencyGovernor::RestartCause::NewEngines);
     ASSERT_LT(governor.limit(places), 100U);
     auto now = start;
     Duration longestPause{};
@@ -141,6 +141,43 @@
     EXPECT_LE(longestPause, target);
 }
 
+// Load pattern "some entries are restarted while the others go on": without the others' bound a restarted entry refuses
+// its callers although the pool, which the others fill beyond a new entry's bound, has room.
+TEST(ConcurrencyGovernorTest, StartsFromTheBoundOfTheOtherEntries)
+{
+    constexpr std::uint32_t places = 200;
+    ConcurrencyGovernor governor;
+    governor.restart(ConcurrencyGovernor::RestartCause::FirstSight);
+    EXPECT_EQ(governor.measuredShare(), std::nullopt);
+    governor.onPeerShare(std::nullopt);
+    EXPECT_EQ(governor.limit(places), 90U);
+    governor.onPeerShare(0.8);
+    EXPECT_EQ(governor.limit(places), 160U);
+    EXPECT_EQ(governor.measuredShare(), std::nullopt);
+    // Engines that have started anew are unknown to all, and what is told is of those before.
+    governor.restart(ConcurrencyGovernor::RestartCause::NewEngines);
+    governor.onPeerShare(0.8);
+    EXPECT_EQ(governor.limit(places), 90U);
+}
+
+// Guards against entries of which one refuses what another admits, because each sees other pauses.
+TEST(ConcurrencyGovernorTest, IsDrawnToTheBoundOfTheOtherEntries)
+{
+    constexpr std::uint32_t places = 200;
+    ConcurrencyGovernor governor;
+    auto now = start;
+    for (int sample = 0; sample < 10; ++sample) {
+        governor.onPause(milliseconds(110), milliseconds(120), now);
+    }
+    now += milliseconds(260);
+    governor.update(places, places, now);
+    ASSERT_TRUE(governor.measuredShare());
+    const double own = *governor.measuredShare();
+    governor.onPeerShare(0.5);
+    EXPECT_LT(*governor.measuredShare(), own);
+    EXPECT_GT(*governor.measuredShare(), 0.5);
+}
+
 // Guards against a bound that stays low after the overload is over.
 TEST(ConcurrencyGovernorTest, GrowsAgainWhenPausesAreShort)
 {
--- a/tests/gateway/PeerExchangeTest.cpp
+++ b/tests/gateway/PeerExchangeTest.cpp
@@ -22,6 +22,7 @@
                            .interval = milliseconds(10),
                            .fanOut = fanOut},
                           {.ownLoad = [] { return std::vector<std::pair<ServerHash, std::uint32_t>>(); },
+                           .bounds = [] { return std::vector<std::pair<ServiceHash, std::uint32_t>>(); },
                            .isMapHolder = [] { return false; },
                            .tableVersions = [] { return std::vector<std::uint64_t>(); },
                            .peerVersions = [](const auto &) {},
--- a/tests/gateway/PeerLoadsTest.cpp
+++ b/tests/gateway/PeerLoadsTest.cpp
@@ -24,6 +24,7 @@
     auto sent = message("entry", 3, 5, 99);
     sent.isMapHolder = true;
     sent.tableVersions = {4, 1ULL << 40};
+    sent.bounds = {{ServiceHash(8), 750}};
     const auto received = decodeLoadMessage(encodeLoadMessage(sent));
     ASSERT_TRUE(received);
     EXPECT_EQ(received->sender, "entry");
@@ -32,6 +33,7 @@
     EXPECT_TRUE(received->isMapHolder);
     EXPECT_EQ(received->tableVersions, sent.tableVersions);
     EXPECT_EQ(received->inFlight, sent.inFlight);
+    EXPECT_EQ(received->bounds, sent.bounds);
 }
 
 // Guards against datagrams of strangers that crash a process or change what it knows.
@@ -52,6 +54,20 @@
     }
 }
 
+// Guards against one peer with a bound of its own that draws all others along.
+TEST(PeerLoadsTest, TakesTheMedianOfTheBounds)
+{
+    PeerLoads loads;
+    EXPECT_EQ(loads.boundFor(8), std::nullopt);
+    for (const auto &[name, bound] : std::map<std::string, std::uint32_t>{{"a", 350}, {"b", 800}, {"c", 820}}) {
+        auto told = message(name, 1, 5);
+        told.bounds = {{ServiceHash(8), bound}};
+        loads.take(told, start);
+    }
+    EXPECT_DOUBLE_EQ(*loads.boundFor(8), 0.8);
+    EXPECT_EQ(loads.boundFor(9), std::nullopt);
+}
+
 // Guards against a datagram that was overtaken and brings back an old load.
 TEST(PeerLoadsTest, IgnoresOldMessages)
 {
