Ask engines for their maps as of now, and switch sooner

Change: orders leave at once; when the copies can be done, the ranks are asked for their maps, whose answer is as of now and carries the pass; the held pass is two ahead; the end is seen by the same look.

--- a/modules/hornbeamlane_dispatch/catalogue/DispatchCatalogue.h
+++ b/modules/hornbeamlane_dispatch/catalogue/DispatchCatalogue.h
@@ -72,6 +72,8 @@
     std::uint32_t placesPerRank = 0;
     /** Experts of a layer that a rank can prepare at once beside those in use. */
     std::uint32_t sparePlaces = 0;
+    /** Time in which a rank copies one expert. */
+    std::chrono::duration<double, std::milli> expertCopyTime{0};
 };
 
 /** What holds for all servers of a service. */
--- a/modules/hornbeamlane_gateway/maps/EngineApi.h
+++ b/modules/hornbeamlane_gateway/maps/EngineApi.h
@@ -18,11 +18,10 @@
     std::vector<double> counts;
 };
 
-/** Experts that one rank holds, for each layer. */
+/** Maps of one rank, and for each layer the experts that it holds. */
 struct RankPlacement
 {
-    GroupEpoch epoch;
-    ExpertMapVersion version;
+    EngineRankMaps maps;
     std::vector<std::vector<ExpertIndex>> experts;
 };
 
@@ -37,7 +36,8 @@
         readReport;
     std::function<void(const std::string &address, std::function<void(const std::optional<ExpertCounts> &)>)>
         readCounts;
-    std::function<void(const std::string &address, std::function<void(const std::optional<RankPlacement> &)>)>
+    std::function<void(const std::string &address, RankIndex,
+                       std::function<void(const std::optional<RankPlacement> &)>)>
         readPlacement;
 };
 
--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
@@ -79,6 +79,7 @@
     }
     sendOrders(switch_.poll(now));
     readReports();
+    readMaps();
     if (switch_.phase() != loggedPhase_) {
         loggedPhase_ = switch_.phase();
         logEvent(LogLevel::Info, "map_switch",
@@ -148,6 +149,15 @@
     }
 }
 
+void GroupMapKeeper::readMaps()
+{
+    for (const auto rank : switch_.mapsWanted(loop_.now())) {
+        if (const auto address = addresses_.find(rank); address != addresses_.end()) {
+            readPlacement(rank, address->second);
+        }
+    }
+}
+
 /** The same ranks each time, so that the difference between two looks is recent. */
 std::vector<RankIndex> GroupMapKeeper::ranksToSample() const
 {
@@ -225,7 +235,9 @@
         return;
     }
     next.setVersion(ExpertMapVersion(options_.token.value() * mapsPerToken + ++mapsMade_));
-    const bool hasStarted = switch_.start(next, loop_.now());
+    const auto copyTime =
+        std::chrono::duration_cast<Duration>(options_.engine.expertCopyTime * next.mostCopiesOfOneRank(*active_));
+    const bool hasStarted = switch_.start(next, copyTime, loop_.now());
     logEvent(LogLevel::Info, "map_planned",
              {{"group", options_.group.name()},
               {"version", std::to_string(next.version().value())},
@@ -235,6 +247,7 @@
               {"started", hasStarted ? "yes" : "no"}});
     if (hasStarted) {
         next_ = std::move(next);
+        sendOrders(switch_.poll(loop_.now()));
     }
 }
 
@@ -254,21 +267,26 @@
     placementsAskedAt_ = now;
     for (const auto &[rank, address] : addresses_) {
         const auto known = placements_.find(rank);
-        if (known != placements_.end() && known->second.version == version) {
-            continue;
+        if (known == placements_.end() || known->second.maps.active != version) {
+            readPlacement(rank, address);
         }
-        api_.readPlacement(address,
-                           [this, guard = Guard(alive_), rank = rank](const std::optional<RankPlacement> &reply) {
-                               if (!guard.expired() && reply) {
-                                   takePlacement(rank, *reply);
-                               }
-                           });
     }
 }
 
-void GroupMapKeeper::takePlacement(RankIndex rank, const RankPlacement &placement)
+void GroupMapKeeper::readPlacement(RankIndex rank, const std::string &address)
+{
+    api_.readPlacement(address, rank, [this, guard = Guard(alive_)](const std::optional<RankPlacement> &reply) {
+        if (!guard.expired() && reply) {
+            takePlacement(*reply);
+        }
+    });
+}
+
+void GroupMapKeeper::takePlacement(const RankPlacement &placement)
 {
-    placements_[rank] = placement;
+    switch_.onMaps(placement.maps, loop_.now());
+    sendOrders(switch_.poll(loop_.now()));
+    placements_[placement.maps.rank] = placement;
     const auto version = switch_.activeMap();
     const auto &engine = options_.engine;
     if (active_ && active_->version() == version) {
@@ -277,7 +295,7 @@
     ExpertMap map(version, options_.ranks, engine.expertLayers, static_cast<ExpertIndex>(engine.expertsPerLayer));
     for (RankIndex index = 0; index < options_.ranks; ++index) {
         const auto found = placements_.find(index);
-        if (found == placements_.end() || found->second.version != version
+        if (found == placements_.end() || found->second.maps.active != version
             || found->second.experts.size() != engine.expertLayers) {
             return;
         }
--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
@@ -65,8 +65,10 @@
     void readReports();
     void readCounts();
     void takeCounts(RankIndex rank, const ExpertCounts &counts);
+    void readMaps();
     void readPlacements();
-    void takePlacement(RankIndex rank, const RankPlacement &placement);
+    void readPlacement(RankIndex rank, const std::string &address);
+    void takePlacement(const RankPlacement &placement);
     void considerMap();
     ExpertShares shares() const;
     std::vector<RankIndex> ranksToSample() const;
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -27,7 +27,7 @@
         /** While the holder is heard that recently, the lease row is not read. */
         std::chrono::milliseconds holderSilence{600};
         /** Time between two looks at what is due; replies are handled at once. */
-        std::chrono::milliseconds tickInterval{50};
+        std::chrono::milliseconds tickInterval{25};
         /** A holder whose lease ends because the store is away goes on for this time if nobody else takes over. */
         std::chrono::milliseconds holdWithoutStore{30000};
         GroupMapKeeper::Policy policy;
--- a/modules/hornbeamlane_groups/enginemaps/EngineOrders.h
+++ b/modules/hornbeamlane_groups/enginemaps/EngineOrders.h
@@ -30,6 +30,17 @@
     std::optional<StepNumber> heldStep;
 };
 
+/** Maps of one rank as of the moment of the answer; a report is older. */
+struct EngineRankMaps
+{
+    RankIndex rank = 0;
+    GroupEpoch epoch;
+    /** The last pass that has begun; zero if the engine does not tell it here. */
+    StepNumber step;
+    ExpertMapVersion active;
+    std::optional<ExpertMapVersion> prepared;
+};
+
 enum class EngineOrderKind {
     Prepare, ///< Copy the experts of a map.
     Arm, ///< Switch to a prepared map as the given pass begins.
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
@@ -37,6 +37,7 @@
     }
     ranks_.assign(options_.ranks, Rank{});
     phase_ = Phase::Recovering;
+    holdSeenAt_.reset();
     epoch_ = epoch;
     isOpen_ = false;
     next_ = nullptr;
@@ -54,13 +55,14 @@
     }
 }
 
-bool HeldMapSwitch::start(const ExpertMap &next, TimePoint now)
+bool HeldMapSwitch::start(const ExpertMap &next, Duration copyTime, TimePoint now)
 {
     if (phase_ != Phase::Idle || !isOpen_) {
         return false;
     }
     next_ = std::make_shared<const ExpertMap>(next);
     target_ = next.version();
+    copyTime_ = copyTime;
     for (auto &rank : ranks_) {
         rank.isPrepared = false;
     }
@@ -222,13 +224,13 @@
 {
     ranks_.assign(options_.ranks, Rank{});
     phase_ = Phase::Recovering;
+    holdSeenAt_.reset();
     ++counters_.abandoned;
 }
 
 void HeldMapSwitch::chooseStep(TimePoint now)
 {
-    const auto age = (now - newestStepAt_) + options_.reportAge;
-    const auto passes = static_cast<std::uint64_t>(std::max<Duration::rep>(0, age / passTime_));
+    const auto passes = static_cast<std::uint64_t>(std::max<Duration::rep>(0, (now - newestStepAt_) / passTime_));
     step_ = StepNumber(newestStep_.value() + passes + options_.leadPasses);
 }
 
@@ -253,6 +255,7 @@
             return;
         }
         rank.order = RankState::Done;
+        acceptedAt_ = now;
         return;
     case EngineOrderKind::Hold:
         if (phase_ != Phase::Holding || order.step != step_) {
@@ -302,8 +305,11 @@
         return wanted;
     }
     if (phase_ == Phase::Settling) {
-        reportsAskedAt_ = now;
-        wanted.push_back(holder_);
+        // A hold that is still there after the release shows in reports only.
+        if (now - phaseSince_ > strayHoldAge) {
+            reportsAskedAt_ = now;
+            wanted.push_back(holder_);
+        }
         return wanted;
     }
     if (phase_ == Phase::Arming) {
@@ -316,12 +322,11 @@
         }
         return wanted;
     }
-    const bool allAccepted = phase_ == Phase::Preparing && doneCount() == ranks_.size();
-    if (phase_ != Phase::Recovering && !allAccepted) {
+    if (phase_ != Phase::Recovering) {
         return wanted;
     }
     reportsAskedAt_ = now;
-    if (phase_ == Phase::Recovering && !isOpen_) {
+    if (!isOpen_) {
         // One rank tells whether the group is open; asking all of them would not make it open sooner.
         askedRank_ = (askedRank_ + 1) % options_.ranks;
         wanted.push_back(askedRank_);
@@ -329,26 +334,47 @@
     }
     for (RankIndex index = 0; index < ranks_.size(); ++index) {
         const auto &rank = ranks_[index];
-        if (phase_ == Phase::Recovering ? !rank.report.has_value() : !rank.isPrepared) {
+        if (!rank.report.has_value() || (holdSeenAt_ && rank.reportedAt < *holdSeenAt_ + 2 * options_.reportAge)) {
             wanted.push_back(index);
         }
     }
     return wanted;
 }
 
-void HeldMapSwitch::noteProgress(StepNumber step, TimePoint now)
+std::vector<RankIndex> HeldMapSwitch::mapsWanted(TimePoint now)
+{
+    std::vector<RankIndex> wanted;
+    if (now - mapsAskedAt_ < options_.mapsInterval) {
+        return wanted;
+    }
+    if (phase_ == Phase::Settling) {
+        wanted.push_back(holder_);
+    } else if (phase_ == Phase::Preparing && doneCount() == ranks_.size() && now - acceptedAt_ >= copyTime_) {
+        for (RankIndex index = 0; index < ranks_.size(); ++index) {
+            if (!ranks_[index].isPrepared) {
+                wanted.push_back(index);
+            }
+        }
+    }
+    if (!wanted.empty()) {
+        mapsAskedAt_ = now;
+    }
+    return wanted;
+}
+
+void HeldMapSwitch::noteProgress(StepNumber step, TimePoint seenAt, TimePoint now)
 {
     if (step <= newestStep_ && newestStepAt_ != TimePoint{}) {
         return;
     }
-    if (newestStepAt_ != TimePoint{} && newestStep_ != StepNumber()) {
+    if (newestStepAt_ != TimePoint{} && newestStep_ != StepNumber() && seenAt > newestStepAt_) {
         const auto passes = step.value() - newestStep_.value();
-        const auto time = (now - newestStepAt_) / static_cast<Duration::rep>(passes);
+        const auto time = (seenAt - newestStepAt_) / static_cast<Duration::rep>(passes);
         const auto bounded = std::clamp<Duration>(time, shortestPass, longestPass);
         passTime_ = passTime_ * 3 / 4 + bounded / 4;
     }
     newestStep_ = step;
-    newestStepAt_ = now;
+    newestStepAt_ = seenAt;
     if (newestStep_ < step_) {
         return;
     }
@@ -375,11 +401,11 @@
     }
     rank.report = report;
     rank.reportedAt = now;
-    noteProgress(report.step, now);
-    if (phase_ == Phase::Preparing && report.prepared == target_) {
-        rank.isPrepared = true;
-    }
+    noteProgress(report.step, now - options_.reportAge, now);
     if (phase_ == Phase::Recovering) {
+        if (report.heldStep && !holdSeenAt_) {
+            holdSeenAt_ = now;
+        }
         recover(now);
         return;
     }
@@ -396,10 +422,30 @@
         reset(epoch);
     }
     if (epoch == epoch_) {
-        noteProgress(step, now);
+        noteProgress(step, now, now);
     }
 }
 
+void HeldMapSwitch::onMaps(const EngineRankMaps &maps, TimePoint now)
+{
+    if (maps.rank >= ranks_.size()) {
+        return;
+    }
+    onProgress(maps.epoch, maps.step, now);
+    if (phase_ == Phase::Preparing && maps.epoch == epoch_ && maps.prepared == target_) {
+        ranks_[maps.rank].isPrepared = true;
+    }
+}
+
+// A report from before the hold may not show yet that the rank has prepared the map. A controller that took it for the
+// truth would release a pass for which another one is arming the ranks.
+bool HeldMapSwitch::areReportsNewerThanHold() const
+{
+    return !holdSeenAt_ || std::all_of(ranks_.begin(), ranks_.end(), [this](const Rank &rank) {
+        return rank.reportedAt >= *holdSeenAt_ + 2 * options_.reportAge;
+    });
+}
+
 void HeldMapSwitch::recover(TimePoint now)
 {
     const bool allReported =
@@ -433,6 +479,9 @@
         const bool allPrepared = prepared && std::all_of(ranks_.begin(), ranks_.end(), [&](const Rank &rank) {
                                      return rank.report->prepared == prepared;
                                  });
+        if (!allPrepared && !areReportsNewerThanHold()) {
+            return;
+        }
         // A pass is held only after all ranks have prepared the map, so otherwise no arm can be on its way.
         target_ = allPrepared ? *prepared : active_;
         enter(allPrepared ? Phase::Arming : Phase::Releasing, now);
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
@@ -36,15 +36,17 @@
             does not release the pass of another. */
         RankIndex holdRank = 0;
         /** Passes between the newest one known and the held one. */
-        std::uint64_t leadPasses = 4;
+        std::uint64_t leadPasses = 2;
         /** Time after which an order without answer counts as lost and is sent again. */
         std::chrono::milliseconds resendInterval{80};
         /** The same for the order to prepare, which carries the whole map. */
         std::chrono::milliseconds prepareResendInterval{1000};
         /** Ranks that are sent the map at the same time, so that large groups do not fill the controller's link. */
         std::size_t preparesInFlight = 10;
-        /** Pause between two rounds of reports while ranks copy experts. */
+        /** Pause between two rounds of reports. */
         std::chrono::milliseconds reportInterval{120};
+        /** Pause between two looks at the maps of ranks that copy experts or wait for the held pass. */
+        std::chrono::milliseconds mapsInterval{50};
         /** Reports are as old as this, so the group is further on by the passes of that time. */
         std::chrono::milliseconds reportAge{200};
         std::chrono::milliseconds prepareTimeout{4000};
@@ -67,8 +69,9 @@
 
     explicit HeldMapSwitch(Options options);
 
-    /** Starts a switch; false unless idle. The version must be higher than any that the ranks have had. */
-    bool start(const ExpertMap &next, TimePoint now);
+    /** Starts a switch; false unless idle. The version must be higher than any that the ranks have had. The ranks are
+        not asked whether they have prepared the map before the copy time is over. */
+    bool start(const ExpertMap &next, Duration copyTime, TimePoint now);
 
     /** Orders that are due. */
     std::vector<EngineOrder> poll(TimePoint now);
@@ -76,8 +79,12 @@
     /** Ranks whose reports are needed now. */
     std::vector<RankIndex> reportsWanted(TimePoint now);
 
+    /** Ranks whose maps as of now are needed. */
+    std::vector<RankIndex> mapsWanted(TimePoint now);
+
     void onResult(const EngineOrder &order, EngineOrderResult result, TimePoint now);
     void onReport(const EngineRankReport &report, TimePoint now);
+    void onMaps(const EngineRankMaps &maps, TimePoint now);
 
     /** The group was seen to be in this epoch and to have begun this pass. */
     void onProgress(GroupEpoch epoch, StepNumber step, TimePoint now);
@@ -124,9 +131,11 @@
     void resendLost(TimePoint now);
     void recover(TimePoint now);
     void restartRecovery();
+    bool areReportsNewerThanHold() const;
     void chooseStep(TimePoint now);
     void advance(TimePoint now);
-    void noteProgress(StepNumber step, TimePoint now);
+    /** The group had begun this pass at the given time. */
+    void noteProgress(StepNumber step, TimePoint seenAt, TimePoint now);
     EngineOrder order(RankIndex rank, EngineOrderKind kind) const;
     void addOrders(std::vector<EngineOrder> &orders, EngineOrderKind kind, TimePoint now);
     void addHolderOrder(std::vector<EngineOrder> &orders, EngineOrderKind kind, TimePoint now);
@@ -146,7 +155,13 @@
     bool isHoldConfirmed_ = false;
     TimePoint phaseSince_;
     TimePoint reportsAskedAt_;
+    TimePoint mapsAskedAt_;
+    Duration copyTime_{};
+    /** When the last rank accepted the order to prepare. */
+    TimePoint acceptedAt_;
     RankIndex askedRank_ = 0;
+    /** When a hold was first reported during recovery. */
+    std::optional<TimePoint> holdSeenAt_;
     /** Newest pass known and when it was learned, and the time that a pass takes. */
     StepNumber newestStep_;
     TimePoint newestStepAt_;
--- a/modules/hornbeamlane_groups/placement/ExpertMap.cpp
+++ b/modules/hornbeamlane_groups/placement/ExpertMap.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamlane_groups/placement/ExpertMap.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace hornbeamlane {
 
@@ -82,16 +83,28 @@
     return experts;
 }
 
-std::size_t ExpertMap::copiesMissingIn(const ExpertMap &older) const
+std::vector<std::size_t> ExpertMap::copiesByRank(const ExpertMap &older) const
 {
     HORNBEAMLANE_ASSERT(holders_.size() == older.holders_.size());
-    std::size_t missing = 0;
+    std::vector<std::size_t> copies(ranks_, 0);
     for (std::size_t i = 0; i < holders_.size(); ++i) {
         for (const auto rank : holders_[i]) {
-            missing += std::binary_search(older.holders_[i].begin(), older.holders_[i].end(), rank) ? 0 : 1;
+            copies[rank] += std::binary_search(older.holders_[i].begin(), older.holders_[i].end(), rank) ? 0 : 1;
         }
     }
-    return missing;
+    return copies;
+}
+
+std::size_t ExpertMap::copiesMissingIn(const ExpertMap &older) const
+{
+    const auto copies = copiesByRank(older);
+    return std::accumulate(copies.begin(), copies.end(), std::size_t(0));
+}
+
+std::size_t ExpertMap::mostCopiesOfOneRank(const ExpertMap &older) const
+{
+    const auto copies = copiesByRank(older);
+    return copies.empty() ? 0 : *std::max_element(copies.begin(), copies.end());
 }
 
 bool ExpertMap::isComplete() const
--- a/modules/hornbeamlane_groups/placement/ExpertMap.h
+++ b/modules/hornbeamlane_groups/placement/ExpertMap.h
@@ -61,6 +61,9 @@
     /** Number of copies that this map has and the older one lacks; each has to be loaded from the weight store. */
     std::size_t copiesMissingIn(const ExpertMap &older) const;
 
+    /** The most such copies that one rank has to load. */
+    std::size_t mostCopiesOfOneRank(const ExpertMap &older) const;
+
     /** Each expert of each layer has at least one holder. */
     bool isComplete() const;
 
@@ -69,6 +72,7 @@
 
 private:
     std::size_t index(std::uint32_t layer, ExpertIndex expert) const;
+    std::vector<std::size_t> copiesByRank(const ExpertMap &older) const;
 
     ExpertMapVersion version_;
     RankIndex ranks_ = 0;
--- a/testing/fault_matrix/HeldSwitchWorld.cpp
+++ b/testing/fault_matrix/HeldSwitchWorld.cpp
@@ -148,7 +148,7 @@
     const bool mayStart = hasRival_ || &controller == &controllers_.back();
     if (wantsSwitch_ && mayStart && mapSwitch.phase() == HeldMapSwitch::Phase::Idle) {
         ExpertMap map(ExpertMapVersion(controller.token * mapsPerToken + ++mapsMade_), options_.ranks, 1, 4);
-        wantsSwitch_ = !mapSwitch.start(map, now_);
+        wantsSwitch_ = !mapSwitch.start(map, milliseconds(0), now_);
     }
     for (const auto &order : mapSwitch.poll(now_)) {
         send(controller, order);
@@ -159,6 +159,21 @@
             deliver(controller, [this, &controller, seen] { controller.mapSwitch->onReport(seen, now_); });
         });
     }
+    readMaps(controller);
+}
+
+void HeldSwitchWorld::readMaps(Controller &controller)
+{
+    for (const auto index : controller.mapSwitch->mapsWanted(now_)) {
+        at(now_ + transit, [this, &controller, index] {
+            const auto &rank = ranks_[index];
+            const EngineRankMaps seen{
+                .rank = index, .epoch = epoch_, .step = step_, .active = rank.active, .prepared = rank.prepared};
+            at(now_ + transit, [this, &controller, seen] {
+                deliver(controller, [this, &controller, seen] { controller.mapSwitch->onMaps(seen, now_); });
+            });
+        });
+    }
 }
 
 void HeldSwitchWorld::send(Controller &controller, const EngineOrder &order)
--- a/testing/fault_matrix/HeldSwitchWorld.h
+++ b/testing/fault_matrix/HeldSwitchWorld.h
@@ -98,6 +98,7 @@
     void tick();
     void beginPass();
     void poll(Controller &controller);
+    void readMaps(Controller &controller);
     void send(Controller &controller, const EngineOrder &order);
     EngineOrderResult carryOut(const EngineOrder &order);
     EngineRankReport report(RankIndex rank) const;
