Ask a large group for reports instead of maps while it prepares

A look at a rank's maps pauses the group by half a millisecond, and all 72 were asked at once; every stream was late.

Change: with more than 16 ranks to confirm, reports are asked for, first when they can show the copies. A look at the holder alone still ends the switch. HeldMapSwitchTest has the load.

Conclusion: a pause of one pass costs every stream in flight; looks at engines are to be counted like passes.

--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
@@ -322,6 +322,14 @@
         }
         return wanted;
     }
+    if (phase_ == Phase::Preparing) {
+        wanted = ranksToConfirm(now - options_.reportAge);
+        if (wanted.size() <= options_.maxMapsAsked) {
+            wanted.clear();
+        }
+        reportsAskedAt_ = wanted.empty() ? reportsAskedAt_ : now;
+        return wanted;
+    }
     if (phase_ != Phase::Recovering) {
         return wanted;
     }
@@ -349,11 +357,10 @@
     }
     if (phase_ == Phase::Settling) {
         wanted.push_back(holder_);
-    } else if (phase_ == Phase::Preparing && doneCount() == ranks_.size() && now - acceptedAt_ >= copyTime_) {
-        for (RankIndex index = 0; index < ranks_.size(); ++index) {
-            if (!ranks_[index].isPrepared) {
-                wanted.push_back(index);
-            }
+    } else if (phase_ == Phase::Preparing) {
+        wanted = ranksToConfirm(now);
+        if (wanted.size() > options_.maxMapsAsked) {
+            wanted.clear();
         }
     }
     if (!wanted.empty()) {
@@ -362,6 +369,20 @@
     return wanted;
 }
 
+std::vector<RankIndex> HeldMapSwitch::ranksToConfirm(TimePoint now) const
+{
+    std::vector<RankIndex> ranks;
+    if (doneCount() != ranks_.size() || now - acceptedAt_ < copyTime_) {
+        return ranks;
+    }
+    for (RankIndex index = 0; index < ranks_.size(); ++index) {
+        if (!ranks_[index].isPrepared) {
+            ranks.push_back(index);
+        }
+    }
+    return ranks;
+}
+
 void HeldMapSwitch::noteProgress(StepNumber step, TimePoint seenAt, TimePoint now)
 {
     if (step <= newestStep_ && newestStepAt_ != TimePoint{}) {
@@ -402,6 +423,9 @@
     rank.report = report;
     rank.reportedAt = now;
     noteProgress(report.step, now - options_.reportAge, now);
+    if (phase_ == Phase::Preparing && report.prepared == target_) {
+        rank.isPrepared = true;
+    }
     if (phase_ == Phase::Recovering) {
         if (report.heldStep && !holdSeenAt_) {
             holdSeenAt_ = now;
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
@@ -47,6 +47,9 @@
         std::chrono::milliseconds reportInterval{120};
         /** Pause between two looks at the maps of ranks that copy experts or wait for the held pass. */
         std::chrono::milliseconds mapsInterval{50};
+        /** Ranks that are asked for their maps at once. Each of them pauses the group by half a millisecond, so that a
+            larger group is asked for reports instead, which are older. */
+        std::size_t maxMapsAsked = 16;
         /** Reports are as old as this, so the group is further on by the passes of that time. */
         std::chrono::milliseconds reportAge{200};
         std::chrono::milliseconds prepareTimeout{4000};
@@ -132,6 +135,8 @@
     void recover(TimePoint now);
     void restartRecovery();
     bool areReportsNewerThanHold() const;
+    /** Ranks that have accepted the order to prepare and are not known to have the map yet; empty while they copy. */
+    std::vector<RankIndex> ranksToConfirm(TimePoint now) const;
     void chooseStep(TimePoint now);
     void advance(TimePoint now);
     /** The group had begun this pass at the given time. */
--- a/tests/groups/HeldMapSwitchTest.cpp
+++ b/tests/groups/HeldMapSwitchTest.cpp
@@ -101,5 +101,37 @@
     EXPECT_EQ(orders.front().step, StepNumber(46));
 }
 
+// Load pattern "many ranks near their largest pause": looking at the maps of 72 ranks at once pauses the group by 36
+// ms, and all of its streams are late. Their reports cost no pause.
+TEST(HeldMapSwitchLoadTest, AsksALargeGroupForReportsOnly)
+{
+    constexpr RankIndex ranks = 72;
+    constexpr milliseconds copyTime{80};
+    HeldMapSwitch mapSwitch({.ranks = ranks, .reportAge = reportAge});
+    const auto reportAll = [&](std::optional<ExpertMapVersion> prepared, TimePoint now) {
+        for (RankIndex rank = 0; rank < ranks; ++rank) {
+            mapSwitch.onReport(
+                {.rank = rank, .epoch = GroupEpoch(1), .isOpen = true, .step = StepNumber(40), .prepared = prepared},
+                now);
+        }
+    };
+    reportAll(std::nullopt, start);
+    ASSERT_TRUE(mapSwitch.start(ExpertMap(mapVersion, ranks, 1, 4), copyTime, start));
+    for (auto orders = mapSwitch.poll(start); !orders.empty(); orders = mapSwitch.poll(start)) {
+        for (const auto &order : orders) {
+            mapSwitch.onResult(order, EngineOrderResult::Accepted, start);
+        }
+    }
+    EXPECT_TRUE(mapSwitch.reportsWanted(start + copyTime).empty()) << "a report cannot show it yet";
+    EXPECT_TRUE(mapSwitch.mapsWanted(start + copyTime).empty());
+    const auto now = start + copyTime + reportAge;
+    EXPECT_EQ(mapSwitch.reportsWanted(now).size(), ranks);
+    EXPECT_TRUE(mapSwitch.mapsWanted(now).empty());
+    reportAll(mapVersion, now);
+    const auto orders = mapSwitch.poll(now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().kind, EngineOrderKind::Hold);
+}
+
 } // namespace
 } // namespace hornbeamlane
