Close a group whose ranks turn requests away one after the other

The entries tried one rank after the other and called their callers back within 1.2 s, to be refused again; so did entries that could not connect.

Change: two ranks with free places that reject or cannot be reached within a second, without an event of the group in between, close it for 0.4 s; then one rejection closes it again, and an event opens it. The callers are told the time of a broken group.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -88,7 +88,10 @@
     const auto found = stalledGroups_.find(place->group);
     const bool isStalled =
         found != stalledGroups_.end() && place->epoch <= found->second.epoch && now < found->second.until;
-    return place->isOpen && !isStalled;
+    const auto evidence = stallEvidence_.find(place->group);
+    const bool isSuspected = evidence != stallEvidence_.end() && place->epoch <= evidence->second.epoch
+        && now < evidence->second.closedUntil;
+    return place->isOpen && !isStalled && !isSuspected;
 }
 
 bool BackendBook::isFull(const Backend &backend) const
@@ -280,6 +283,42 @@
     }
 }
 
+void BackendBook::onRankTurnedAway(const ServerId &rank, std::uint64_t epoch, TimePoint now)
+{
+    const auto found = backends_.find(rank);
+    if (found == backends_.end() || !found->second.spec.group || found->second.inFlight() >= found->second.spec.slots) {
+        return;
+    }
+    auto &evidence = stallEvidence_[found->second.spec.group->group];
+    if (epoch < evidence.epoch) {
+        return;
+    }
+    if (epoch > evidence.epoch || now - evidence.lastAt > options_.stallEvidenceTime) {
+        evidence = {.epoch = epoch, .ranks = {}, .lastAt = {}, .closedUntil = {}};
+    }
+    evidence.ranks.insert(rank);
+    evidence.lastAt = now;
+    if (evidence.ranks.size() >= options_.ranksOfStall) {
+        evidence.closedUntil = now + options_.stallTime;
+    }
+}
+
+void BackendBook::onProgress(const ServerId &server)
+{
+    if (stallEvidence_.empty()) {
+        return;
+    }
+    if (const auto found = backends_.find(server); found != backends_.end() && found->second.spec.group) {
+        stallEvidence_.erase(found->second.spec.group->group);
+    }
+}
+
+bool BackendBook::isInClosedGroup(const ServerId &server, TimePoint now) const
+{
+    const auto found = backends_.find(server);
+    return found != backends_.end() && !isGroupOpen(found->second, now);
+}
+
 void BackendBook::setPeersInFlight(const ServerId &server, std::uint32_t inFlight)
 {
     const auto found = backends_.find(server);
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -100,6 +100,13 @@
         double distancePenalty = 0.02;
         /** Longest time for which a group stays closed after a rank's rejection; the group's entries follow by then. */
         std::chrono::milliseconds stalledGroupTime{3000};
+        /** Ranks of a group that turn requests away, without any event of the group in between, before it counts as
+            stalled. */
+        std::size_t ranksOfStall = 2;
+        /** Time within which they do so. */
+        std::chrono::milliseconds stallEvidenceTime{1000};
+        /** Time after the last such rank for which nothing is sent to the group; the next request tries it again. */
+        std::chrono::milliseconds stallTime{400};
         /** Time for which an entry may use its turn at a cold server; turns kept for longer could all be used at once.
          */
         std::chrono::milliseconds coldTurnTime{150};
@@ -161,6 +168,16 @@
     /** A rank rejected a request that was sent in this epoch because another rank of its group is lost. */
     void onRankLost(const ServerId &reporter, std::uint64_t epoch, TimePoint now);
 
+    /** A rank with free places rejected a request that was sent in this epoch, or could not be reached. One that stalls
+        with its whole group says the same as a full one. */
+    void onRankTurnedAway(const ServerId &rank, std::uint64_t epoch, TimePoint now);
+
+    /** An event of a stream came from the server, so its group runs. */
+    void onProgress(const ServerId &server);
+
+    /** Whether the server is a rank of a group that is known to serve nothing now. */
+    bool isInClosedGroup(const ServerId &server, TimePoint now) const;
+
     void setPeersInFlight(const ServerId &server, std::uint32_t inFlight);
 
     /** Forgets lapsed servers and those without work that have gone; returns the ids of those forgotten. */
@@ -194,6 +211,15 @@
         TimePoint until;
     };
 
+    /** Ranks of a group that turned requests away since its last event. */
+    struct StallEvidence
+    {
+        std::uint64_t epoch = 0;
+        std::set<ServerId> ranks;
+        TimePoint lastAt;
+        TimePoint closedUntil;
+    };
+
     bool isUsable(const Backend &backend, TimePoint now) const;
     bool isGroupOpen(const Backend &backend, TimePoint now) const;
     bool isFull(const Backend &backend) const;
@@ -208,6 +234,7 @@
     std::map<ServerId, Backend> backends_;
     std::map<ServiceId, Warmup> warmups_;
     std::map<GroupId, StalledGroup> stalledGroups_;
+    std::map<GroupId, StallEvidence> stallEvidence_;
     std::set<DataCentreId> evacuated_;
     NoChoice lastFailure_ = NoChoice::NoServer;
 };
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -309,6 +309,7 @@
         exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
     }
     notePace();
+    gateway_.backends_.onProgress(send_->server);
     exchange_->sendPiece(whole);
     if (exchange_->bufferedBytes() > maxBufferedBytes) {
         send_->connection->pauseReading();
@@ -341,8 +342,7 @@
         handleCompleteAnswer();
         return;
     case Http1CallEnd::NotSent:
-        endSend(BackendOutcome::Unreachable);
-        retryOrRefuse(GatewayRefusal::NoServer);
+        handleUnreachable();
         return;
     case Http1CallEnd::BrokenOff:
     case Http1CallEnd::BadResponse:
@@ -354,6 +354,15 @@
     }
 }
 
+void ForwardedRequest::handleUnreachable()
+{
+    auto &backends = gateway_.backends_;
+    backends.onRankTurnedAway(send_->server, send_->groupEpoch, now());
+    const bool isGroupClosed = backends.isInClosedGroup(send_->server, now());
+    endSend(BackendOutcome::Unreachable);
+    retryOrRefuse(isGroupClosed ? GatewayRefusal::GroupBroken : GatewayRefusal::NoServer);
+}
+
 void ForwardedRequest::handleCompleteAnswer()
 {
     const auto &names = gateway_.settings_.headers;
@@ -399,11 +408,15 @@
         {{"id", attemptId_}, {"server", send_->server.name()}, {"status", std::to_string(status)}, {"faulty", faulty}});
     // A rank that rejects a request because of a server elsewhere speaks for its whole group. One that names itself is
     // full or cut off itself.
+    auto &backends = gateway_.backends_;
     if (status != statusMisdirected && !faulty.empty() && faulty != send_->address) {
-        gateway_.backends_.onRankLost(send_->server, send_->groupEpoch, now());
+        backends.onRankLost(send_->server, send_->groupEpoch, now());
+    } else if (status == statusUnavailable) {
+        backends.onRankTurnedAway(send_->server, send_->groupEpoch, now());
     }
+    const bool isGroupClosed = backends.isInClosedGroup(send_->server, now());
     endSend(status == statusMisdirected ? BackendOutcome::Misdirected : BackendOutcome::Rejected);
-    retryOrRefuse(GatewayRefusal::RetriesUsedUp);
+    retryOrRefuse(isGroupClosed ? GatewayRefusal::GroupBroken : GatewayRefusal::RetriesUsedUp);
 }
 
 void ForwardedRequest::deliverAnswer()
@@ -476,7 +489,7 @@
         return;
     }
     // Status 503 states that the request has not run.
-    if (runs_ > 0 && statusOf(refusal) == 503) {
+    if (runs_ > 0 && statusOf(refusal) == statusUnavailable) {
         refusal = GatewayRefusal::ServerFailed;
     }
     if (failedHead_ && refusal == GatewayRefusal::ServerFailed) {
@@ -486,7 +499,7 @@
     }
     HttpHeaders headers;
     const auto status = statusOf(refusal);
-    if (status == 503) {
+    if (status == statusUnavailable) {
         headers.emplace_back("Retry-After", gateway_.retryAfter(refusal));
     }
     headers.emplace_back("Content-Type", "text/plain");
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -69,6 +69,7 @@
     bool handleHead(const Http1ResponseHead &head);
     void handleData(std::string_view bytes);
     void handleEnd(Http1CallEnd end);
+    void handleUnreachable();
     void handleCompleteAnswer();
     void handleRejection();
     /** Sends the request again if it may be repeated and the retry budget allows it; refuses it otherwise. */
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
@@ -59,7 +59,7 @@
 
 bool isPromiseOfNotRun(int status)
 {
-    return status == 408 || status == statusMisdirected || status == 429 || status == 503;
+    return status == 408 || status == statusMisdirected || status == 429 || status == statusUnavailable;
 }
 
 bool isNotRun(const Http1ResponseHead &head, const GatewayHeaders &names)
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.h
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.h
@@ -20,6 +20,7 @@
 
 /** Another server has the address. */
 constexpr int statusMisdirected = 421;
+constexpr int statusUnavailable = 503;
 
 /** Whether the status states that the request has not run and never will. */
 bool isPromiseOfNotRun(int status);
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -178,6 +178,49 @@
     EXPECT_FALSE(choose(start + milliseconds(6100)));
 }
 
+// Load pattern "a data centre is cut off together with its entries": ranks there that stall with their group reject as
+// if they were full, each naming itself. Without this the entry sends every caller to one rank after the other and
+// calls them all back within a second, only to refuse them again.
+TEST_F(BackendBookTest, ClosesAGroupWhoseRanksTurnRequestsAwayOneAfterTheOther)
+{
+    for (const std::uint32_t number : {0U, 1U, 2U}) {
+        auto rank = server(std::string(1, static_cast<char>('a' + number)));
+        rank.group = GroupPlace{.group = GroupId("g"), .epoch = 4, .rank = number, .size = 3, .isOpen = true};
+        book_.update(rank, start);
+    }
+    book_.onRankTurnedAway(ServerId("a"), 4, start);
+    book_.onRankTurnedAway(ServerId("a"), 4, start + milliseconds(10));
+    EXPECT_TRUE(choose(start + milliseconds(10))) << "one rank may be full";
+    book_.onRankTurnedAway(ServerId("b"), 4, start + milliseconds(20));
+    EXPECT_FALSE(choose(start + milliseconds(300)));
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupBroken);
+    EXPECT_TRUE(book_.isInClosedGroup(ServerId("c"), start + milliseconds(300)));
+    // A request tries the group from time to time; one rejection is enough to close it again.
+    EXPECT_TRUE(choose(start + milliseconds(450)));
+    book_.onRankTurnedAway(ServerId("c"), 4, start + milliseconds(460));
+    EXPECT_FALSE(choose(start + milliseconds(800)));
+    // An event shows that the group runs.
+    book_.onProgress(ServerId("a"));
+    EXPECT_TRUE(choose(start + milliseconds(800)));
+    book_.onRankTurnedAway(ServerId("b"), 4, start + milliseconds(810));
+    EXPECT_TRUE(choose(start + milliseconds(820)));
+}
+
+// Guards against a group that is closed because some of its ranks are full.
+TEST_F(BackendBookTest, DoesNotTakeFullRanksForAStalledGroup)
+{
+    for (const std::uint32_t number : {0U, 1U, 2U}) {
+        auto rank = server(std::string(1, static_cast<char>('a' + number)));
+        rank.group = GroupPlace{.group = GroupId("g"), .epoch = 4, .rank = number, .size = 3, .isOpen = true};
+        book_.update(rank, start);
+    }
+    for (const auto *name : {"a", "b"}) {
+        book_.setPeersInFlight(ServerId(name), 20);
+        book_.onRankTurnedAway(ServerId(name), 4, start);
+    }
+    EXPECT_TRUE(choose());
+}
+
 // Load pattern "all callers come back": a group whose ranks are all back opens within a second, so that waiting for it
 // is shorter than coming back. Guards against taking a group for one that is back while a rank is missing or has
 // lapsed.
