Keep the map duty while a renewal of its lease is unanswered

The holder lost it thirteen times and regained it with the same token; each time a new keeper began, whose first map had a version that the ranks had seen, and was refused. No map came into force for nine seconds, and most streams were late.

Change: the holder goes on while its request is unanswered and no other holder is heard, as it does while the store is away, and each confirmed write starts that time anew. Keepers last as long as their token, so versions are not used twice.

Conclusion: a slow store no longer stops the maps.

--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hornbeamlane {
@@ -45,9 +46,14 @@
     if (!request) {
         return;
     }
-    const auto handler = [this](const TableReply &reply) {
+    tableAskedAt_ = loop_.now();
+    const auto handler = [this, isWrite = request->write.has_value()](const TableReply &reply) {
         const bool isAnswer = reply.status != TableStatus::NoReply && reply.status != TableStatus::Unavailable;
         (isAnswer ? tableAnsweredAt_ : tableFailedAt_) = loop_.now();
+        if (isWrite && reply.status == TableStatus::Ok) {
+            // Also when the answer took longer than the lease: the row was this entry's until now.
+            lapsedAt_.reset();
+        }
         lease_.handleReply(reply, loop_.nowWithSuspend());
     };
     if (request->write) {
@@ -86,11 +92,12 @@
     return token_ && mayGoOnWithoutStore() ? token_ : std::nullopt;
 }
 
-// Without the store nobody can take the lease, and maps that nobody adapts make every stream slow. If another entry
-// reaches the store after all, two controllers act for a moment; the switch behind a held pass is safe with that.
+// While the store is away, or so slow that a renewal takes longer than the lease, nobody can take it, and maps that
+// nobody adapts make every stream slow. If another entry reaches the store after all, two controllers act for a moment;
+// the switch behind a held pass is safe with that.
 bool MapDuty::mayGoOnWithoutStore() const
 {
-    const bool isStoreAway = tableFailedAt_ > tableAnsweredAt_;
+    const bool isStoreAway = std::max(tableFailedAt_, tableAskedAt_) > tableAnsweredAt_;
     return isStoreAway && hooks_.holderHeardAt() < *lapsedAt_ && loop_.now() - *lapsedAt_ < options_.holdWithoutStore;
 }
 
@@ -99,8 +106,6 @@
     pollLease();
     const auto token = tokenToActUnder();
     if (token != token_) {
-        // A keeper acts under one token only; the next one starts from what the ranks report.
-        keepers_.clear();
         token_ = token;
         logEvent(LogLevel::Info, token ? "map_lease_acquired" : "map_lease_lost",
                  {{"token", token ? std::to_string(token->value()) : "-"}});
@@ -108,6 +113,11 @@
     if (!token_) {
         return;
     }
+    if (keepersToken_ != token_) {
+        // A keeper acts under one token only; the next one starts from what the ranks report.
+        keepers_.clear();
+        keepersToken_ = token_;
+    }
     for (auto &[group, view] : groups()) {
         const auto engine = hooks_.engineOf(view.service);
         if (!engine || engine->expertLayers == 0 || view.size < 2) {
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -79,9 +79,13 @@
     std::optional<FencingToken> token_;
     /** When the lease ended by its time; empty while it is held. */
     std::optional<TimePoint> lapsedAt_;
+    TimePoint tableAskedAt_;
     TimePoint tableAnsweredAt_;
     TimePoint tableFailedAt_;
+    /** Keepers and the token under which they act. A lease that is regained with its token goes on with them, since
+       they know which versions of maps they have used. */
     std::map<GroupId, std::unique_ptr<GroupMapKeeper>> keepers_;
+    std::optional<FencingToken> keepersToken_;
     Timer timer_;
 };
 
--- a/tests/gateway/MapDutyTest.cpp
+++ b/tests/gateway/MapDutyTest.cpp
@@ -52,17 +52,30 @@
         isAway_ = isAway;
     }
 
+    /** Answers come so late, also those to writes that are done at once. */
+    void setDelay(milliseconds delay)
+    {
+        delay_ = delay;
+    }
+
 private:
     void reply(const ReplyHandler &handler, const std::function<TableReply()> &make)
     {
         const auto answer = isAway_ ? TableReply{.status = TableStatus::NoReply, .row = std::nullopt} : make();
-        loop_.post([handler, answer] { handler(answer); });
+        if (delay_ == milliseconds(0)) {
+            loop_.post([handler, answer] { handler(answer); });
+            return;
+        }
+        late_ = std::make_unique<Timer>(loop_, [handler, answer] { handler(answer); });
+        late_->startOnce(delay_);
     }
 
     EventLoop &loop_;
     std::string value_;
     std::uint64_t version_ = 0;
     bool isAway_ = false;
+    milliseconds delay_{0};
+    std::unique_ptr<Timer> late_;
 };
 
 class MapDutyTest : public ::testing::Test
@@ -112,6 +125,18 @@
     EXPECT_TRUE(duty_.isHolder());
 }
 
+// Guards against maps that nobody adapts while the store is slow: a renewal that takes longer than the lease lasts is
+// no sign of another holder. The holder lost its lease every few hundred milliseconds and each time started anew.
+TEST_F(MapDutyTest, GoesOnWhileARenewalIsUnanswered)
+{
+    ASSERT_TRUE(duty_.isHolder());
+    table_.setDelay(milliseconds(250));
+    for (int look = 0; look < 12; ++look) {
+        runFor(milliseconds(70));
+        EXPECT_TRUE(duty_.isHolder()) << "look " << look;
+    }
+}
+
 // Guards against two holders for long: one that hears another gives up.
 TEST_F(MapDutyTest, GivesUpWhenAnotherHolderIsHeard)
 {
