--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/** A pass is assumed to take at least this long, so that the held pass is not chosen needlessly far ahead. */
-constexpr std::chrono::milliseconds shortestPass{15};
-constexpr std::chrono::milliseconds longestPass{400};
-
 /** A hold that a report still shows after this time is not one that has just been released. */
 constexpr std::chrono::milliseconds strayHoldAge{1500};
 
@@ -41,8 +37,7 @@
     epoch_ = epoch;
     isOpen_ = false;
     next_ = nullptr;
-    newestStep_ = StepNumber();
-    newestStepAt_ = {};
+    progress_.restart();
 }
 
 void HeldMapSwitch::enter(Phase phase, TimePoint now)
@@ -174,7 +169,7 @@
         const bool allPrepared =
             std::all_of(ranks_.begin(), ranks_.end(), [](const Rank &rank) { return rank.isPrepared; });
         if (allPrepared) {
-            chooseStep(now);
+            step_ = progress_.ahead(options_.leadPasses, now);
             holder_ = options_.holdRank;
             isHoldConfirmed_ = false;
             enter(Phase::Holding, now);
@@ -228,12 +223,6 @@
     ++counters_.abandoned;
 }
 
-void HeldMapSwitch::chooseStep(TimePoint now)
-{
-    const auto passes = static_cast<std::uint64_t>(std::max<Duration::rep>(0, (now - newestStepAt_) / passTime_));
-    step_ = StepNumber(newestStep_.value() + passes + options_.leadPasses);
-}
-
 void HeldMapSwitch::onResult(const EngineOrder &order, EngineOrderResult result, TimePoint now)
 {
     if (order.epoch != epoch_ || order.rank >= ranks_.size()) {
@@ -267,9 +256,8 @@
             return;
         }
         // The pass has begun: the group is faster than assumed. An earlier copy of this order is refused as well.
-        newestStep_ = std::max(newestStep_, step_);
-        newestStepAt_ = now;
-        chooseStep(now);
+        progress_.noteBegun(step_, now);
+        step_ = progress_.ahead(options_.leadPasses, now);
         rank.order = RankState::Unknown;
         return;
     case EngineOrderKind::Arm:
@@ -385,18 +373,7 @@
 
 void HeldMapSwitch::noteProgress(StepNumber step, TimePoint seenAt, TimePoint now)
 {
-    if (step <= newestStep_ && newestStepAt_ != TimePoint{}) {
-        return;
-    }
-    if (newestStepAt_ != TimePoint{} && newestStep_ != StepNumber() && seenAt > newestStepAt_) {
-        const auto passes = step.value() - newestStep_.value();
-        const auto time = (seenAt - newestStepAt_) / static_cast<Duration::rep>(passes);
-        const auto bounded = std::clamp<Duration>(time, shortestPass, longestPass);
-        passTime_ = passTime_ * 3 / 4 + bounded / 4;
-    }
-    newestStep_ = step;
-    newestStepAt_ = seenAt;
-    if (newestStep_ < step_) {
+    if (!progress_.note(step, seenAt) || progress_.newest() < step_) {
         return;
     }
     if (phase_ == Phase::Settling) {
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamlane_groups/enginemaps/EngineOrders.h"
+#include "hornbeamlane_groups/enginemaps/PassProgress.h"
 
 #include <functional>
 #include <optional>
@@ -137,7 +138,6 @@
     bool areReportsNewerThanHold() const;
     /** Ranks that have accepted the order to prepare and are not known to have the map yet; empty while they copy. */
     std::vector<RankIndex> ranksToConfirm(TimePoint now) const;
-    void chooseStep(TimePoint now);
     void advance(TimePoint now);
     /** The group had begun this pass at the given time. */
     void noteProgress(StepNumber step, TimePoint seenAt, TimePoint now);
@@ -167,10 +167,7 @@
     RankIndex askedRank_ = 0;
     /** When a hold was first reported during recovery. */
     std::optional<TimePoint> holdSeenAt_;
-    /** Newest pass known and when it was learned, and the time that a pass takes. */
-    StepNumber newestStep_;
-    TimePoint newestStepAt_;
-    Duration passTime_ = std::chrono::milliseconds(60);
+    PassProgress progress_;
     Counters counters_;
 };
 
