Log each sending that a server did not end in an orderly way

Change: one line send_failed with request, server, whether the answer had begun, age and prompt parts (at most 160 characters), and a counter by reason; the header of the prompt parts is named in the settings.

--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -35,6 +35,8 @@
     std::string warmup = "X-Warmup-Ms";
     /** Position in a stream after which it goes on. */
     std::string lastEventId = "Last-Event-Id";
+    /** Parts of the prompt in order, "<id>:<tokens>" each, separated by commas; the last one is the request's own. */
+    std::string promptParts = "X-Prompt-Parts";
 };
 
 /** What the owner of a gateway tells the other entries, and hears from them, with the loads. */
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -27,6 +27,9 @@
 /** Answers that are not streams are collected up to this size. */
 constexpr std::size_t maxCollectedBytes = 8 * 1024 * 1024;
 
+/** Characters of the list of prompt parts in a log line. */
+constexpr std::size_t maxLoggedParts = 160;
+
 std::string formatMilliseconds(Duration time)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
@@ -335,8 +338,28 @@
     send_->lastEventAt = time;
 }
 
+void ForwardedRequest::logFailedSend(Http1CallEnd end) const
+{
+    const auto *parts = exchange_->request().header(gateway_.settings_.headers.promptParts);
+    const auto *backend = gateway_.backends_.find(send_->server);
+    logEvent(LogLevel::Info, "send_failed",
+             {{"id", attemptId_},
+              {"server", send_->server.name()},
+              {"address", send_->address},
+              {"reason", std::string(toString(end))},
+              {"has_head", send_->head ? "yes" : "no"},
+              {"events", std::to_string(events_.completeEvents())},
+              {"sent_ms_ago", formatMilliseconds(now() - send_->startedAt)},
+              {"in_flight", backend == nullptr ? "-" : std::to_string(backend->inFlight())},
+              {"parts", parts == nullptr ? "-" : parts->substr(0, maxLoggedParts)}});
+    gateway_.metrics_.addToCounter("sends_failed_total", {{"reason", std::string(toString(end))}});
+}
+
 void ForwardedRequest::handleEnd(Http1CallEnd end)
 {
+    if (end != Http1CallEnd::Complete) {
+        logFailedSend(end);
+    }
     switch (end) {
     case Http1CallEnd::Complete:
         handleCompleteAnswer();
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -69,6 +69,7 @@
     bool handleHead(const Http1ResponseHead &head);
     void handleData(std::string_view bytes);
     void handleEnd(Http1CallEnd end);
+    void logFailedSend(Http1CallEnd end) const;
     void handleUnreachable();
     void handleCompleteAnswer();
     void handleRejection();
--- a/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
@@ -34,6 +34,21 @@
 
 } // namespace
 
+std::string_view toString(Http1CallEnd end)
+{
+    switch (end) {
+    case Http1CallEnd::Complete:
+        return "complete";
+    case Http1CallEnd::NotSent:
+        return "not_sent";
+    case Http1CallEnd::BrokenOff:
+        return "broken_off";
+    case Http1CallEnd::BadResponse:
+        return "bad_response";
+    }
+    return "unknown";
+}
+
 std::string serialiseRequest(const Http1ClientConnection::Request &request)
 {
     std::string text;
--- a/modules/hornbeamlane_network/http1/Http1ClientConnection.h
+++ b/modules/hornbeamlane_network/http1/Http1ClientConnection.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace hornbeamlane {
 
@@ -16,6 +17,9 @@
     BadResponse, ///< The peer sent bytes that are no response.
 };
 
+/** Name for log lines. */
+std::string_view toString(Http1CallEnd end);
+
 /**
     A connection to an HTTP/1.1 server that serves one call at a time and can be kept for the next one.
 
