--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -45,6 +45,12 @@
     bool start();
     void stop();
 
+    /** Port in use after a successful start(). */
+    std::uint16_t port() const
+    {
+        return socket_.port();
+    }
+
     /** An entry that may be there. */
     void addPeer(const std::string &address);
 
--- a/testing/standins/ScriptedServer.h
+++ b/testing/standins/ScriptedServer.h
@@ -35,6 +35,11 @@
     ScriptedServer(EventLoop &loop, Handler handler);
     ~ScriptedServer();
 
+    /** Ends like a process that crashes: resets all connections and refuses new ones until restart(). Safe to call from
+        the handler; it takes effect on the next turn of the loop, after what was sent before. */
+    void crash();
+    void restart();
+
     /** "127.0.0.1:<port>". */
     const std::string &address() const;
 
@@ -45,7 +50,7 @@
 
 private:
     struct Implementation;
-    std::unique_ptr<Implementation> implementation_;
+    std::shared_ptr<Implementation> implementation_;
 };
 
 /** Value of a header in a request head; empty if it is missing. */
--- /dev/null
+++ b/tests/gateway/CrashWorld.cpp
@@ -0,0 +1,170 @@
+#include "gateway/CrashWorld.h"
+
+#include <sstream>
+
+namespace hornbeamlane {
+
+using std::chrono::milliseconds;
+
+CrashWorld::CrashWorld(Options options)
+    : options_(options)
+    , entries_(options.entries)
+    , servers_(options.servers)
+{
+    for (auto &server : servers_) {
+        server.process = std::make_unique<testing::ScriptedServer>(
+            loop_, [this, &server](testing::ScriptedServer::Connection &connection, const std::string &head, int) {
+                answerRequest(server, connection, head);
+            });
+    }
+    for (std::size_t index = 0; index < entries_.size(); ++index) {
+        startEntry(index);
+    }
+    for (auto &server : servers_) {
+        listServer(server);
+    }
+}
+
+CrashWorld::~CrashWorld() = default;
+
+void CrashWorld::startEntry(std::size_t index)
+{
+    GatewaySettings settings{.name = "entry" + std::to_string(index), .dataCentre = DataCentreId("here")};
+    settings.callerAddress = "127.0.0.1:0";
+    settings.readyAddress = "127.0.0.1:0";
+    settings.peerAddress = "127.0.0.1:0";
+    settings.retryRatio = 1;
+    settings.retryAllowance = 1000;
+    auto entry = std::make_unique<Gateway>(loop_, random_, settings,
+                                           GatewayHooks{.isMapHolder = [] { return false; },
+                                                        .tableVersions = [] { return std::vector<std::uint64_t>(); },
+                                                        .peerVersions = [](const auto &) {}});
+    entry->start();
+    DispatchCatalogue catalogue{.version = CatalogueVersion(1)};
+    catalogue.routes = {{.name = RouteId("chat"),
+                         .host = "h",
+                         .prefix = "/chat/",
+                         .kind = RequestKind::Stream,
+                         .services = {{.service = ServiceId("pool")}},
+                         .timeout = milliseconds(2000),
+                         .maxAttempts = 2,
+                         .isResumable = true}};
+    catalogue.services = {{.name = ServiceId("pool")}};
+    entry->applyCatalogue(std::move(catalogue));
+    entries_[index] = std::move(entry);
+    introduceEntries();
+}
+
+void CrashWorld::introduceEntries()
+{
+    for (const auto &one : entries_) {
+        for (const auto &other : entries_) {
+            if (one && other && one != other) {
+                one->peers().addPeer("127.0.0.1:" + std::to_string(other->peers().port()));
+            }
+        }
+    }
+}
+
+void CrashWorld::restartEntry(std::size_t index)
+{
+    entries_[index].reset();
+    startEntry(index);
+    for (const auto &server : servers_) {
+        entries_[index]->backends().update({.id = ServerId(server.id),
+                                            .service = ServiceId("pool"),
+                                            .address = server.process->address(),
+                                            .dataCentre = DataCentreId("here"),
+                                            .slots = 16},
+                                           loop_.now());
+    }
+}
+
+void CrashWorld::listServer(Server &server)
+{
+    const ServerId old(server.id);
+    server.id = server.process->address() + "/" + std::to_string(++server.lifetimes);
+    for (const auto &entry : entries_) {
+        entry->backends().remove(old, std::nullopt);
+        entry->backends().update({.id = ServerId(server.id),
+                                  .service = ServiceId("pool"),
+                                  .address = server.process->address(),
+                                  .dataCentre = DataCentreId("here"),
+                                  .slots = 16},
+                                 loop_.now());
+        entry->serversChanged();
+    }
+}
+
+bool CrashWorld::isDeadly(const std::string &parts) const
+{
+    std::istringstream list(parts);
+    for (std::string part; std::getline(list, part, ',');) {
+        if (deadlyParts.contains(part.substr(0, part.find(':')))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void CrashWorld::answerRequest(Server &server, testing::ScriptedServer::Connection &connection, const std::string &head)
+{
+    if (isDeadly(headerOf(head, "X-Prompt-Parts"))) {
+        ++deadlyRequests_;
+        if (options_.sendsHeadBeforeCrash) {
+            connection.send(streamHead(head));
+        }
+        later(milliseconds(10), [this, &server] { crashServer(static_cast<std::size_t>(&server - servers_.data())); });
+        return;
+    }
+    connection.send(streamHead(head) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
+}
+
+void CrashWorld::crashServer(std::size_t index)
+{
+    auto &server = servers_[index];
+    server.process->crash();
+    ++crashes_;
+    later(options_.downTime, [this, &server] {
+        server.process->restart();
+        listServer(server);
+    });
+}
+
+void CrashWorld::later(milliseconds delay, std::function<void()> action)
+{
+    timers_.push_back(std::make_unique<Timer>(loop_, std::move(action)));
+    timers_.back()->startOnce(delay);
+}
+
+std::shared_ptr<CallerAnswer> CrashWorld::send(std::size_t entry, const std::string &parts)
+{
+    auto result = std::make_shared<CallerAnswer>();
+    auto &connection = callers_.emplace_back(std::make_unique<Http1ClientConnection>(
+        loop_,
+        Http1ClientConnection::Options{.address = "127.0.0.1:" + std::to_string(entries_[entry]->callerPort())}));
+    connection->call({.method = "POST",
+                      .target = "/chat/",
+                      .headers = {{"Host", "h"},
+                                  {"X-Attempt-Id", "a" + std::to_string(++attempts_)},
+                                  {"X-Time-Left-Ms", "2000"},
+                                  {"X-Prompt-Parts", parts}},
+                      .body = parts},
+                     {.head =
+                          [result](const Http1ResponseHead &head) {
+                              result->head = head;
+                              return true;
+                          },
+                      .data = [result](std::string_view bytes) { result->body.append(bytes); },
+                      .end = [result](Http1CallEnd end) { result->end = end; }});
+    return result;
+}
+
+void CrashWorld::runFor(milliseconds time)
+{
+    Timer end(loop_, [this] { loop_.stop(); });
+    end.startOnce(time);
+    loop_.run();
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/tests/gateway/CrashWorld.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "gateway/GatewayMessages.h"
+#include "hornbeamlane_gateway/hornbeamlane_gateway.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** Entries that hear each other, servers that crash under certain prompt parts and come back, and callers of them. */
+class CrashWorld final
+{
+public:
+    struct Options
+    {
+        std::size_t entries = 3;
+        std::size_t servers = 6;
+        /** Time after which a crashed server is back, under a new id. */
+        std::chrono::milliseconds downTime{150};
+        /** Whether a server that crashes has sent the head of its answer before. */
+        bool sendsHeadBeforeCrash = true;
+    };
+
+    explicit CrashWorld(Options options);
+    ~CrashWorld();
+
+    /** Parts under which servers crash as they begin to answer. */
+    std::set<std::string> deadlyParts;
+
+    Gateway &entry(std::size_t index)
+    {
+        return *entries_[index];
+    }
+
+    EventLoop &loop()
+    {
+        return loop_;
+    }
+
+    /** Ends an entry at once and starts another one in its place, which knows nothing. */
+    void restartEntry(std::size_t index);
+
+    /** Sends a stream request with these parts, such as "a:40,b:7,c:100", to an entry. */
+    std::shared_ptr<CallerAnswer> send(std::size_t entry, const std::string &parts);
+
+    void crashServer(std::size_t index);
+
+    void runFor(std::chrono::milliseconds time);
+
+    int crashes() const
+    {
+        return crashes_;
+    }
+
+    /** Requests with a deadly part that have reached servers. */
+    int deadlyRequests() const
+    {
+        return deadlyRequests_;
+    }
+
+private:
+    struct Server
+    {
+        std::unique_ptr<testing::ScriptedServer> process;
+        std::string id;
+        int lifetimes = 0;
+    };
+
+    void startEntry(std::size_t index);
+    void introduceEntries();
+    void listServer(Server &server);
+    void answerRequest(Server &server, testing::ScriptedServer::Connection &connection, const std::string &head);
+    bool isDeadly(const std::string &parts) const;
+    void later(std::chrono::milliseconds delay, std::function<void()> action);
+
+    EventLoop loop_;
+    RandomSource random_{5};
+    Options options_;
+    std::vector<std::unique_ptr<Gateway>> entries_;
+    std::vector<Server> servers_;
+    std::vector<std::unique_ptr<Http1ClientConnection>> callers_;
+    std::vector<std::unique_ptr<Timer>> timers_;
+    int attempts_ = 0;
+    int crashes_ = 0;
+    int deadlyRequests_ = 0;
+};
+
+} // namespace hornbeamlane
