--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -3,8 +3,6 @@
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace hornbeamlane {
@@ -21,6 +19,9 @@
 
 constexpr milliseconds drainCheckInterval{20};
 
+/** Time between two looks at requests that wait for a suspect like them. */
+constexpr milliseconds heldInterval{20};
+
 /** Time before the end of the grace period at which what still runs is cut off in an orderly way. */
 constexpr milliseconds shutdownMargin{400};
 
@@ -72,7 +73,23 @@
               .isMapHolder = std::move(hooks.isMapHolder),
               .tableVersions = std::move(hooks.tableVersions),
               .peerVersions = std::move(hooks.peerVersions),
-              .changed = [this] { peerLoadsChanged(); }})
+              .changed = [this] { peerLoadsChanged(); },
+              .crashDigest = [this] { return crashes_.digest(); },
+              .peerCrashDigest = [this](const std::string &address,
+                                        std::uint64_t digest) { crashes_.exchange().onPeerDigest(address, digest); },
+              .otherMessage = [this](std::string_view bytes) { return crashes_.exchange().onMessage(bytes); }})
+    , crashes_(
+          loop, random, backends_, {.incarnation = random.incarnation()},
+          {.unanswered = [this](const ServerId &server) { return unansweredAt(server); },
+           .changed = [this] { heldTimer_.startOnce(Duration::zero()); },
+           .sendToAll =
+               [this](const std::string &bytes) {
+                   peers_.sendToAll(bytes);
+                   // The digest has changed too.
+                   peers_.markChanged();
+               },
+           .sendTo = [this](const std::string &address, const std::string &bytes) { peers_.sendTo(address, bytes); },
+           .writeRow = std::move(hooks.writeCrashRow)})
     , callers_(loop,
                {.limits =
                     [this] {
@@ -91,6 +108,7 @@
               [this](const std::shared_ptr<Http1Exchange> &exchange) { handleStatusRequest(exchange); })
     , sweepTimer_(loop, [this] { sweep(); })
     , waitTimer_(loop, [this] { expireWaiting(); })
+    , heldTimer_(loop, [this] { crashesChanged(); })
     , drainTimer_(loop, [this] { checkDrained(); })
 {
 }
@@ -108,7 +126,8 @@
 
 void Gateway::handle(const std::shared_ptr<Http1Exchange> &exchange)
 {
-    auto request = std::make_shared<ForwardedRequest>(*this, exchange);
+    lastRequest_ = lastRequest_.next();
+    auto request = std::make_shared<ForwardedRequest>(*this, lastRequest_, exchange);
     requests_.emplace(request.get(), request);
     request->start();
 }
@@ -310,6 +329,7 @@
         logEvent(LogLevel::Info, "server_forgotten", {{"server", server.name()}});
     }
     pool_.sweep(now);
+    crashes_.sweep();
     setEntryCount(peers_.entryCount(now));
     for (auto &[service, state] : services_) {
         state.governor.onPeerShare(peers_.loads().boundFor(hashOfService(service)));
@@ -384,14 +404,38 @@
     }
 }
 
-std::string Gateway::retryAfter(GatewayRefusal refusal)
+Duration Gateway::drawRetryAfter(GatewayRefusal refusal)
 {
     const auto &range = refusal == GatewayRefusal::GroupBroken ? afterBrokenGroup : afterOverload;
-    const auto wait =
-        range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
-    std::array<char, 16> text{};
-    std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(wait).count());
-    return text.data();
+    return range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
+}
+
+std::vector<CrashCandidate> Gateway::unansweredAt(const ServerId &server) const
+{
+    std::vector<CrashCandidate> candidates;
+    for (const auto &[key, request] : requests_) {
+        if (auto candidate = request->unansweredAt(server)) {
+            candidates.push_back(std::move(*candidate));
+        }
+    }
+    return candidates;
+}
+
+void Gateway::crashesChanged()
+{
+    std::vector<std::shared_ptr<ForwardedRequest>> requests;
+    requests.reserve(requests_.size());
+    for (const auto &[key, request] : requests_) {
+        requests.push_back(request);
+    }
+    for (const auto &request : requests) {
+        request->onCrashesChanged();
+    }
+}
+
+void Gateway::watchHeldRequests()
+{
+    heldTimer_.startOnce(heldInterval);
 }
 
 void Gateway::countOutcome(std::string_view outcome, Duration total)
@@ -416,6 +460,8 @@
     metrics_.setGauge("buffered_bytes", {}, static_cast<double>(bufferedBytes()));
     metrics_.setGauge("connections_opened", {}, static_cast<double>(pool_.counters().opened));
     metrics_.setGauge("connections_reused", {}, static_cast<double>(pool_.counters().reused));
+    metrics_.setGauge("crashes_known", {}, static_cast<double>(crashes_.crashCount()));
+    metrics_.setGauge("culprits_quarantined", {}, static_cast<double>(crashes_.culpritCount()));
     metrics_.setGauge("peers_active", {}, static_cast<double>(peers_.loads().activePeers()));
     return metrics_.renderPrometheus();
 }
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_gateway/GatewaySettings.h"
 #include "hornbeamlane_gateway/backends/BackendPool.h"
+#include "hornbeamlane_gateway/crashes/CrashGuard.h"
 #include "hornbeamlane_gateway/peers/PeerExchange.h"
 #include "hornbeamlane_gateway/request/ForwardedRequest.h"
 #include "hornbeamlane_network/http1/Http1Server.h"
@@ -45,6 +46,12 @@
         return peers_;
     }
 
+    /** The row by which all entries keep what they know of crashes. */
+    CrashRow &crashRow()
+    {
+        return crashes_.row();
+    }
+
     /** Servers or their groups have changed, so waiting requests may find a place. */
     void serversChanged();
 
@@ -94,8 +101,13 @@
     void logServiceStates();
     void setEntryCount(std::uint32_t count);
     void checkDrained();
-    /** Value of a Retry-After header: callers that were refused together come back spread out. */
-    std::string retryAfter(GatewayRefusal refusal);
+    /** Time after which to come back: callers that were refused together come back spread out. */
+    Duration drawRetryAfter(GatewayRefusal refusal);
+    std::vector<CrashCandidate> unansweredAt(const ServerId &server) const;
+    /** What is known of crashes has changed, or held requests have waited for a while. */
+    void crashesChanged();
+    /** Looks at held requests again shortly. */
+    void watchHeldRequests();
     void countOutcome(std::string_view outcome, Duration total);
     /** Destroys the request on the next turn. */
     void forget(ForwardedRequest *request);
@@ -107,6 +119,7 @@
     BackendBook backends_;
     BackendPool pool_;
     PeerExchange peers_;
+    CrashGuard crashes_;
     /** Shared with the requests that were admitted under it. */
     std::shared_ptr<const RouteTable> table_;
     std::map<ServiceId, ServiceState> services_;
@@ -115,11 +128,13 @@
     /** Longest time that a caller of each route has stated. */
     std::unordered_map<RouteId, std::chrono::milliseconds> longestTimeLeft_;
     std::unordered_map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> requests_;
+    RequestNumber lastRequest_;
     Http1Server callers_;
     Http1Server status_;
     MetricsRegistry metrics_;
     Timer sweepTimer_;
     Timer waitTimer_;
+    Timer heldTimer_;
     Timer drainTimer_;
     std::function<void()> drained_;
     bool isStopping_ = false;
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_base/hornbeamlane_base.h"
 #include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+#include "hornbeamlane_membership/table/TableClient.h"
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
 #include <functional>
@@ -47,6 +48,9 @@
     /** Newest row seen of each table that all entries follow. */
     std::function<std::vector<std::uint64_t>()> tableVersions;
     std::function<void(const std::vector<std::uint64_t> &)> peerVersions;
+    /** Writes the row of known crashes if it has this version; version 0 means that there is none. */
+    std::function<void(const std::string &value, RowVersion expected, TableClient::ReplyHandler)> writeCrashRow =
+        [](const auto &, auto, const auto &reply) { reply({.status = TableStatus::Unavailable}); };
 };
 
 /** Everything that a gateway has to know before it starts. */
--- /dev/null
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
@@ -0,0 +1,153 @@
+#include "hornbeamlane_gateway/crashes/CrashDetector.h"
+
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+const char *toString(ConnectProbe::Result result)
+{
+    switch (result) {
+    case ConnectProbe::Result::Listening:
+        return "listening";
+    case ConnectProbe::Result::Refused:
+        return "refused";
+    case ConnectProbe::Result::NoAnswer:
+        return "no_answer";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+CrashId ServerStart::id() const
+{
+    return CrashId(hash64(server.name() + "/" + std::to_string(incarnation)));
+}
+
+CrashDetector::CrashDetector(EventLoop &loop, const BackendBook &servers, Options options, Hooks hooks)
+    : loop_(loop)
+    , servers_(servers)
+    , options_(options)
+    , hooks_(std::move(hooks))
+{
+}
+
+bool CrashDetector::isLeaving(const ServerId &server) const
+{
+    const auto *backend = servers_.find(server);
+    return backend != nullptr && backend->spec.isDraining;
+}
+
+void CrashDetector::onBrokenOff(const ServerStart &start, CrashCandidate candidate, std::function<void()> checked)
+{
+    if (isLeaving(start.server)) {
+        loop_.post(std::move(checked));
+        return;
+    }
+    onGivenUp(start, std::move(candidate));
+    probe(start, std::move(checked));
+}
+
+void CrashDetector::onGivenUp(const ServerStart &start, CrashCandidate candidate)
+{
+    if (isLeaving(start.server)) {
+        return;
+    }
+    failed_.add(start.id(), std::move(candidate), loop_.now());
+    watched_.emplace(start.id(), start);
+}
+
+void CrashDetector::onUnreachable(const ServerStart &start)
+{
+    if (failed_.hasAny(start.id())) {
+        probe(start, [] {});
+    }
+}
+
+void CrashDetector::probe(const ServerStart &start, std::function<void()> checked)
+{
+    auto &probe = probes_[start.id()];
+    if (!probe.connection && loop_.now() - probe.endedAt < options_.probePause) {
+        loop_.post(std::move(checked));
+        return;
+    }
+    probe.checked.push_back(std::move(checked));
+    if (probe.connection) {
+        return;
+    }
+    probe.start = start;
+    probe.connection = std::make_unique<ConnectProbe>(
+        loop_, start.address, options_.probeTimeout,
+        [this, id = start.id()](ConnectProbe::Result result) { finishProbe(id, result); });
+}
+
+void CrashDetector::finishProbe(CrashId id, ConnectProbe::Result result)
+{
+    auto &probe = probes_[id];
+    const auto start = probe.start;
+    const auto checked = std::exchange(probe.checked, {});
+    probe.endedAt = loop_.now();
+    // The probe's own callback is running.
+    loop_.post([kept = std::shared_ptr<ConnectProbe>(std::move(probe.connection))] {});
+    logEvent(LogLevel::Info, "server_probed",
+             {{"server", start.server.name()}, {"address", start.address}, {"result", std::string(toString(result))}});
+    if (result == ConnectProbe::Result::Refused) {
+        reportCrash(start, "connection_refused");
+    }
+    for (const auto &call : checked) {
+        call();
+    }
+}
+
+void CrashDetector::reportCrash(const ServerStart &start, std::string_view evidence)
+{
+    auto candidates = failed_.take(start.id(), loop_.now());
+    for (auto &candidate : hooks_.unanswered(start.server)) {
+        candidates.push_back(std::move(candidate));
+    }
+    watched_.erase(start.id());
+    hooks_.crashed(start, evidence, std::move(candidates));
+}
+
+const char *CrashDetector::endOf(const ServerStart &start) const
+{
+    const auto *backend = servers_.find(start.server);
+    if (backend != nullptr && backend->spec.isDraining) {
+        return nullptr;
+    }
+    if (backend == nullptr || backend->isGone) {
+        return "entry_gone";
+    }
+    if (backend->spec.incarnation != start.incarnation) {
+        return "started_again";
+    }
+    const auto &all = servers_.all();
+    const bool isReplaced = std::any_of(all.begin(), all.end(), [&start](const auto &entry) {
+        const auto &other = entry.second;
+        return !other.isGone && other.spec.id != start.server && other.spec.address == start.address;
+    });
+    return isReplaced ? "address_taken" : nullptr;
+}
+
+void CrashDetector::sweep(TimePoint now)
+{
+    failed_.expire(now);
+    std::erase_if(watched_, [this](const auto &entry) { return !failed_.hasAny(entry.first); });
+    std::erase_if(probes_, [this, now](const auto &entry) {
+        return !entry.second.connection && now - entry.second.endedAt >= options_.probePause;
+    });
+    // Reporting a crash ends the watch.
+    const auto watched = watched_;
+    for (const auto &[id, start] : watched) {
+        if (const auto *evidence = endOf(start)) {
+            reportCrash(start, evidence);
+        }
+    }
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+#include "hornbeamlane_network/loop/EventLoop.h"
+#include "hornbeamlane_network/socket/ConnectProbe.h"
+#include "hornbeamlane_routing/crashes/FailedSends.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** One start of a backend server, as it was when a request was sent to it. */
+struct ServerStart
+{
+    ServerId server;
+    std::uint64_t incarnation = 0;
+    std::string address;
+
+    CrashId id() const;
+};
+
+/**
+    Tells servers that have crashed from connections that broke.
+
+    A server has crashed if it refuses connections right after one broke, if its entry has gone without having announced
+    that, or if another start of it, or another server, has its address.
+*/
+class CrashDetector final
+{
+public:
+    struct Options
+    {
+        std::chrono::milliseconds probeTimeout{120};
+        /** Time after a refused or accepted probe for which the same start is not probed again. */
+        std::chrono::milliseconds probePause{200};
+    };
+
+    struct Hooks
+    {
+        /** Requests without an answer that are at the server now. */
+        std::function<std::vector<CrashCandidate>(const ServerId &)> unanswered;
+        /** The server has crashed with these requests; `evidence` is a word for the log. */
+        std::function<void(const ServerStart &, std::string_view evidence, std::vector<CrashCandidate>)> crashed;
+    };
+
+    CrashDetector(EventLoop &loop, const BackendBook &servers, Options options, Hooks hooks);
+
+    /** The connection broke before an answer; `checked` runs once it is known whether the server has crashed. */
+    void onBrokenOff(const ServerStart &start, CrashCandidate candidate, std::function<void()> checked);
+
+    /** The request was given up without an answer, which says nothing if the server lives on. */
+    void onGivenUp(const ServerStart &start, CrashCandidate candidate);
+
+    /** No connection could be opened. */
+    void onUnreachable(const ServerStart &start);
+
+    /** Looks for the ends of servers in their entries. */
+    void sweep(TimePoint now);
+
+private:
+    struct Probe
+    {
+        ServerStart start;
+        std::unique_ptr<ConnectProbe> connection;
+        std::vector<std::function<void()>> checked;
+        TimePoint endedAt;
+    };
+
+    bool isLeaving(const ServerId &server) const;
+    void probe(const ServerStart &start, std::function<void()> checked);
+    void finishProbe(CrashId id, ConnectProbe::Result result);
+    void reportCrash(const ServerStart &start, std::string_view evidence);
+    /** Why the start has ended according to the entries of the servers; null if it has not. */
+    const char *endOf(const ServerStart &start) const;
+
+    EventLoop &loop_;
+    const BackendBook &servers_;
+    Options options_;
+    Hooks hooks_;
+    FailedSends failed_;
+    /** Starts at which requests failed, until these are forgotten. */
+    std::map<CrashId, ServerStart> watched_;
+    std::map<CrashId, Probe> probes_;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "hornbeamlane_gateway/crashes/CrashDetector.h"
+#include "hornbeamlane_gateway/crashes/CrashExchange.h"
+#include "hornbeamlane_gateway/crashes/CrashRow.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** Keeps requests that crash servers from reaching more of them: what a gateway asks before each sending. */
+class CrashGuard final
+{
+public:
+    enum class Decision {
+        Send,
+        Wait, ///< Another request tries the suspect; ask again shortly or after a change.
+        Refuse,
+    };
+
+    struct Options
+    {
+        Incarnation incarnation;
+        CrashEvidence::Options evidence;
+        SuspectTrials::Options trials;
+    };
+
+    struct Hooks
+    {
+        /** Requests without an answer that are at the server now. */
+        std::function<std::vector<CrashCandidate>(const ServerId &)> unanswered;
+        /** Decisions may be others now. */
+        std::function<void()> changed;
+        std::function<void(const std::string &bytes)> sendToAll;
+        std::function<void(const std::string &address, const std::string &bytes)> sendTo;
+        /** See CrashRow::Hooks. */
+        std::function<void(const std::string &value, RowVersion expected, TableClient::ReplyHandler)> writeRow;
+    };
+
+    CrashGuard(EventLoop &loop, RandomSource &random, const BackendBook &servers, Options options, Hooks hooks);
+
+    Decision decide(RequestNumber request, const RequestTraits &traits);
+
+    /** Why and for how long a request is refused. */
+    struct Quarantine
+    {
+        Duration left{};
+        std::vector<TraitHash> traits;
+    };
+
+    /** Only after Decision::Refuse. */
+    Quarantine quarantineOf(const RequestTraits &traits);
+
+    /** Whether the request is the one that shows whether its suspect traits crash servers. */
+    bool isTrial(RequestNumber request) const
+    {
+        return trials_.hasClaim(request);
+    }
+
+    /** Servers on which this entry tries other suspects than this request, so that a crash tells which one it was; none
+        for a request that is no suspect. */
+    std::vector<ServerId> serversToAvoid(RequestNumber request) const;
+
+    void onSent(RequestNumber request, const ServerId &server);
+
+    /** A server has begun to answer the request and lives. */
+    void onAnswerBegun(RequestNumber request, const RequestTraits &traits);
+
+    /** The request is over, whatever has become of it. */
+    void onRequestEnded(RequestNumber request);
+
+    CrashDetector &detector()
+    {
+        return detector_;
+    }
+
+    CrashExchange &exchange()
+    {
+        return exchange_;
+    }
+
+    CrashRow &row()
+    {
+        return row_;
+    }
+
+    std::uint64_t digest() const
+    {
+        return evidence_.digest();
+    }
+
+    /** Traits because of which requests are refused. */
+    std::size_t culpritCount();
+
+    std::size_t crashCount() const
+    {
+        return evidence_.crashes().size();
+    }
+
+    void sweep();
+
+private:
+    void handleCrash(const ServerStart &start, std::string_view evidence, std::vector<CrashCandidate> candidates);
+    void endTrial(RequestNumber request);
+    void handleChange();
+    /** One line for each culprit that is new, has gone or has crashed another server. */
+    void logCulprits();
+
+    EventLoop &loop_;
+    Hooks hooks_;
+    CrashEvidence evidence_;
+    SuspectTrials trials_;
+    CrashDetector detector_;
+    CrashExchange exchange_;
+    CrashRow row_;
+    std::map<RequestNumber, ServerId> running_;
+    /** Culprits as last logged: their traits and crashes. */
+    std::map<std::vector<TraitHash>, std::size_t> loggedCulprits_;
+};
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_gateway/crashes/CrashRow.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "hornbeamlane_gateway/crashes/CrashMessage.h"
+#include "hornbeamlane_membership/table/TableClient.h"
+#include "hornbeamlane_network/loop/Timer.h"
+#include "hornbeamlane_routing/crashes/CrashEvidence.h"
+
+#include <functional>
+#include <string>
+
+namespace hornbeamlane {
+
+/**
+    Keeps the evidence of all entries in one row of the table service.
+
+    The row reaches entries that no other entry reaches, and it outlasts a restart of all of them. Whoever knows
+   something that it lacks adds that, under the condition that the row has not changed meanwhile.
+*/
+class CrashRow final
+{
+public:
+    struct Options
+    {
+        /** Time for which a difference has to last before it is written, drawn between these bounds: mostly one entry
+            writes for all, and what is cleared at once is not written. */
+        std::chrono::milliseconds fromDelay{300};
+        std::chrono::milliseconds toDelay{800};
+        /** Pause after a failed write; doubles up to the bound. */
+        std::chrono::milliseconds firstPause{500};
+        std::chrono::milliseconds maxPause{5000};
+        /** Longest value that is written. */
+        std::size_t maxBytes = 40 * 1024;
+    };
+
+    struct Hooks
+    {
+        /** Writes the row if it has this version; version 0 means that there is none. */
+        std::function<void(const std::string &value, RowVersion expected, TableClient::ReplyHandler)> write;
+        std::function<std::chrono::system_clock::time_point()> timeOfDay;
+        /** The row has changed what is known here. */
+        std::function<void()> changed;
+    };
+
+    CrashRow(EventLoop &loop, RandomSource &random, CrashEvidence &evidence, Options options, Hooks hooks);
+
+    /** The row as it stands now. */
+    void onRow(const std::string &value, RowVersion version);
+
+    void onRowRemoved();
+
+    /** The evidence may have changed. */
+    void check();
+
+private:
+    void write();
+    void handleWritten(std::uint64_t digest, const TableReply &reply);
+    std::string encode() const;
+
+    EventLoop &loop_;
+    RandomSource &random_;
+    CrashEvidence &evidence_;
+    Options options_;
+    Hooks hooks_;
+    Timer timer_;
+    RowVersion version_;
+    /** Digest of what the row holds. */
+    std::uint64_t rowDigest_ = 0;
+    bool isWaiting_ = false;
+    bool isWriting_ = false;
+    std::chrono::milliseconds pause_{0};
+};
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -51,6 +51,23 @@
     hasChanged_ = true;
 }
 
+void PeerExchange::sendTo(const std::string &address, const std::string &bytes)
+{
+    socket_.send(address, bytes);
+}
+
+void PeerExchange::sendToAll(const std::string &bytes)
+{
+    const auto now = loop_.now();
+    std::size_t sent = 0;
+    for (const auto &[address, peer] : peers_) {
+        if (sent < options_.fanOut && now - peer.heardAt < options_.silence) {
+            socket_.send(address, bytes);
+            ++sent;
+        }
+    }
+}
+
 std::uint32_t PeerExchange::entryCount(TimePoint now) const
 {
     const auto known = std::count_if(peers_.begin(), peers_.end(), [now](const auto &entry) {
@@ -63,6 +80,9 @@
 void PeerExchange::receive(std::string_view bytes, const std::string &sender)
 {
     const auto message = decodeLoadMessage(bytes);
+    if (!message && callbacks_.otherMessage(bytes)) {
+        return;
+    }
     if (!message) {
         logEvent(LogLevel::Warning, "peer_message_malformed",
                  {{"sender", sender}, {"bytes", std::to_string(bytes.size())}});
@@ -73,6 +93,7 @@
     auto &peer = peers_[sender];
     peer.heardAt = now;
     callbacks_.peerVersions(message->tableVersions);
+    callbacks_.peerCrashDigest(sender, message->crashDigest);
     if (loads_.take(*message, now)) {
         callbacks_.changed();
     }
@@ -112,7 +133,8 @@
                                           .isMapHolder = callbacks_.isMapHolder(),
                                           .tableVersions = callbacks_.tableVersions(),
                                           .inFlight = callbacks_.ownLoad(),
-                                          .bounds = callbacks_.bounds()});
+                                          .bounds = callbacks_.bounds(),
+                                          .crashDigest = callbacks_.crashDigest()});
     for (const auto &address : nextPeers(now, toAll)) {
         socket_.send(address, bytes);
     }
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -38,6 +38,12 @@
         std::function<void(const std::vector<std::uint64_t> &)> peerVersions;
         /** The loads of the peers have changed. */
         std::function<void()> changed;
+        /** Digest of what is known here of crashes. */
+        std::function<std::uint64_t()> crashDigest = [] { return 0; };
+        std::function<void(const std::string &address, std::uint64_t digest)> peerCrashDigest = [](const auto &, auto) {
+        };
+        /** Takes a message that tells no load; false if it is of no known kind. */
+        std::function<bool(std::string_view bytes)> otherMessage = [](auto) { return false; };
     };
 
     PeerExchange(EventLoop &loop, Options options, Callbacks callbacks);
@@ -57,6 +63,11 @@
     /** The load has changed; it is told with the next message. */
     void markChanged();
 
+    void sendTo(const std::string &address, const std::string &bytes);
+
+    /** Sends to the peers that are heard, as many as are told at a time. */
+    void sendToAll(const std::string &bytes);
+
     const PeerLoads &loads() const
     {
         return loads_;
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -66,7 +66,8 @@
     const nlohmann::json document = {{"v", protocolVersion},           {"n", message.sender},
                                      {"s", message.sequence},          {"i", message.incarnation.value()},
                                      {"m", message.isMapHolder},       {"t", message.tableVersions},
-                                     {"l", flatten(message.inFlight)}, {"b", flatten(message.bounds)}};
+                                     {"l", flatten(message.inFlight)}, {"b", flatten(message.bounds)},
+                                     {"q", message.crashDigest}};
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
     return bytes;
@@ -109,6 +110,9 @@
     if (const auto bounds = document.find("b"); bounds != document.end()) {
         message.bounds = pairsFrom(*bounds).value_or(NumberPairs());
     }
+    if (const auto digest = document.find("q"); digest != document.end() && digest->is_number_unsigned()) {
+        message.crashDigest = digest->get<std::uint64_t>();
+    }
     return message;
 }
 
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -41,6 +41,8 @@
     /** Bound on the requests of all entries at a service, in thousandths of its places; only where the sender has seen
         the pace of the service. */
     std::vector<std::pair<ServiceHash, std::uint32_t>> bounds;
+    /** Digest of what the sender knows of crashes; see CrashEvidence. */
+    std::uint64_t crashDigest = 0;
 };
 
 /** CBOR form of the message; decode() is empty for bytes that are no such message. */
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_gateway/Gateway.h"
 #include "hornbeamlane_gateway/request/RequestHeaders.h"
+#include "hornbeamlane_gateway/request/RequestLog.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,6 +19,10 @@
 /** Wait for a place for the rest of a stream that broke off; callers give up after a pause of about two seconds. */
 constexpr milliseconds resumeWait{1200};
 
+/** Longest wait of a suspect for another one to show whether it crashes servers; a sound one begins within this time.
+ */
+constexpr milliseconds suspectWait{600};
+
 /** Sendings of one request in all, also those that servers rejected without running it. */
 constexpr std::uint32_t maxSends = 4;
 
@@ -27,14 +32,6 @@
 /** Answers that are not streams are collected up to this size. */
 constexpr std::size_t maxCollectedBytes = 8 * 1024 * 1024;
 
-/** Characters of the list of prompt parts in a log line. */
-constexpr std::size_t maxLoggedParts = 160;
-
-std::string formatMilliseconds(Duration time)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-}
-
 /** Whether a place is expected soon, so that waiting for it makes sense. */
 bool isWorthWaiting(BackendBook::NoChoice failure)
 {
@@ -43,8 +40,9 @@
 
 } // namespace
 
-ForwardedRequest::ForwardedRequest(Gateway &gateway, std::shared_ptr<Http1Exchange> exchange)
+ForwardedRequest::ForwardedRequest(Gateway &gateway, RequestNumber number, std::shared_ptr<Http1Exchange> exchange)
     : gateway_(gateway)
+    , number_(number)
     , exchange_(std::move(exchange))
     , timer_(gateway.loop_, [this] { onTimeout(); })
 {
@@ -71,9 +69,86 @@
     });
     timer_.startOnce(deadline_ - arrivedAt_);
     gateway_.stateOf(service_).retries.countRequest(arrivedAt_);
+    readTraits();
     dispatch(true);
 }
 
+void ForwardedRequest::readTraits()
+{
+    const auto &request = exchange_->request();
+    traits_ = traitsOf({.target = service_.name(),
+                        .team = team_ == nullptr ? TeamId() : team_->name,
+                        .method = request.method,
+                        .path = request.target,
+                        .body = request.body,
+                        .sharedParts = sharedPromptParts(request.headers, gateway_.settings_.headers.promptParts)});
+}
+
+bool ForwardedRequest::passesCrashGuard()
+{
+    switch (gateway_.crashes_.decide(number_, traits_)) {
+    case CrashGuard::Decision::Send:
+        return true;
+    case CrashGuard::Decision::Refuse:
+        refuseAsQuarantined();
+        return false;
+    case CrashGuard::Decision::Wait:
+        hold();
+        return false;
+    }
+    return true;
+}
+
+void ForwardedRequest::refuseAsQuarantined()
+{
+    const auto quarantine = gateway_.crashes_.quarantineOf(traits_);
+    logEvent(
+        LogLevel::Info, "request_quarantined",
+        {{"id", attemptId_}, {"traits", formatTraits(quarantine.traits)}, {"for_s", formatSeconds(quarantine.left)}});
+    refuse(GatewayRefusal::Quarantined);
+}
+
+void ForwardedRequest::hold()
+{
+    if (!holdsUntil_) {
+        holdsUntil_ = std::min(now() + suspectWait, deadline_);
+        logEvent(LogLevel::Info, "request_held_as_suspect",
+                 {{"id", attemptId_}, {"parts", formatTraits(traits_.parts)}});
+    }
+    if (now() >= *holdsUntil_) {
+        refuse(GatewayRefusal::Suspected);
+        return;
+    }
+    isHeld_ = true;
+    gateway_.watchHeldRequests();
+}
+
+void ForwardedRequest::onCrashesChanged()
+{
+    if (isFinished_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (std::exchange(isHeld_, false)) {
+        dispatch(true);
+        return;
+    }
+    // What has been sent and not begun can still be spared the server.
+    if (send_ && send_->isUnanswered() && gateway_.crashes_.decide(number_, traits_) == CrashGuard::Decision::Refuse) {
+        ++runs_;
+        endSend(BackendOutcome::Cancelled);
+        refuseAsQuarantined();
+    }
+}
+
+std::optional<CrashCandidate> ForwardedRequest::unansweredAt(const ServerId &server) const
+{
+    if (!send_ || send_->start.server != server || !send_->isUnanswered()) {
+        return std::nullopt;
+    }
+    return CrashCandidate{.traits = traits_, .hadHead = send_->head.has_value()};
+}
+
 bool ForwardedRequest::admit()
 {
     const auto &request = exchange_->request();
@@ -116,12 +191,17 @@
 
 void ForwardedRequest::dispatch(bool mayQueue)
 {
+    if (!passesCrashGuard()) {
+        return;
+    }
     auto &state = gateway_.stateOf(service_);
     const auto time = now();
     // Those that wait already come first, unless they have missed their target and this one has not.
     const auto first = state.queue.front();
-    const bool isBehindOthers = mayQueue && first && first->priority <= queueRank();
-    const bool isLimited = mayQueue && route_->kind == RequestKind::Stream && gateway_.isAtLimit(service_, isLate_);
+    const bool isTrial = gateway_.crashes_.isTrial(number_);
+    const bool isBehindOthers = mayQueue && !isTrial && first && first->priority <= queueRank();
+    const bool isLimited =
+        mayQueue && !isTrial && route_->kind == RequestKind::Stream && gateway_.isAtLimit(service_, isLate_);
     const auto server = chooseServer();
     if (!server && !isWorthWaiting(gateway_.backends_.lastFailure())) {
         refuse(refusalFor(gateway_.backends_.lastFailure()));
@@ -143,8 +223,10 @@
 
 std::optional<ServerId> ForwardedRequest::chooseServer()
 {
+    auto excluded = gateway_.crashes_.serversToAvoid(number_);
+    excluded.insert(excluded.end(), tried_.begin(), tried_.end());
     return gateway_.backends_.choose(
-        {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &tried_}, now(),
+        {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &excluded}, now(),
         gateway_.random_);
 }
 
@@ -190,6 +272,10 @@
 
 bool ForwardedRequest::tryLeaveQueue()
 {
+    if (!passesCrashGuard()) {
+        leaveQueue();
+        return true;
+    }
     const auto server = chooseServer();
     if (!server && isWorthWaiting(gateway_.backends_.lastFailure())) {
         return false;
@@ -247,13 +333,14 @@
     const auto *backend = gateway_.backends_.find(server);
     const auto &request = exchange_->request();
     auto &sending = send_.emplace();
-    sending.server = server;
-    sending.address = backend->spec.address;
+    sending.start = {.server = server, .incarnation = backend->spec.incarnation, .address = backend->spec.address};
     sending.groupEpoch = backend->spec.group ? backend->spec.group->epoch : 0;
     sending.startedAt = now();
-    sending.connection = gateway_.pool_.acquire(server, sending.address);
+    sending.connection = gateway_.pool_.acquire(server, sending.start.address);
     tried_.push_back(server);
     ++sends_;
+    holdsUntil_.reset();
+    gateway_.crashes_.onSent(number_, server);
     gateway_.backends_.onSent(server);
     gateway_.stateOf(service_).starts.count(sending.startedAt);
     gateway_.peers_.markChanged();
@@ -272,11 +359,11 @@
     const auto *echoed = head.header(names.attemptId);
     if (echoed != nullptr && *echoed != attemptId_) {
         logEvent(LogLevel::Warning, "answer_of_other_request",
-                 {{"id", attemptId_}, {"server", send_->server.name()}, {"answered", *echoed}});
+                 {{"id", attemptId_}, {"server", send_->start.server.name()}, {"answered", *echoed}});
         return false;
     }
     if (const auto left = parseMilliseconds(head.header(names.warmup))) {
-        gateway_.backends_.onWarmup(send_->server, *left, now());
+        gateway_.backends_.onWarmup(send_->start.server, *left, now());
     }
     send_->head = head;
     send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head, names);
@@ -296,7 +383,7 @@
         send_->body.append(bytes);
         return;
     }
-    logEvent(LogLevel::Warning, "answer_too_large", {{"id", attemptId_}, {"server", send_->server.name()}});
+    logEvent(LogLevel::Warning, "answer_too_large", {{"id", attemptId_}, {"server", send_->start.server.name()}});
     endSend(BackendOutcome::Failed);
     refuse(GatewayRefusal::ServerFailed);
 }
@@ -312,7 +399,7 @@
         exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
     }
     notePace();
-    gateway_.backends_.onProgress(send_->server);
+    gateway_.backends_.onProgress(send_->start.server);
     exchange_->sendPiece(whole);
     if (exchange_->bufferedBytes() > maxBufferedBytes) {
         send_->connection->pauseReading();
@@ -331,6 +418,7 @@
     auto &governor = gateway_.stateOf(service_).governor;
     if (send_->lastEventAt == TimePoint{}) {
         governor.onFirstEvent(time - send_->startedAt);
+        gateway_.crashes_.onAnswerBegun(number_, traits_);
     } else {
         longestPause_ = std::max(longestPause_, time - send_->lastEventAt);
         governor.onPause(time - send_->lastEventAt, route_->pauseTarget, time);
@@ -338,27 +426,24 @@
     send_->lastEventAt = time;
 }
 
-void ForwardedRequest::logFailedSend(Http1CallEnd end) const
+void ForwardedRequest::reportFailedSend(Http1CallEnd end) const
 {
-    const auto *parts = exchange_->request().header(gateway_.settings_.headers.promptParts);
-    const auto *backend = gateway_.backends_.find(send_->server);
-    logEvent(LogLevel::Info, "send_failed",
-             {{"id", attemptId_},
-              {"server", send_->server.name()},
-              {"address", send_->address},
-              {"reason", std::string(toString(end))},
-              {"has_head", send_->head ? "yes" : "no"},
-              {"events", std::to_string(events_.completeEvents())},
-              {"sent_ms_ago", formatMilliseconds(now() - send_->startedAt)},
-              {"in_flight", backend == nullptr ? "-" : std::to_string(backend->inFlight())},
-              {"parts", parts == nullptr ? "-" : parts->substr(0, maxLoggedParts)}});
+    const auto *backend = gateway_.backends_.find(send_->start.server);
+    logFailedSend(*send_,
+                  {.attemptId = attemptId_,
+                   .end = end,
+                   .events = events_.completeEvents(),
+                   .sinceSent = now() - send_->startedAt,
+                   .inFlight = backend == nullptr ? std::nullopt : std::optional(backend->inFlight()),
+                   .parts = exchange_->request().header(gateway_.settings_.headers.promptParts),
+                   .traits = traits_.parts});
     gateway_.metrics_.addToCounter("sends_failed_total", {{"reason", std::string(toString(end))}});
 }
 
 void ForwardedRequest::handleEnd(Http1CallEnd end)
 {
     if (end != Http1CallEnd::Complete) {
-        logFailedSend(end);
+        reportFailedSend(end);
     }
     switch (end) {
     case Http1CallEnd::Complete:
@@ -368,6 +453,8 @@
         handleUnreachable();
         return;
     case Http1CallEnd::BrokenOff:
+        handleBrokenOff();
+        return;
     case Http1CallEnd::BadResponse:
         ++runs_;
         endSend(BackendOutcome::Failed);
@@ -377,11 +464,32 @@
     }
 }
 
+void ForwardedRequest::handleBrokenOff()
+{
+    ++runs_;
+    const auto start = send_->start;
+    const auto candidate = unansweredAt(start.server);
+    endSend(BackendOutcome::Failed);
+    events_.dropPartialEvent();
+    if (!candidate) {
+        retryOrRefuse(GatewayRefusal::ServerFailed);
+        return;
+    }
+    // Whether the server has crashed decides whether another one may be tried.
+    gateway_.crashes_.detector().onBrokenOff(start, *candidate, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->isFinished_) {
+            self->retryOrRefuse(GatewayRefusal::ServerFailed);
+        }
+    });
+}
+
 void ForwardedRequest::handleUnreachable()
 {
     auto &backends = gateway_.backends_;
-    backends.onRankTurnedAway(send_->server, send_->groupEpoch, now());
-    const bool isGroupClosed = backends.isInClosedGroup(send_->server, now());
+    backends.onRankTurnedAway(send_->start.server, send_->groupEpoch, now());
+    const bool isGroupClosed = backends.isInClosedGroup(send_->start.server, now());
+    gateway_.crashes_.detector().onUnreachable(send_->start);
     endSend(BackendOutcome::Unreachable);
     retryOrRefuse(isGroupClosed ? GatewayRefusal::GroupBroken : GatewayRefusal::NoServer);
 }
@@ -399,6 +507,7 @@
         return;
     }
     ++runs_;
+    gateway_.crashes_.onAnswerBegun(number_, traits_);
     const bool isSuccess = head.status / 100 == 2;
     if ((isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
         endSend(BackendOutcome::Failed);
@@ -426,18 +535,20 @@
     const auto status = send_->head->status;
     const auto *named = send_->head->header(gateway_.settings_.headers.faultyServer);
     const std::string faulty = named == nullptr ? "" : *named;
-    logEvent(
-        LogLevel::Info, "request_rejected",
-        {{"id", attemptId_}, {"server", send_->server.name()}, {"status", std::to_string(status)}, {"faulty", faulty}});
+    logEvent(LogLevel::Info, "request_rejected",
+             {{"id", attemptId_},
+              {"server", send_->start.server.name()},
+              {"status", std::to_string(status)},
+              {"faulty", faulty}});
     // A rank that rejects a request because of a server elsewhere speaks for its whole group. One that names itself is
     // full or cut off itself.
     auto &backends = gateway_.backends_;
-    if (status != statusMisdirected && !faulty.empty() && faulty != send_->address) {
-        backends.onRankLost(send_->server, send_->groupEpoch, now());
+    if (status != statusMisdirected && !faulty.empty() && faulty != send_->start.address) {
+        backends.onRankLost(send_->start.server, send_->groupEpoch, now());
     } else if (status == statusUnavailable) {
-        backends.onRankTurnedAway(send_->server, send_->groupEpoch, now());
+        backends.onRankTurnedAway(send_->start.server, send_->groupEpoch, now());
     }
-    const bool isGroupClosed = backends.isInClosedGroup(send_->server, now());
+    const bool isGroupClosed = backends.isInClosedGroup(send_->start.server, now());
     endSend(status == statusMisdirected ? BackendOutcome::Misdirected : BackendOutcome::Rejected);
     retryOrRefuse(isGroupClosed ? GatewayRefusal::GroupBroken : GatewayRefusal::RetriesUsedUp);
 }
@@ -456,6 +567,7 @@
 
 void ForwardedRequest::finishStream()
 {
+    gateway_.crashes_.onAnswerBegun(number_, traits_);
     const std::string rest(events_.partialEvent());
     if (!hasCallerLeft_) {
         if (!exchange_->isStreaming()) {
@@ -491,11 +603,16 @@
     if (!send_) {
         return;
     }
+    const auto &start = send_->start;
+    const auto unanswered = unansweredAt(start.server);
+    if (unanswered && outcome == BackendOutcome::Cancelled) {
+        gateway_.crashes_.detector().onGivenUp(start, *unanswered);
+    }
     auto sending = std::move(*send_);
     send_.reset();
-    gateway_.backends_.onEnded(sending.server, outcome, now());
+    gateway_.backends_.onEnded(sending.start.server, outcome, now());
     gateway_.peers_.markChanged();
-    gateway_.pool_.release(sending.server, sending.address, std::move(sending.connection));
+    gateway_.pool_.release(sending.start.server, sending.start.address, std::move(sending.connection));
     // On the next turn, so that a chain of ends does not nest.
     gateway_.loop_.post([&gateway = gateway_, service = service_] { gateway.serveQueue(service); });
 }
@@ -523,7 +640,9 @@
     HttpHeaders headers;
     const auto status = statusOf(refusal);
     if (status == statusUnavailable) {
-        headers.emplace_back("Retry-After", gateway_.retryAfter(refusal));
+        const auto wait = refusal == GatewayRefusal::Quarantined ? gateway_.crashes_.quarantineOf(traits_).left
+                                                                 : gateway_.drawRetryAfter(refusal);
+        headers.emplace_back("Retry-After", formatSeconds(wait));
     }
     headers.emplace_back("Content-Type", "text/plain");
     exchange_->reply(status, headers, std::string(toString(refusal)) + "\n");
@@ -533,7 +652,7 @@
 void ForwardedRequest::onTimeout()
 {
     const auto self = shared_from_this();
-    if (ticket_) {
+    if (ticket_ || isHeld_) {
         leaveQueue();
         refuse(runs_ > 0 ? GatewayRefusal::ServerFailed : GatewayRefusal::TimedOutWaiting);
         return;
@@ -561,23 +680,24 @@
         return;
     }
     timer_.stop();
-    const auto time = now();
-    gateway_.countOutcome(outcome, time - arrivedAt_);
-    logEvent(LogLevel::Info, "request_done",
-             {{"id", attemptId_},
-              {"route", route_ == nullptr ? "-" : route_->name.name()},
-              {"team", team_ == nullptr ? "-" : team_->name.name()},
-              {"service", service_.name().empty() ? "-" : service_.name()},
-              {"version", table_ ? std::to_string(table_->version().value()) : "-"},
-              {"server", tried_.empty() ? "-" : tried_.back().name()},
-              {"sends", std::to_string(sends_)},
-              {"time_left_ms", formatMilliseconds(deadline_ - arrivedAt_)},
-              {"late", isLate_ ? "yes" : "no"},
-              {"events", std::to_string(events_.completeEvents())},
-              {"first_ms", firstByteAt_ == TimePoint{} ? "-" : formatMilliseconds(firstByteAt_ - arrivedAt_)},
-              {"pause_ms", formatMilliseconds(longestPause_)},
-              {"total_ms", formatMilliseconds(time - arrivedAt_)},
-              {"outcome", std::string(outcome)}});
+    isHeld_ = false;
+    gateway_.crashes_.onRequestEnded(number_);
+    const auto total = now() - arrivedAt_;
+    gateway_.countOutcome(outcome, total);
+    logRequestDone({.attemptId = attemptId_,
+                    .route = route_ == nullptr ? "" : route_->name.name(),
+                    .team = team_ == nullptr ? "" : team_->name.name(),
+                    .service = service_.name(),
+                    .version = table_ ? std::optional(table_->version()) : std::nullopt,
+                    .server = tried_.empty() ? "" : tried_.back().name(),
+                    .sends = sends_,
+                    .timeLeft = deadline_ - arrivedAt_,
+                    .isLate = isLate_,
+                    .events = events_.completeEvents(),
+                    .firstByte = firstByteAt_ == TimePoint{} ? std::nullopt : std::optional(firstByteAt_ - arrivedAt_),
+                    .longestPause = longestPause_,
+                    .total = total,
+                    .outcome = outcome});
     gateway_.forget(this);
 }
 
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+#include "hornbeamlane_gateway/request/BackendSend.h"
 #include "hornbeamlane_gateway/request/GatewayRefusal.h"
-#include "hornbeamlane_network/http1/Http1ClientConnection.h"
 #include "hornbeamlane_network/http1/Http1Server.h"
 #include "hornbeamlane_network/loop/Timer.h"
+#include "hornbeamlane_routing/crashes/SuspectTrials.h"
 
 #include <functional>
 #include <memory>
@@ -16,31 +17,12 @@
 
 class Gateway;
 
-namespace detail {
-
-/** One sending of the request to one server. */
-struct BackendSend
-{
-    ServerId server;
-    std::string address;
-    std::unique_ptr<Http1ClientConnection> connection;
-    std::optional<Http1ResponseHead> head;
-    /** Collected body of an answer that is not streamed. */
-    std::string body;
-    bool isStreamed = false;
-    /** Epoch of the server's group when the request was sent. */
-    std::uint64_t groupEpoch = 0;
-    TimePoint startedAt;
-    TimePoint lastEventAt;
-};
-
-} // namespace detail
-
 /** One request of a caller on its way to a server and back. */
 class ForwardedRequest final : public std::enable_shared_from_this<ForwardedRequest>
 {
 public:
-    ForwardedRequest(Gateway &gateway, std::shared_ptr<Http1Exchange> exchange);
+    /** The number names the request within the gateway. */
+    ForwardedRequest(Gateway &gateway, RequestNumber number, std::shared_ptr<Http1Exchange> exchange);
     ~ForwardedRequest();
 
     ForwardedRequest(const ForwardedRequest &) = delete;
@@ -54,6 +36,18 @@
     /** The wait for a place has become too long. */
     void onWaitExpired();
 
+    /** More may be known of requests that crash servers; also called from time to time while it waits for that. */
+    void onCrashesChanged();
+
+    /** It waits until another request has shown whether it may crash servers. */
+    bool isHeld() const
+    {
+        return isHeld_;
+    }
+
+    /** What it would tell if its server crashed now; empty if it is at no server or has got something of an answer. */
+    std::optional<CrashCandidate> unansweredAt(const ServerId &server) const;
+
     /** Bytes of the answer that wait for the caller to read them. */
     std::size_t bufferedBytes() const
     {
@@ -62,14 +56,20 @@
 
 private:
     bool admit();
+    void readTraits();
     void dispatch(bool mayQueue);
+    /** Whether it may be sent as far as crashes are concerned; otherwise it has been refused or held. */
+    bool passesCrashGuard();
+    void refuseAsQuarantined();
+    void hold();
     std::optional<ServerId> chooseServer();
     void send(const ServerId &server);
     HttpHeaders requestHeaders(const ServerId &server) const;
     bool handleHead(const Http1ResponseHead &head);
     void handleData(std::string_view bytes);
     void handleEnd(Http1CallEnd end);
-    void logFailedSend(Http1CallEnd end) const;
+    void reportFailedSend(Http1CallEnd end) const;
+    void handleBrokenOff();
     void handleUnreachable();
     void handleCompleteAnswer();
     void handleRejection();
@@ -95,6 +95,7 @@
     TimePoint now() const;
 
     Gateway &gateway_;
+    RequestNumber number_;
     std::shared_ptr<Http1Exchange> exchange_;
     /** Kept so that a request is served to its end under the version that admitted it. */
     std::shared_ptr<const RouteTable> table_;
@@ -102,6 +103,8 @@
     const TeamSpec *team_ = nullptr;
     ServiceId service_;
     std::string attemptId_;
+    /** What it shares with other requests, some of which may have crashed servers. */
+    RequestTraits traits_;
     std::uint32_t priority_ = 0;
     TimePoint arrivedAt_;
     TimePoint deadline_;
@@ -112,6 +115,9 @@
     std::uint32_t runs_ = 0;
     std::uint32_t sends_ = 0;
     std::optional<TicketNumber> ticket_;
+    bool isHeld_ = false;
+    /** Until when it waits as a suspect, from its first such wait on. */
+    std::optional<TimePoint> holdsUntil_;
     /** Answer of a server that failed, kept in case no other server does better. */
     std::optional<Http1ResponseHead> failedHead_;
     std::string failedBody_;
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
@@ -6,9 +6,9 @@
 
 std::string_view toString(GatewayRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 11> names = {
-        "not_ready",  "no_route",        "unknown_key",   "bad_request", "no_server",        "group_broken",
-        "overloaded", "retries_used_up", "server_failed", "timed_out",   "timed_out_waiting"};
+    static constexpr std::array<std::string_view, 13> names = {
+        "not_ready",   "no_route",  "unknown_key",     "bad_request",   "no_server", "group_broken",     "overloaded",
+        "quarantined", "suspected", "retries_used_up", "server_failed", "timed_out", "timed_out_waiting"};
     return names[static_cast<std::size_t>(refusal)];
 }
 
@@ -29,6 +29,8 @@
     case GatewayRefusal::NoServer:
     case GatewayRefusal::GroupBroken:
     case GatewayRefusal::Overloaded:
+    case GatewayRefusal::Quarantined:
+    case GatewayRefusal::Suspected:
     case GatewayRefusal::RetriesUsedUp:
     case GatewayRefusal::TimedOutWaiting:
         return 503;
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.h
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.h
@@ -15,6 +15,8 @@
     NoServer, ///< No server of the service can be used now.
     GroupBroken, ///< The group that serves the model has lost a rank.
     Overloaded, ///< No place became free in time.
+    Quarantined, ///< Requests like it have crashed servers.
+    Suspected, ///< It may crash servers like one that ran beside them, and it was not shown in time whether it does.
     RetriesUsedUp, ///< The server rejected the request and it may not be sent again.
     ServerFailed, ///< The server broke off; the request may have run.
     TimedOut, ///< The time ran out at a server; the request may have run.
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
@@ -1,6 +1,10 @@
 #include "hornbeamlane_gateway/request/RequestHeaders.h"
 
+#include <algorithm>
+#include <array>
+#include <cctype>
 #include <charconv>
+#include <cstdio>
 
 namespace hornbeamlane {
 
@@ -32,6 +36,19 @@
     return false;
 }
 
+/** Hexadecimal digits of an id in lower case, without blanks around it and zeros in front. */
+std::string normalisePartId(std::string_view id)
+{
+    const auto begin = id.find_first_not_of(" \t0");
+    if (begin == std::string_view::npos) {
+        return "0";
+    }
+    std::string result(id.substr(begin, id.find_last_not_of(" \t") - begin + 1));
+    std::transform(result.begin(), result.end(), result.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
 } // namespace
 
 HttpHeaders endToEndHeaders(const HttpHeaders &headers)
@@ -57,6 +74,27 @@
     return result;
 }
 
+std::vector<std::string> sharedPromptParts(const HttpHeaders &headers, std::string_view name)
+{
+    std::vector<std::string> parts;
+    for (const auto &[header, list] : headers) {
+        if (!isSameHeader(header, name)) {
+            continue;
+        }
+        std::string_view rest = list;
+        while (!rest.empty()) {
+            const auto comma = std::min(rest.find(','), rest.size());
+            const auto entry = rest.substr(0, comma);
+            parts.push_back(normalisePartId(entry.substr(0, entry.find(':'))));
+            rest.remove_prefix(std::min(rest.size(), comma + 1));
+        }
+    }
+    if (!parts.empty()) {
+        parts.pop_back();
+    }
+    return parts;
+}
+
 bool isPromiseOfNotRun(int status)
 {
     return status == 408 || status == statusMisdirected || status == 429 || status == statusUnavailable;
@@ -86,4 +124,16 @@
     return milliseconds(value);
 }
 
+std::string formatMilliseconds(Duration time)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+std::string formatSeconds(Duration time)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(time).count());
+    return text.data();
+}
+
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.h
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.h
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace hornbeamlane {
 
@@ -15,9 +17,19 @@
 /** A time in whole milliseconds; empty if the header is missing or no such time. */
 std::optional<std::chrono::milliseconds> parseMilliseconds(const std::string *text);
 
+/** Whole milliseconds. */
+std::string formatMilliseconds(Duration time);
+
+/** Seconds with two digits of their fraction. */
+std::string formatSeconds(Duration time);
+
 /** Headers of a caller that a server gets: none of those that the gateway sets itself, and never the key. */
 HttpHeaders callerHeaders(const HttpHeaders &headers, const GatewayHeaders &names);
 
+/** Ids of the parts of a prompt that other requests may share: all that the headers list but the last one. Equal ids
+   come out alike however they are written. */
+std::vector<std::string> sharedPromptParts(const HttpHeaders &headers, std::string_view name);
+
 /** Another server has the address. */
 constexpr int statusMisdirected = 421;
 constexpr int statusUnavailable = 503;
--- /dev/null
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -0,0 +1,289 @@
+#include "hornbeamlane_routing/crashes/CrashEvidence.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace hornbeamlane {
+
+namespace {
+
+/** Adds the trait if it is not there; true if it was added. */
+bool addTo(std::vector<TraitHash> &traits, TraitHash trait)
+{
+    if (containsTrait(traits, trait)) {
+        return false;
+    }
+    traits.push_back(trait);
+    return true;
+}
+
+bool hasAll(const RequestTraits &traits, const std::vector<TraitHash> &wanted)
+{
+    return std::all_of(wanted.begin(), wanted.end(), [&traits](TraitHash trait) { return traits.has(trait); });
+}
+
+bool isOfCandidate(const ServerCrash &crash, TraitHash trait)
+{
+    return std::any_of(crash.candidates.begin(), crash.candidates.end(),
+                       [trait](const CrashCandidate &candidate) { return candidate.traits.has(trait); });
+}
+
+enum class FactKind : std::uint64_t { Candidate = 1, Head, Part, Cleared, BegunBefore };
+
+std::uint64_t hashOfFact(FactKind kind, CrashId crash, TraitHash trait, TraitHash more = TraitHash())
+{
+    const std::array<std::uint64_t, 4> numbers{static_cast<std::uint64_t>(kind), crash.value(), trait.value(),
+                                               more.value()};
+    return hash64({reinterpret_cast<const char *>(numbers.data()), sizeof(numbers)});
+}
+
+std::uint64_t hashOfFacts(const ServerCrash &crash)
+{
+    std::uint64_t sum = 0;
+    for (const auto &candidate : crash.candidates) {
+        const auto whole = candidate.traits.whole;
+        sum ^= hashOfFact(FactKind::Candidate, crash.id, whole);
+        sum ^= candidate.hadHead ? hashOfFact(FactKind::Head, crash.id, whole) : 0;
+        for (const auto part : candidate.traits.parts) {
+            sum ^= hashOfFact(FactKind::Part, crash.id, whole, part);
+        }
+    }
+    for (const auto trait : crash.cleared) {
+        sum ^= hashOfFact(FactKind::Cleared, crash.id, trait);
+    }
+    for (const auto trait : crash.begunBefore) {
+        sum ^= hashOfFact(FactKind::BegunBefore, crash.id, trait);
+    }
+    return sum;
+}
+
+} // namespace
+
+CrashEvidence::CrashEvidence()
+    : CrashEvidence(Options())
+{
+}
+
+CrashEvidence::CrashEvidence(Options options)
+    : options_(options)
+{
+}
+
+CrashEvidence::Verdict CrashEvidence::judge(const RequestTraits &traits, TimePoint now)
+{
+    if (crashes_.empty()) {
+        return Verdict::Allowed;
+    }
+    if (!culpritsOf(traits, now).empty()) {
+        return Verdict::Quarantined;
+    }
+    return suspectsAmong(traits, now).empty() ? Verdict::Allowed : Verdict::Suspect;
+}
+
+std::vector<TraitHash> CrashEvidence::suspectsAmong(const RequestTraits &traits, TimePoint now)
+{
+    std::vector<TraitHash> found;
+    for (const auto suspect : findings(now).suspects) {
+        if (traits.has(suspect)) {
+            found.push_back(suspect);
+        }
+    }
+    return found;
+}
+
+std::vector<Culprit> CrashEvidence::culpritsOf(const RequestTraits &traits, TimePoint now)
+{
+    std::vector<Culprit> found;
+    for (const auto &culprit : findings(now).culprits) {
+        if (hasAll(traits, culprit.traits)) {
+            found.push_back(culprit);
+        }
+    }
+    return found;
+}
+
+const CrashFindings &CrashEvidence::findings(TimePoint now)
+{
+    if (std::exchange(isOutdated_, false) || (findings_.changesAt && now >= *findings_.changesAt)) {
+        findings_ = findCulprits(crashes_, options_.rules, now);
+    }
+    return findings_;
+}
+
+bool CrashEvidence::onCrash(const ServerCrash &crash, TimePoint now)
+{
+    const bool isKnown = find(crash.id) != nullptr;
+    const bool isTooOld = now - crash.at >= options_.rules.quarantine;
+    if (!isKnown && (crash.candidates.empty() || isTooOld || isSettled(crash, crashes_))) {
+        return false;
+    }
+    auto &known = findOrAdd(crash);
+    known.at = std::min(known.at, crash.at);
+    bool isNew = !isKnown;
+    for (const auto &candidate : crash.candidates) {
+        isNew = addCandidate(known, candidate) || isNew;
+    }
+    for (const auto trait : crash.cleared) {
+        isNew = addTo(known.cleared, trait) || isNew;
+    }
+    for (const auto trait : crash.begunBefore) {
+        isNew = addTo(known.begunBefore, trait) || isNew;
+    }
+    isNew = markBegunBefore(known) || isNew;
+    noteChange(isNew);
+    return isNew;
+}
+
+void CrashEvidence::noteChange(bool hasChanged)
+{
+    if (!hasChanged) {
+        return;
+    }
+    isOutdated_ = true;
+    watched_.clear();
+    for (const auto &crash : crashes_) {
+        for (const auto &candidate : crash.candidates) {
+            watched_.insert(candidate.traits.whole);
+            watched_.insert(candidate.traits.parts.begin(), candidate.traits.parts.end());
+        }
+    }
+}
+
+ServerCrash *CrashEvidence::find(CrashId id)
+{
+    const auto found =
+        std::find_if(crashes_.begin(), crashes_.end(), [id](const ServerCrash &crash) { return crash.id == id; });
+    return found == crashes_.end() ? nullptr : &*found;
+}
+
+ServerCrash &CrashEvidence::findOrAdd(const ServerCrash &crash)
+{
+    if (auto *known = find(crash.id)) {
+        return *known;
+    }
+    makeRoom();
+    return crashes_.emplace_back(ServerCrash{.id = crash.id, .at = crash.at});
+}
+
+void CrashEvidence::makeRoom()
+{
+    if (crashes_.size() < options_.maxCrashes) {
+        return;
+    }
+    // A settled crash goes before an open one, an older one before a newer one.
+    const auto first =
+        std::min_element(crashes_.begin(), crashes_.end(), [this](const ServerCrash &a, const ServerCrash &b) {
+            return std::pair(!isSettled(a, crashes_), a.at) < std::pair(!isSettled(b, crashes_), b.at);
+        });
+    crashes_.erase(first);
+}
+
+bool CrashEvidence::addCandidate(ServerCrash &crash, const CrashCandidate &candidate)
+{
+    for (auto &known : crash.candidates) {
+        if (known.traits.whole != candidate.traits.whole) {
+            continue;
+        }
+        const bool isNew = candidate.hadHead && !known.hadHead;
+        known.hadHead = known.hadHead || candidate.hadHead;
+        return isNew;
+    }
+    if (crash.candidates.size() < options_.maxCandidates) {
+        crash.candidates.push_back({.traits = {.whole = candidate.traits.whole, .parts = partsToKeep(candidate)},
+                                    .hadHead = candidate.hadHead});
+        return true;
+    }
+    // One whose answer had begun says more than one that the server may not even have looked at.
+    const auto lesser = std::find_if(crash.candidates.begin(), crash.candidates.end(),
+                                     [](const CrashCandidate &one) { return !one.hadHead; });
+    if (!candidate.hadHead || lesser == crash.candidates.end()) {
+        return false;
+    }
+    *lesser = {.traits = {.whole = candidate.traits.whole, .parts = partsToKeep(candidate)}, .hadHead = true};
+    return true;
+}
+
+std::vector<TraitHash> CrashEvidence::partsToKeep(const CrashCandidate &candidate) const
+{
+    auto parts = candidate.traits.parts;
+    if (parts.size() > options_.maxParts) {
+        std::stable_partition(parts.begin(), parts.end(), [this](TraitHash part) { return !hasBegun(part); });
+        parts.resize(options_.maxParts);
+    }
+    return parts;
+}
+
+bool CrashEvidence::markBegunBefore(ServerCrash &crash) const
+{
+    bool isNew = false;
+    for (const auto &candidate : crash.candidates) {
+        for (const auto part : candidate.traits.parts) {
+            isNew = (hasBegun(part) && addTo(crash.begunBefore, part)) || isNew;
+        }
+    }
+    return isNew;
+}
+
+bool CrashEvidence::onAnswerBegun(const RequestTraits &traits, std::vector<CrashId> &cleared)
+{
+    const auto clear = [this, &cleared](TraitHash trait) {
+        if (!watched_.contains(trait)) {
+            return;
+        }
+        for (auto &crash : crashes_) {
+            if (isOfCandidate(crash, trait) && addTo(crash.cleared, trait)) {
+                cleared.push_back(crash.id);
+            }
+        }
+    };
+    clear(traits.whole);
+    for (const auto part : traits.parts) {
+        clear(part);
+    }
+    for (const auto part : traits.parts) {
+        rememberBegun(part);
+    }
+    noteChange(!cleared.empty());
+    return !cleared.empty();
+}
+
+bool CrashEvidence::hasBegun(TraitHash part) const
+{
+    return begun_.contains(part) || begunEarlier_.contains(part);
+}
+
+void CrashEvidence::rememberBegun(TraitHash part)
+{
+    if (!begun_.insert(part).second || begun_.size() < options_.maxBegunParts / 2) {
+        return;
+    }
+    begunEarlier_ = std::exchange(begun_, {});
+}
+
+void CrashEvidence::expire(TimePoint now)
+{
+    const auto old = std::erase_if(crashes_, [this, now](const ServerCrash &crash) {
+        const auto age = now - crash.at;
+        // A settled crash may still tell of a request that is repeated as a whole.
+        const auto settledBound = std::max(options_.settledTime, options_.rules.suspicion);
+        return age >= options_.rules.quarantine || (age >= settledBound && isSettled(crash, crashes_));
+    });
+    noteChange(old > 0);
+}
+
+std::uint64_t CrashEvidence::digest() const
+{
+    return digestOf(crashes_);
+}
+
+std::uint64_t digestOf(const std::vector<ServerCrash> &crashes)
+{
+    std::uint64_t sum = 0;
+    for (const auto &crash : crashes) {
+        sum ^= isSettled(crash, crashes) ? 0 : hashOfFacts(crash);
+    }
+    return sum;
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "hornbeamlane_routing/crashes/CrashFindings.h"
+
+#include <cstdint>
+#include <unordered_set>
+#include <vector>
+
+namespace hornbeamlane {
+
+/**
+    Remembers what was at servers when they crashed and judges requests by it.
+
+    Entries exchange their crashes; the knowledge of all of them is merged in any order and any number of times.
+*/
+class CrashEvidence final
+{
+public:
+    enum class Verdict {
+        Allowed,
+        Suspect, ///< It may crash its server: to be run alone, to find out.
+        Quarantined, ///< It has crashed servers: to be refused.
+    };
+
+    struct Options
+    {
+        CrashRules rules;
+        /** Crashes remembered at most; those that prove nothing any more make room first, then the oldest. */
+        std::size_t maxCrashes = 64;
+        std::size_t maxCandidates = 16;
+        /** Parts remembered of one candidate; those that are not proven come first. */
+        std::size_t maxParts = 32;
+        /** Parts remembered with which answers have begun. */
+        std::size_t maxBegunParts = 8192;
+        /** Time for which a crash is kept that proves nothing any more, so that peers hear of it. */
+        std::chrono::milliseconds settledTime = std::chrono::seconds(30);
+    };
+
+    CrashEvidence();
+    explicit CrashEvidence(Options options);
+
+    Verdict judge(const RequestTraits &traits, TimePoint now);
+
+    /** Those of the traits that may crash a server. */
+    std::vector<TraitHash> suspectsAmong(const RequestTraits &traits, TimePoint now);
+
+    /** Those because of which the request is quarantined. */
+    std::vector<Culprit> culpritsOf(const RequestTraits &traits, TimePoint now);
+
+    /** A server has ended without having announced it; true if that tells something new. */
+    bool onCrash(const ServerCrash &crash, TimePoint now);
+
+    /** A server has begun an answer to a request and lives; true if that clears something of these crashes. */
+    bool onAnswerBegun(const RequestTraits &traits, std::vector<CrashId> &cleared);
+
+    /** Forgets what is too old. */
+    void expire(TimePoint now);
+
+    const std::vector<ServerCrash> &crashes() const
+    {
+        return crashes_;
+    }
+
+    const CrashFindings &findings(TimePoint now);
+
+    /** Equal for two entries that know the same of crashes that still matter; 0 if there are none. */
+    std::uint64_t digest() const;
+
+private:
+    ServerCrash *find(CrashId id);
+    ServerCrash &findOrAdd(const ServerCrash &crash);
+    bool addCandidate(ServerCrash &crash, const CrashCandidate &candidate);
+    std::vector<TraitHash> partsToKeep(const CrashCandidate &candidate) const;
+    /** Marks parts with which this entry has seen answers begin. */
+    bool markBegunBefore(ServerCrash &crash) const;
+    bool hasBegun(TraitHash part) const;
+    void rememberBegun(TraitHash part);
+    void makeRoom();
+    /** The crashes have changed, so what was concluded from them is outdated. */
+    void noteChange(bool hasChanged);
+
+    Options options_;
+    std::vector<ServerCrash> crashes_;
+    CrashFindings findings_;
+    bool isOutdated_ = false;
+    /** Traits of all candidates; a request with none of them needs no closer look. */
+    std::unordered_set<TraitHash> watched_;
+    /** Two halves, the older of which is dropped when the newer one is full. */
+    std::unordered_set<TraitHash> begun_;
+    std::unordered_set<TraitHash> begunEarlier_;
+};
+
+/** See CrashEvidence::digest(). */
+std::uint64_t digestOf(const std::vector<ServerCrash> &crashes);
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
@@ -0,0 +1,55 @@
+#include "hornbeamlane_routing/crashes/ServerCrash.h"
+
+#include <algorithm>
+
+namespace hornbeamlane {
+
+std::vector<const CrashCandidate *> ServerCrash::likelyCandidates() const
+{
+    const bool anyHead =
+        std::any_of(candidates.begin(), candidates.end(), [](const CrashCandidate &one) { return one.hadHead; });
+    std::vector<const CrashCandidate *> likely;
+    for (const auto &candidate : candidates) {
+        if (candidate.hadHead || !anyHead) {
+            likely.push_back(&candidate);
+        }
+    }
+    return likely;
+}
+
+bool ServerCrash::isCleared(TraitHash trait) const
+{
+    return containsTrait(cleared, trait);
+}
+
+bool ServerCrash::hadBegunBefore(TraitHash trait) const
+{
+    return containsTrait(begunBefore, trait);
+}
+
+namespace {
+
+bool wasAtAnotherCrash(TraitHash whole, const ServerCrash &crash, const std::vector<ServerCrash> &all)
+{
+    return std::any_of(all.begin(), all.end(), [&](const ServerCrash &other) {
+        return other.id != crash.id
+            && std::any_of(other.candidates.begin(), other.candidates.end(),
+                           [whole](const CrashCandidate &one) { return one.traits.whole == whole; });
+    });
+}
+
+} // namespace
+
+bool isSettled(const ServerCrash &crash, const std::vector<ServerCrash> &all)
+{
+    const auto isOpen = [&](const CrashCandidate *candidate) {
+        const auto &[whole, parts] = candidate->traits;
+        const bool hasOpenPart =
+            std::any_of(parts.begin(), parts.end(), [&crash](TraitHash part) { return !crash.isCleared(part); });
+        return hasOpenPart || (!crash.isCleared(whole) && (parts.empty() || wasAtAnotherCrash(whole, crash, all)));
+    };
+    const auto likely = crash.likelyCandidates();
+    return std::none_of(likely.begin(), likely.end(), isOpen);
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "hornbeamlane_routing/crashes/RequestTraits.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** Names one crash: hash of the server and of the start of it that ended. */
+using CrashId = Number<struct CrashTag>;
+
+/** A request that was at a server when it crashed and had got nothing of its answer's body. */
+struct CrashCandidate
+{
+    RequestTraits traits;
+    /** The server had begun to answer it. */
+    bool hadHead = false;
+};
+
+/**
+    What is known of the end of one server process.
+
+    All lists only grow, so that the knowledge of two entries is merged by the union of theirs, in any order.
+*/
+struct ServerCrash
+{
+    CrashId id;
+    TimePoint at;
+    std::vector<CrashCandidate> candidates;
+    /** Traits of candidates with which a server has begun an answer since: they did not cause this crash. */
+    std::vector<TraitHash> cleared;
+    /** Parts of candidates with which servers had begun answers before: seldom the cause. */
+    std::vector<TraitHash> begunBefore;
+
+    /** Candidates that may have caused the crash: those whose answer had begun, or all if there is none. */
+    std::vector<const CrashCandidate *> likelyCandidates() const;
+
+    bool isCleared(TraitHash trait) const;
+    bool hadBegunBefore(TraitHash trait) const;
+};
+
+/**
+    Whether the crash proves nothing any more: all parts of its likely candidates are cleared, and none of these was at
+    another crash as a whole. A candidate without parts is judged as a whole.
+*/
+bool isSettled(const ServerCrash &crash, const std::vector<ServerCrash> &all);
+
+} // namespace hornbeamlane
--- a/tests/gateway/CrashWorld.cpp
+++ b/tests/gateway/CrashWorld.cpp
@@ -10,6 +10,7 @@
     : options_(options)
     , entries_(options.entries)
     , servers_(options.servers)
+    , isTableReachable_(options.hasTable)
 {
     for (auto &server : servers_) {
         server.process = std::make_unique<testing::ScriptedServer>(
@@ -35,10 +36,14 @@
     settings.peerAddress = "127.0.0.1:0";
     settings.retryRatio = 1;
     settings.retryAllowance = 1000;
-    auto entry = std::make_unique<Gateway>(loop_, random_, settings,
-                                           GatewayHooks{.isMapHolder = [] { return false; },
-                                                        .tableVersions = [] { return std::vector<std::uint64_t>(); },
-                                                        .peerVersions = [](const auto &) {}});
+    auto entry = std::make_unique<Gateway>(
+        loop_, random_, settings,
+        GatewayHooks{
+            .isMapHolder = [] { return false; },
+            .tableVersions = [] { return std::vector<std::uint64_t>(); },
+            .peerVersions = [](const auto &) {},
+            .writeCrashRow = [this](const std::string &value, RowVersion expected,
+                                    const TableClient::ReplyHandler &handler) { writeRow(value, expected, handler); }});
     entry->start();
     DispatchCatalogue catalogue{.version = CatalogueVersion(1)};
     catalogue.routes = {{.name = RouteId("chat"),
@@ -55,8 +60,39 @@
     introduceEntries();
 }
 
+void CrashWorld::writeRow(const std::string &value, RowVersion expected, const TableClient::ReplyHandler &handler)
+{
+    if (!isTableReachable_) {
+        handler({.status = TableStatus::Unavailable});
+        return;
+    }
+    if (expected != rowVersion_) {
+        handler({.status = TableStatus::Conflict});
+        return;
+    }
+    row_ = value;
+    rowVersion_ = rowVersion_.next();
+    handler({.status = TableStatus::Ok, .row = TableRow{.key = "known", .version = rowVersion_}});
+    later(milliseconds(5), [this] { readRow(); });
+}
+
+void CrashWorld::readRow()
+{
+    if (!isTableReachable_ || rowVersion_ == RowVersion()) {
+        return;
+    }
+    for (const auto &entry : entries_) {
+        if (entry) {
+            entry->crashRow().onRow(row_, rowVersion_);
+        }
+    }
+}
+
 void CrashWorld::introduceEntries()
 {
+    if (!options_.hasPeers) {
+        return;
+    }
     for (const auto &one : entries_) {
         for (const auto &other : entries_) {
             if (one && other && one != other) {
@@ -71,13 +107,20 @@
     entries_[index].reset();
     startEntry(index);
     for (const auto &server : servers_) {
-        entries_[index]->backends().update({.id = ServerId(server.id),
-                                            .service = ServiceId("pool"),
-                                            .address = server.process->address(),
-                                            .dataCentre = DataCentreId("here"),
-                                            .slots = 16},
-                                           loop_.now());
+        listServerAt(*entries_[index], server);
     }
+    readRow();
+}
+
+void CrashWorld::listServerAt(Gateway &entry, const Server &server)
+{
+    entry.backends().update({.id = ServerId(server.id),
+                             .service = ServiceId("pool"),
+                             .address = server.process->address(),
+                             .dataCentre = DataCentreId("here"),
+                             .slots = 16},
+                            loop_.now());
+    entry.serversChanged();
 }
 
 void CrashWorld::listServer(Server &server)
@@ -86,13 +129,7 @@
     server.id = server.process->address() + "/" + std::to_string(++server.lifetimes);
     for (const auto &entry : entries_) {
         entry->backends().remove(old, std::nullopt);
-        entry->backends().update({.id = ServerId(server.id),
-                                  .service = ServiceId("pool"),
-                                  .address = server.process->address(),
-                                  .dataCentre = DataCentreId("here"),
-                                  .slots = 16},
-                                 loop_.now());
-        entry->serversChanged();
+        listServerAt(*entry, server);
     }
 }
 
@@ -117,6 +154,9 @@
         later(milliseconds(10), [this, &server] { crashServer(static_cast<std::size_t>(&server - servers_.data())); });
         return;
     }
+    if (silentParts.contains(headerOf(head, "X-Prompt-Parts"))) {
+        return;
+    }
     connection.send(streamHead(head) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
 }
 
--- a/tests/gateway/CrashWorld.h
+++ b/tests/gateway/CrashWorld.h
@@ -23,6 +23,10 @@
         std::chrono::milliseconds downTime{150};
         /** Whether a server that crashes has sent the head of its answer before. */
         bool sendsHeadBeforeCrash = true;
+        /** Whether the entries hear each other. */
+        bool hasPeers = true;
+        /** Whether the entries reach the table with the row of known crashes. */
+        bool hasTable = false;
     };
 
     explicit CrashWorld(Options options);
@@ -31,6 +35,9 @@
     /** Parts under which servers crash as they begin to answer. */
     std::set<std::string> deadlyParts;
 
+    /** Lists of parts whose requests servers take and do not answer. */
+    std::set<std::string> silentParts;
+
     Gateway &entry(std::size_t index)
     {
         return *entries_[index];
@@ -49,6 +56,12 @@
 
     void crashServer(std::size_t index);
 
+    /** Whether the table answers; without it nothing is written or read. */
+    void setTableReachable(bool isReachable)
+    {
+        isTableReachable_ = isReachable;
+    }
+
     void runFor(std::chrono::milliseconds time);
 
     int crashes() const
@@ -72,6 +85,10 @@
 
     void startEntry(std::size_t index);
     void introduceEntries();
+    /** Lists a server at one entry under its present id. */
+    void listServerAt(Gateway &entry, const Server &server);
+    void writeRow(const std::string &value, RowVersion expected, const TableClient::ReplyHandler &handler);
+    void readRow();
     void listServer(Server &server);
     void answerRequest(Server &server, testing::ScriptedServer::Connection &connection, const std::string &head);
     bool isDeadly(const std::string &parts) const;
@@ -84,6 +101,9 @@
     std::vector<Server> servers_;
     std::vector<std::unique_ptr<Http1ClientConnection>> callers_;
     std::vector<std::unique_ptr<Timer>> timers_;
+    std::string row_;
+    RowVersion rowVersion_;
+    bool isTableReachable_ = false;
     int attempts_ = 0;
     int crashes_ = 0;
     int deadlyRequests_ = 0;
--- /dev/null
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -0,0 +1,260 @@
+#include "hornbeamlane_routing/hornbeamlane_routing.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace hornbeamlane {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+using Verdict = CrashEvidence::Verdict;
+
+constexpr TraitHash first{1};
+constexpr TraitHash deadly{2};
+constexpr TraitHash other{3};
+constexpr TraitHash another{4};
+
+const TimePoint start = TimePoint() + std::chrono::hours(1);
+
+/** A request as a whole has a number of its own, far from those of the parts. */
+RequestTraits request(std::uint64_t number, std::vector<TraitHash> parts)
+{
+    return {.whole = TraitHash(1000 + number), .parts = std::move(parts)};
+}
+
+ServerCrash crash(std::uint64_t id, TimePoint at, std::vector<CrashCandidate> candidates)
+{
+    return {.id = CrashId(id), .at = at, .candidates = std::move(candidates)};
+}
+
+class CrashEvidenceTest : public ::testing::Test
+{
+protected:
+    void begin(const RequestTraits &traits)
+    {
+        std::vector<CrashId> cleared;
+        evidence_.onAnswerBegun(traits, cleared);
+    }
+
+    Verdict judge(std::vector<TraitHash> parts, TimePoint at = start)
+    {
+        return evidence_.judge(request(999, std::move(parts)), at);
+    }
+
+    CrashEvidence evidence_;
+};
+
+// Guards against a second crash where one is enough to tell: of all at the server one alone had the head of its answer.
+TEST_F(CrashEvidenceTest, RefusesAtOnceWhatOneBegunAnswerExplains)
+{
+    begin(request(1, {first}));
+    evidence_.onCrash(crash(1, start,
+                            {{.traits = request(2, {first, deadly}), .hadHead = true},
+                             {.traits = request(3, {other}), .hadHead = false}}),
+                      start);
+    EXPECT_EQ(judge({first, deadly}), Verdict::Quarantined);
+    EXPECT_EQ(judge({first}), Verdict::Allowed);
+    EXPECT_EQ(judge({other}), Verdict::Allowed);
+    const auto culprits = evidence_.culpritsOf(request(9, {deadly}), start);
+    ASSERT_EQ(culprits.size(), 1U);
+    EXPECT_EQ(culprits[0].traits, std::vector<TraitHash>{deadly});
+    EXPECT_GT(culprits[0].until, start + minutes(1));
+}
+
+// Guards against sound requests that are refused because their first part has always come with a deadly one so far.
+TEST_F(CrashEvidenceTest, TriesPartsApartThatHaveAlwaysComeTogether)
+{
+    evidence_.onCrash(crash(1, start, {{.traits = request(2, {first, deadly}), .hadHead = true}}), start);
+    EXPECT_EQ(judge({first, deadly}), Verdict::Quarantined);
+    EXPECT_EQ(judge({first}), Verdict::Suspect);
+    EXPECT_EQ(judge({deadly}), Verdict::Suspect);
+    begin(request(3, {first}));
+    EXPECT_EQ(judge({first}), Verdict::Allowed);
+    EXPECT_EQ(judge({deadly, other}), Verdict::Quarantined);
+}
+
+// Guards against refusals without proof: several requests may have caused the crash, so each is tried alone.
+TEST_F(CrashEvidenceTest, TriesEachPartIfSeveralMayBeTheCause)
+{
+    evidence_.onCrash(crash(1, start,
+                            {{.traits = request(2, {first, deadly}), .hadHead = false},
+                             {.traits = request(3, {other}), .hadHead = false}}),
+                      start);
+    EXPECT_EQ(judge({deadly}), Verdict::Suspect);
+    EXPECT_EQ(judge({other}), Verdict::Suspect);
+    EXPECT_EQ(judge({another}), Verdict::Allowed);
+    begin(request(3, {other}));
+    EXPECT_EQ(judge({other}), Verdict::Allowed);
+    evidence_.onCrash(crash(2, start, {{.traits = request(4, {first, deadly}), .hadHead = false}}), start);
+    EXPECT_EQ(judge({first, deadly}), Verdict::Quarantined);
+    EXPECT_EQ(judge({first}), Verdict::Suspect);
+}
+
+// Guards against parts that pay for a crash which another part explains: that was at more crashes.
+TEST_F(CrashEvidenceTest, BlamesThePartThatWasAtMostCrashes)
+{
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        evidence_.onCrash(crash(id, start,
+                                {{.traits = request(10 + id, {deadly}), .hadHead = false},
+                                 {.traits = request(20 + id, {id < 3 ? other : another}), .hadHead = false}}),
+                          start);
+    }
+    EXPECT_EQ(judge({deadly}), Verdict::Quarantined);
+    EXPECT_EQ(judge({other}), Verdict::Allowed);
+    EXPECT_EQ(judge({another}), Verdict::Allowed);
+}
+
+// Guards against trust in the past: a part with which answers had begun may crash servers from some moment on.
+TEST_F(CrashEvidenceTest, RefusesAPartThatWasHarmlessBefore)
+{
+    begin(request(1, {deadly}));
+    evidence_.onCrash(crash(1, start, {{.traits = request(2, {deadly}), .hadHead = true}}), start);
+    EXPECT_EQ(judge({deadly}), Verdict::Suspect);
+    evidence_.onCrash(crash(2, start, {{.traits = request(3, {deadly}), .hadHead = true}}), start);
+    EXPECT_EQ(judge({deadly}), Verdict::Quarantined);
+}
+
+// Guards against a request without parts that comes again and again and crashes each server that runs it.
+TEST_F(CrashEvidenceTest, RefusesARepeatedRequestAsAWhole)
+{
+    const auto repeated = request(7, {});
+    evidence_.onCrash(crash(1, start, {{.traits = repeated, .hadHead = false}}), start);
+    EXPECT_EQ(evidence_.judge(repeated, start), Verdict::Suspect);
+    evidence_.onCrash(crash(2, start, {{.traits = repeated, .hadHead = false}}), start);
+    EXPECT_EQ(evidence_.judge(repeated, start), Verdict::Quarantined);
+    EXPECT_EQ(evidence_.judge(request(8, {}), start), Verdict::Allowed);
+}
+
+// Guards against a verdict for ever: evidence ends, and what is sound now is served again.
+TEST_F(CrashEvidenceTest, ForgetsCrashes)
+{
+    evidence_.onCrash(crash(1, start, {{.traits = request(2, {deadly}), .hadHead = true}}), start);
+    EXPECT_EQ(judge({deadly}, start + minutes(1)), Verdict::Quarantined);
+    EXPECT_EQ(judge({deadly}, start + seconds(150)), Verdict::Suspect);
+    EXPECT_EQ(judge({deadly}, start + minutes(4)), Verdict::Allowed);
+    evidence_.onCrash(crash(2, start + minutes(4), {{.traits = request(3, {deadly}), .hadHead = true}}),
+                      start + minutes(4));
+    EXPECT_EQ(judge({deadly}, start + minutes(9)), Verdict::Quarantined);
+    evidence_.expire(start + minutes(15));
+    EXPECT_TRUE(evidence_.crashes().empty());
+    EXPECT_EQ(judge({deadly}, start + minutes(15)), Verdict::Allowed);
+    // News that are older than any evidence counts do not revive it.
+    EXPECT_FALSE(
+        evidence_.onCrash(crash(1, start, {{.traits = request(2, {deadly}), .hadHead = true}}), start + minutes(15)));
+}
+
+// Guards against memory that grows with crashes, and against crashes without a meaning that displace those with one.
+TEST_F(CrashEvidenceTest, KeepsABoundedNumberOfCrashes)
+{
+    evidence_.onCrash(crash(1, start, {{.traits = request(1, {deadly}), .hadHead = true}}), start);
+    for (std::uint64_t id = 2; id < 500; ++id) {
+        const auto traits = request(id, {TraitHash(100000 + id)});
+        evidence_.onCrash(crash(id, start + seconds(1), {{.traits = traits, .hadHead = false}}), start + seconds(1));
+        begin(traits);
+    }
+    EXPECT_LE(evidence_.crashes().size(), 64U);
+    EXPECT_EQ(judge({deadly}, start + seconds(1)), Verdict::Quarantined);
+}
+
+// Guards against entries that come to different verdicts: what they know is merged in any order and any number of
+// times.
+TEST_F(CrashEvidenceTest, MergesInAnyOrder)
+{
+    RandomSource random(4);
+    for (int round = 0; round < 50; ++round) {
+        std::vector<ServerCrash> facts;
+        for (int i = 0; i < 12; ++i) {
+            auto fact = crash(1 + random.below(4), start,
+                              {{.traits = request(random.below(5), {TraitHash(1 + random.below(6))}),
+                                .hadHead = random.below(3) == 0}});
+            // One request has the same parts wherever it is seen.
+            auto &traits = fact.candidates.front().traits;
+            traits.parts = {TraitHash(1 + traits.whole.value() % 6)};
+            if (random.below(2) == 0) {
+                fact.cleared = traits.parts;
+            }
+            facts.push_back(std::move(fact));
+        }
+        CrashEvidence one;
+        CrashEvidence two;
+        for (const auto &fact : facts) {
+            one.onCrash(fact, start);
+        }
+        for (int i = 0; i < 40; ++i) {
+            two.onCrash(facts[random.below(facts.size())], start);
+        }
+        for (auto fact = facts.rbegin(); fact != facts.rend(); ++fact) {
+            two.onCrash(*fact, start);
+        }
+        // A crash that is settled when it comes is not kept, so both hear all that the other knows.
+        for (int exchange = 0; exchange < 2; ++exchange) {
+            for (const auto &known : std::vector(one.crashes())) {
+                two.onCrash(known, start);
+            }
+            for (const auto &known : std::vector(two.crashes())) {
+                one.onCrash(known, start);
+            }
+        }
+        EXPECT_EQ(one.digest(), two.digest());
+        for (std::uint64_t part = 1; part <= 6; ++part) {
+            const auto traits = request(999, {TraitHash(part)});
+            EXPECT_EQ(one.judge(traits, start), two.judge(traits, start));
+        }
+    }
+}
+
+class SuspectTrialsTest : public ::testing::Test
+{
+protected:
+    static constexpr std::chrono::milliseconds wait{60};
+
+    SuspectTrials low_{Incarnation(1)};
+    SuspectTrials high_{Incarnation(2)};
+    const std::vector<TraitHash> suspects_{deadly};
+};
+
+// Guards against several entries that try the same suspect at once: each would lose a server.
+TEST_F(SuspectTrialsTest, LetsOneEntryTryASuspect)
+{
+    EXPECT_FALSE(low_.mayRun(RequestNumber(1), suspects_, start));
+    EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start));
+    EXPECT_FALSE(low_.onClaims(Incarnation(2), high_.ownClaims(), start));
+    EXPECT_TRUE(high_.onClaims(Incarnation(1), low_.ownClaims(), start));
+    EXPECT_TRUE(low_.mayRun(RequestNumber(1), suspects_, start + wait));
+    EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + wait));
+    low_.release(RequestNumber(1));
+    high_.onClaims(Incarnation(1), low_.ownClaims(), start + wait);
+    EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + wait));
+    EXPECT_TRUE(high_.mayRun(RequestNumber(1), suspects_, start + 2 * wait));
+}
+
+// Guards against a running trial that gives way to one that has not begun.
+TEST_F(SuspectTrialsTest, LetsARunningTrialComeFirst)
+{
+    high_.mayRun(RequestNumber(1), suspects_, start);
+    EXPECT_TRUE(high_.mayRun(RequestNumber(1), suspects_, start + wait));
+    EXPECT_TRUE(high_.onSent(RequestNumber(1)));
+    low_.mayRun(RequestNumber(1), suspects_, start + wait);
+    EXPECT_FALSE(high_.onClaims(Incarnation(1), low_.ownClaims(), start + wait));
+    EXPECT_TRUE(low_.onClaims(Incarnation(2), high_.ownClaims(), start + wait));
+}
+
+// Guards against two requests of one entry with the same suspect, and against a suspect that nobody tries any more
+// because the entry that claimed it has died.
+TEST_F(SuspectTrialsTest, TriesOneRequestAtATimeAndForgetsDeadEntries)
+{
+    low_.mayRun(RequestNumber(1), suspects_, start);
+    EXPECT_FALSE(low_.mayRun(RequestNumber(2), suspects_, start));
+    EXPECT_FALSE(low_.mayRun(RequestNumber(2), suspects_, start + wait));
+    EXPECT_EQ(low_.ownClaims().size(), 1U);
+    high_.onClaims(Incarnation(1), low_.ownClaims(), start);
+    EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + wait));
+    high_.expire(start + seconds(2));
+    EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + seconds(2)));
+    EXPECT_TRUE(high_.mayRun(RequestNumber(1), suspects_, start + seconds(2) + wait));
+}
+
+} // namespace
+} // namespace hornbeamlane
