Take a stream that ends inside an event for one that was broken off

What callers saw: a server that failed in an orderly way, by closing a connection without length or chunks or by ending its chunks, left them with a stream that looked whole and lacked its end. Cause: the gateway and the product's own entry took the end of the framing for the end of the stream and passed the rest of an event on. Change: both treat such an end like a broken connection: the stream goes on at another server after its last whole event, or is cut visibly. In the gateway a stream without any event, which only the end of its connection ends, counts as broken too. Evidence: GatewayTest.ResumesAStreamThatEndsInsideAnEvent and PathTest.DoesNotPassOffAStreamThatEndsInsideAnEvent failed before and pass; answers without a length are passed on, and a reset does not end one (two more tests, which passed before).

--- a/modules/hornbeamlane_entry/CallerReply.cpp
+++ b/modules/hornbeamlane_entry/CallerReply.cpp
@@ -93,7 +93,6 @@
     }
     isOver_ = true;
     if (hasBegun()) {
-        exchange_->sendChunk(partialEvent_);
         exchange_->finishStream();
         return;
     }
@@ -120,6 +119,11 @@
     exchange_->abortStream();
 }
 
+bool CallerReply::endsInsideEvent() const
+{
+    return !partialEvent_.empty();
+}
+
 bool CallerReply::hasBegun() const
 {
     return exchange_->isStreaming();
--- a/modules/hornbeamlane_entry/CallerReply.h
+++ b/modules/hornbeamlane_entry/CallerReply.h
@@ -35,6 +35,9 @@
     /** Whether bytes of the response have gone to the caller, so that it can no longer be replaced. */
     bool hasBegun() const;
 
+    /** Whether a part of an event has come without its end, so that the stream is not whole. */
+    bool endsInsideEvent() const;
+
     /** Drops what was collected of a response that has not begun, before another attempt. */
     void restart();
 
--- a/modules/hornbeamlane_entry/DirectFlow.cpp
+++ b/modules/hornbeamlane_entry/DirectFlow.cpp
@@ -128,7 +128,9 @@
 
 void DirectFlow::applyResult(ResponseAssembler::Result result)
 {
-    if (result == ResponseAssembler::Result::Completed) {
+    if (result == ResponseAssembler::Result::Completed && reply_.endsInsideEvent()) {
+        handleBroken("the stream ended inside an event");
+    } else if (result == ResponseAssembler::Result::Completed) {
         endAttempt(AttemptEnd::Completed, true);
         reply_.complete();
         isOver_ = true;
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -499,7 +499,7 @@
     const auto &names = gateway_.settings_.headers;
     const auto &head = *send_->head;
     if (send_->isStreamed) {
-        finishStream();
+        endStream();
         return;
     }
     if (isNotRun(head, names)) {
@@ -565,15 +565,24 @@
     finish("answered_" + std::to_string(status));
 }
 
+void ForwardedRequest::endStream()
+{
+    // The framing cannot be trusted: a server that fails may close its connection, or end its chunks, inside an event.
+    // An answer whose only end is that of the connection has begun only with its first event.
+    const bool isEmpty = events_.completeEvents() == 0 && endsWithConnection(*send_->head);
+    if (!events_.partialEvent().empty() || isEmpty) {
+        reportFailedSend(Http1CallEnd::BrokenOff);
+        handleBrokenOff();
+        return;
+    }
+    finishStream();
+}
+
 void ForwardedRequest::finishStream()
 {
     gateway_.crashes_.onAnswerBegun(number_, traits_);
-    const std::string rest(events_.partialEvent());
-    if (!hasCallerLeft_) {
-        if (!exchange_->isStreaming()) {
-            exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
-        }
-        exchange_->sendPiece(rest);
+    if (!hasCallerLeft_ && !exchange_->isStreaming()) {
+        exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
     }
     endSend(BackendOutcome::Served);
     if (!hasCallerLeft_) {
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -81,6 +81,8 @@
     Duration longestWait(TimePoint time);
     void notePace();
     void forwardEvents(std::string_view bytes);
+    /** The server has ended the stream; whether it is whole remains to be seen. */
+    void endStream();
     void finishStream();
     void endSend(BackendOutcome outcome);
     void refuse(GatewayRefusal refusal);
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
@@ -105,6 +105,11 @@
     return head.status == statusMisdirected || (isPromiseOfNotRun(head.status) && head.header(names.notRun) != nullptr);
 }
 
+bool endsWithConnection(const Http1ResponseHead &head)
+{
+    return head.header("Content-Length") == nullptr && head.header("Transfer-Encoding") == nullptr;
+}
+
 bool isValidSuccess(const Http1ResponseHead &head, const GatewayHeaders &names)
 {
     return head.header(names.signature) != nullptr && head.header(names.attemptId) != nullptr
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.h
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.h
@@ -40,6 +40,9 @@
 /** Whether a server says that it has not run the request. */
 bool isNotRun(const Http1ResponseHead &head, const GatewayHeaders &names);
 
+/** Whether the answer has neither a length nor chunks, so that only the end of the connection ends it. */
+bool endsWithConnection(const Http1ResponseHead &head);
+
 /** Whether a success is the server's own answer with an unchanged body. */
 bool isValidSuccess(const Http1ResponseHead &head, const GatewayHeaders &names);
 
--- a/testing/standins/EngineStandIn.cpp
+++ b/testing/standins/EngineStandIn.cpp
@@ -15,6 +15,9 @@
 constexpr std::string_view crashMarker = "crash-the-engine";
 constexpr std::string_view keyValuePrefix = "/kv/";
 
+/** Token at which a stream ends that the fault "endInsideEvent" has hit. */
+constexpr std::uint64_t cutPosition = 5;
+
 std::string tokenText(std::uint64_t position)
 {
     return "w" + std::to_string(position) + " ";
@@ -152,6 +155,12 @@
     if (!stream.exchange->isStreaming()) {
         stream.exchange->startStream({.status = 200, .contentType = "text/event-stream"});
     }
+    if (stream.position == cutPosition && streamsToCut_ > 0) {
+        --streamsToCut_;
+        stream.exchange->sendChunk("data: {\"cho");
+        stream.exchange->finishStream();
+        return false;
+    }
     stream.exchange->sendChunk("data: " + chunkOf(text, isLast).dump() + "\n\n");
     if (isLast) {
         stream.exchange->sendChunk("data: [DONE]\n\n");
@@ -191,6 +200,7 @@
         return;
     }
     stall_ = std::chrono::milliseconds(faults.value("stallMilliseconds", 0));
+    streamsToCut_ = faults.value("endInsideEvent", streamsToCut_);
     if (faults.value("turnCold", false)) {
         turnCold();
     }
--- a/tests/gateway/GatewayMessages.h
+++ b/tests/gateway/GatewayMessages.h
@@ -25,6 +25,13 @@
         + "\r\nX-Server-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+/** Head of a stream that has neither a length nor chunks: the end of the connection ends it. */
+inline std::string openStreamHead(const std::string &head)
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + headerOf(head, "X-Attempt-Id")
+        + "\r\nX-Server-Signature: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+}
+
 inline std::string chunk(const std::string &text)
 {
     std::ostringstream bytes;
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -116,6 +116,7 @@
     RandomSource random_{3};
     std::unique_ptr<Gateway> gateway_;
     std::vector<std::unique_ptr<Http1ClientConnection>> callers_;
+    std::unique_ptr<Timer> resetLater_;
     int attempts_ = 0;
 };
 
@@ -346,6 +347,68 @@
     EXPECT_EQ(position, "2");
 }
 
+// Guards against a stream that stops inside an event and is taken for a whole one, because its connection ends in an
+// orderly way or its last chunk has come.
+TEST_F(GatewayTest, ResumesAStreamThatEndsInsideAnEvent)
+{
+    int streams = 0;
+    const auto handler = [&](Connection &connection, const std::string &head, int) {
+        const auto from = headerOf(head, "Last-Event-Id");
+        const std::string part = event(1) + event(2) + "id: 3\nda";
+        if (!from.empty()) {
+            EXPECT_EQ(from, "2");
+            connection.send(openStreamHead(head) + event(3) + event(4));
+        } else {
+            connection.send(streams++ == 0 ? openStreamHead(head) + part
+                                           : streamHead(head) + chunk(part) + "0\r\n\r\n");
+        }
+        connection.close();
+    };
+    ScriptedServer first(loop_, handler);
+    ScriptedServer second(loop_, handler);
+    addServer(first, "s1");
+    addServer(second, "s2");
+    for (int round = 0; round < 2; ++round) {
+        const auto result = send("POST", "/chat/");
+        expectStatus(result, 200);
+        EXPECT_EQ(result->body, event(1) + event(2) + event(3) + event(4));
+    }
+}
+
+// Guards against an answer that has neither a length nor chunks being lost, cut or kept open.
+TEST_F(GatewayTest, PassesOnAnswersThatEndWithTheirConnection)
+{
+    ScriptedServer server(loop_, [](Connection &connection, const std::string &head, int) {
+        if (head.starts_with("POST /chat/")) {
+            connection.send(openStreamHead(head) + event(1) + event(2));
+        } else {
+            connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + headerOf(head, "X-Attempt-Id")
+                            + "\r\nX-Server-Signature: s\r\n\r\nwhole body");
+        }
+        connection.close();
+    });
+    addServer(server, "s1");
+    const auto stream = send("POST", "/chat/");
+    expectStatus(stream, 200);
+    EXPECT_EQ(stream->body, event(1) + event(2));
+    const auto look = send("GET", "/look/");
+    expectStatus(look, 200);
+    EXPECT_EQ(look->body, "whole body");
+}
+
+// Guards against an answer without a length whose connection is reset: it is not whole.
+TEST_F(GatewayTest, DoesNotTakeAResetForTheEndOfAnAnswer)
+{
+    ScriptedServer server(loop_, [this](Connection &connection, const std::string &head, int) {
+        connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + headerOf(head, "X-Attempt-Id")
+                        + "\r\nX-Server-Signature: s\r\n\r\nwhole bo");
+        resetLater_ = std::make_unique<Timer>(loop_, [&connection] { connection.reset(); });
+        resetLater_->startOnce(milliseconds(30));
+    });
+    addServer(server, "s1");
+    expectStatus(send("POST", "/order/"), 502);
+}
+
 // Guards against a broken stream that looks complete to its caller.
 TEST_F(GatewayTest, CutsAStreamThatNobodyCanFinish)
 {
--- a/tests/path/PathTest.cpp
+++ b/tests/path/PathTest.cpp
@@ -113,6 +113,17 @@
     EXPECT_NE(answer.response.body.find("[DONE]", at), std::string::npos);
 }
 
+// Guards against a stream that stops inside an event and reaches its caller as a whole one.
+TEST_F(PathTest, DoesNotPassOffAStreamThatEndsInsideAnEvent)
+{
+    setFaults(path_.engineAddress(), {{"endInsideEvent", 100}});
+    const auto answer =
+        path_.call("POST", "/v1/chat/completions", LocalPath::teamHeaders(), LocalPath::chatBody(20, true));
+    EXPECT_NE(answer.end, HttpCallEnd::Complete);
+    EXPECT_EQ(answer.response.body.find("{\"cho\""), std::string::npos);
+    EXPECT_EQ(answer.response.body.find("data: {\"chodata"), std::string::npos);
+}
+
 // Guards against an order that runs twice when its caller sends it again, and against a changed order under its key.
 TEST_F(PathTest, RunsAnOrderOnce)
 {
