Bound what a server may send that is no end of an answer

What callers saw: a server in trouble that sends bytes without end was read until their time ran out, and an entry's memory grew meanwhile by all that its link could carry: the line before a chunk, a trailer, interim answers, answers of other requests and an event without end had no bound at all, the sum over requests neither. Cause: only the head of an answer and a single collected answer were bounded. Change: a connection ends as one with a bad response once 128 KiB wait for the end of a line that the reader needs, after 16 interim answers, after 4 answers or 1 MiB of other requests. An event may have 1 MiB. All requests of an entry together may have collected 24 MiB; beyond it those with over 256 KiB fail. A reply on a control interface may have 8 MiB. Bytes of a stream are searched once for ends of events, however small the pieces are.

--- a/modules/hornbeamlane_dispatch/stream/EventStreamFilter.cpp
+++ b/modules/hornbeamlane_dispatch/stream/EventStreamFilter.cpp
@@ -2,43 +2,27 @@
 
 namespace hornbeamlane {
 
-namespace {
-
-/** End of the event that starts at the given place, behind its blank line; npos if it is not complete. */
-std::size_t endOfEvent(std::string_view text, std::size_t start)
-{
-    auto lineStart = start;
-    while (true) {
-        const auto lineEnd = text.find('\n', lineStart);
-        if (lineEnd == std::string_view::npos) {
-            return std::string_view::npos;
-        }
-        auto line = text.substr(lineStart, lineEnd - lineStart);
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
-        if (line.empty()) {
-            return lineEnd + 1;
-        }
-        lineStart = lineEnd + 1;
-    }
-}
-
-} // namespace
-
 std::string_view EventStreamFilter::push(std::string_view bytes)
 {
     pending_.erase(0, passed_);
+    lineStart_ -= passed_;
+    looked_ -= passed_;
     passed_ = 0;
     pending_.append(bytes);
     const std::string_view text = pending_;
+    // Each byte is looked at once, however many pieces an event comes in.
     while (true) {
-        const auto end = endOfEvent(text, passed_);
-        if (end == std::string_view::npos) {
+        const auto lineEnd = text.find('\n', looked_);
+        if (lineEnd == std::string_view::npos) {
+            looked_ = text.size();
             break;
         }
-        noteEvent(text.substr(passed_, end - passed_));
-        passed_ = end;
+        const auto line = text.substr(lineStart_, lineEnd - lineStart_);
+        lineStart_ = looked_ = lineEnd + 1;
+        if (line.empty() || line == "\r") {
+            noteEvent(text.substr(passed_, lineStart_ - passed_));
+            passed_ = lineStart_;
+        }
     }
     return text.substr(0, passed_);
 }
@@ -47,6 +31,8 @@
 {
     pending_.clear();
     passed_ = 0;
+    lineStart_ = 0;
+    looked_ = 0;
 }
 
 void EventStreamFilter::noteEvent(std::string_view event)
--- a/modules/hornbeamlane_dispatch/stream/EventStreamFilter.h
+++ b/modules/hornbeamlane_dispatch/stream/EventStreamFilter.h
@@ -14,9 +14,18 @@
 class EventStreamFilter final
 {
 public:
+    /** Longest event; a longer one never becomes complete. */
+    static constexpr std::size_t maxEventBytes = 1024 * 1024;
+
     /** Takes bytes and returns those that belong to complete events. */
     std::string_view push(std::string_view bytes);
 
+    /** Whether the event that has begun is too long already, so that the stream leads nowhere. */
+    bool isEventTooLong() const
+    {
+        return partialEvent().size() > maxEventBytes;
+    }
+
     /** Drops the part of an event that has arrived; the server that goes on with the stream sends it again. */
     void dropPartialEvent();
 
@@ -49,6 +58,10 @@
     std::string pending_;
     /** Bytes at the start of pending_ that push() has handed out. */
     std::size_t passed_ = 0;
+    /** Start of the line in pending_ that has been looked at last. */
+    std::size_t lineStart_ = 0;
+    /** Place in that line up to which there is no end of it. */
+    std::size_t looked_ = 0;
     std::optional<std::string> lastEventId_;
     std::size_t completeEvents_ = 0;
 };
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -129,6 +129,8 @@
     std::unordered_map<RouteId, std::chrono::milliseconds> longestTimeLeft_;
     std::unordered_map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> requests_;
     RequestNumber lastRequest_;
+    /** Bytes of answers that all requests together have collected. */
+    std::size_t collectedBytes_ = 0;
     Http1Server callers_;
     Http1Server status_;
     MetricsRegistry metrics_;
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -29,8 +29,14 @@
 /** A caller that reads slowly stops the server once so many bytes wait for it. */
 constexpr std::size_t maxBufferedBytes = 256 * 1024;
 
-/** Answers that are not streams are collected up to this size. */
+/** Answers that are not streams are collected up to this size; up to the second one, if all requests together have
+   collected too much. */
 constexpr std::size_t maxCollectedBytes = 8 * 1024 * 1024;
+constexpr std::size_t maxCollectedWhenShort = 256 * 1024;
+
+/** Bytes that all requests together may have collected of answers and of events; well below the memory of an entry
+ * host. */
+constexpr std::size_t maxCollectedInSum = 24 * 1024 * 1024;
 
 /** Whether a place is expected soon, so that waiting for it makes sense. */
 bool isWorthWaiting(BackendBook::NoChoice failure)
@@ -48,7 +54,10 @@
 {
 }
 
-ForwardedRequest::~ForwardedRequest() = default;
+ForwardedRequest::~ForwardedRequest()
+{
+    gateway_.collectedBytes_ -= countedBytes_;
+}
 
 TimePoint ForwardedRequest::now() const
 {
@@ -379,18 +388,42 @@
         forwardEvents(bytes);
         return;
     }
-    if (send_->body.size() + bytes.size() <= maxCollectedBytes) {
-        send_->body.append(bytes);
-        return;
+    send_->body.append(bytes);
+    if (!mayCollect(send_->body.size(), bytes.size())) {
+        failAsTooLarge();
     }
-    logEvent(LogLevel::Warning, "answer_too_large", {{"id", attemptId_}, {"server", send_->start.server.name()}});
+}
+
+bool ForwardedRequest::mayCollect(std::size_t collected, std::size_t added)
+{
+    gateway_.collectedBytes_ += added;
+    countedBytes_ += added;
+    const bool isShort = gateway_.collectedBytes_ > maxCollectedInSum;
+    return collected <= (isShort ? maxCollectedWhenShort : maxCollectedBytes);
+}
+
+void ForwardedRequest::failAsTooLarge()
+{
+    logEvent(LogLevel::Warning, "answer_too_large",
+             {{"id", attemptId_},
+              {"server", send_->start.server.name()},
+              {"bytes", std::to_string(send_->body.size() + events_.partialEvent().size())},
+              {"of_all_requests", std::to_string(gateway_.collectedBytes_)}});
+    ++runs_;
     endSend(BackendOutcome::Failed);
-    refuse(GatewayRefusal::ServerFailed);
+    events_.dropPartialEvent();
+    retryOrRefuse(GatewayRefusal::ServerFailed);
 }
 
 void ForwardedRequest::forwardEvents(std::string_view bytes)
 {
+    const auto before = events_.partialEvent().size();
     const auto whole = events_.push(bytes);
+    const auto partial = events_.partialEvent().size();
+    if (events_.isEventTooLong() || !mayCollect(partial, partial > before ? partial - before : 0)) {
+        failAsTooLarge();
+        return;
+    }
     if (whole.empty() || hasCallerLeft_) {
         return;
     }
@@ -619,6 +652,7 @@
     }
     auto sending = std::move(*send_);
     send_.reset();
+    gateway_.collectedBytes_ -= std::exchange(countedBytes_, 0);
     gateway_.backends_.onEnded(sending.start.server, outcome, now());
     gateway_.peers_.markChanged();
     gateway_.pool_.release(sending.start.server, sending.start.address, std::move(sending.connection));
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -81,6 +81,9 @@
     Duration longestWait(TimePoint time);
     void notePace();
     void forwardEvents(std::string_view bytes);
+    /** Counts bytes that are collected; false if this request has too many then. */
+    bool mayCollect(std::size_t collected, std::size_t added);
+    void failAsTooLarge();
     /** The server has ended the stream; whether it is whole remains to be seen. */
     void endStream();
     void finishStream();
@@ -124,6 +127,8 @@
     std::optional<Http1ResponseHead> failedHead_;
     std::string failedBody_;
     EventStreamFilter events_;
+    /** Its part of what all requests have collected of answers. */
+    std::size_t countedBytes_ = 0;
     TimePoint firstByteAt_;
     Duration longestPause_{};
     /** Its latency target is missed already, because the caller came back or because it has waited. */
--- a/modules/hornbeamlane_network/http1/Http1Caller.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Caller.cpp
@@ -11,6 +11,9 @@
 /** Connections kept for each address: calls that wait for long and short ones run side by side. */
 constexpr std::size_t maxIdleConnections = 3;
 
+/** Longest body of a reply; the control interfaces keep theirs well below. */
+constexpr std::size_t maxReplyBytes = 8 * 1024 * 1024;
+
 } // namespace
 
 struct Http1Caller::Running
@@ -65,7 +68,14 @@
                  running->status = head.status;
                  return true;
              },
-         .data = [running](std::string_view bytes) { running->reply.body.append(bytes); },
+         .data =
+             [this, running](std::string_view bytes) {
+                 if (running->reply.body.size() + bytes.size() > maxReplyBytes) {
+                     finish(running, Http1CallEnd::BadResponse);
+                     return;
+                 }
+                 running->reply.body.append(bytes);
+             },
          .end = [this, running](Http1CallEnd end) { finish(running, end); }});
 }
 
--- a/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
@@ -15,6 +15,13 @@
 
 namespace {
 
+/** Bytes that may wait for the end of a head, of the line before a chunk or of a trailer. */
+constexpr std::size_t maxUnreadBytes = 128 * 1024;
+
+/** Answers of other requests that are skipped before the own one, and the bytes of their bodies. */
+constexpr int maxSkippedAnswers = 4;
+constexpr std::size_t maxSkippedBytes = 1024 * 1024;
+
 std::optional<std::chrono::seconds> keepAliveOf(const Http1ResponseHead &head)
 {
     const auto *value = head.header("Keep-Alive");
@@ -119,6 +126,8 @@
                                               : Http1ResponseReader::BodyRule::AsStated);
         isHeadAccepted = false;
         isHeadRejected = false;
+        skippedAnswers = 0;
+        skippedBytes = 0;
         if (stream == nullptr && (state == State::Closed || !open())) {
             finishLater(Http1CallEnd::NotSent);
             return;
@@ -183,6 +192,13 @@
             }
         }
         const auto body = reader.takeBody();
+        if (isHeadRejected) {
+            skippedBytes += body.size();
+        }
+        if (skippedBytes > maxSkippedBytes || skippedAnswers > maxSkippedAnswers) {
+            finish(Http1CallEnd::BadResponse);
+            return false;
+        }
         if (isHeadAccepted && !body.empty() && callbacks.data) {
             callbacks.data(body);
             if (state != State::Busy) {
@@ -195,6 +211,7 @@
         if (progress == Http1Progress::Complete && isHeadRejected) {
             reader.start(Http1ResponseReader::BodyRule::AsStated);
             isHeadRejected = false;
+            ++skippedAnswers;
             return true;
         }
         finish(progress == Http1Progress::Complete ? Http1CallEnd::Complete : Http1CallEnd::BadResponse);
@@ -219,9 +236,21 @@
             std::size_t consumed = 0;
             const auto progress = reader.consume({bytes, length}, consumed);
             evbuffer_drain(input, consumed);
-            if (!deliver(progress) || (progress == Http1Progress::NeedMore)) {
+            if (!deliver(progress)) {
                 return;
             }
+            if (progress == Http1Progress::NeedMore) {
+                endIfUnreadable(length - consumed);
+                return;
+            }
+        }
+    }
+
+    /** Ends the call if the peer has sent so much that the reader can do nothing with. */
+    void endIfUnreadable(std::size_t unreadBytes)
+    {
+        if (unreadBytes > maxUnreadBytes) {
+            finish(Http1CallEnd::BadResponse);
         }
     }
 
@@ -273,6 +302,8 @@
     std::size_t requestBytes = 0;
     bool isHeadAccepted = false;
     bool isHeadRejected = false;
+    int skippedAnswers = 0;
+    std::size_t skippedBytes = 0;
     std::optional<std::chrono::seconds> keepAlive;
 };
 
--- a/modules/hornbeamlane_network/http1/Http1Readers.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Readers.cpp
@@ -16,6 +16,8 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t maxResponseHeaderBytes = 64 * 1024;
+/** Interim answers (1xx) before the final one. */
+constexpr int maxInterimResponses = 16;
 constexpr std::uint64_t maxResponseBodyBytes = 256ULL * 1024 * 1024;
 
 template <class Fields>
@@ -129,6 +131,7 @@
     std::optional<Http1ResponseHead> head;
     std::string body;
     BodyRule rule = BodyRule::AsStated;
+    int interimResponses = 0;
 
     void restart()
     {
@@ -166,6 +169,7 @@
 void Http1ResponseReader::start(BodyRule rule)
 {
     implementation_->rule = rule;
+    implementation_->interimResponses = 0;
     implementation_->restart();
 }
 
@@ -179,6 +183,9 @@
         consumed += used;
         if (progress == Http1Progress::Complete && self.isInterim()) {
             self.restart();
+            if (++self.interimResponses > maxInterimResponses) {
+                return Http1Progress::Malformed;
+            }
             if (consumed < bytes.size()) {
                 continue;
             }
--- a/testing/standins/ScriptedServer.cpp
+++ b/testing/standins/ScriptedServer.cpp
@@ -78,6 +78,11 @@
         }
     }
 
+    std::size_t unsentBytes() const override
+    {
+        return stream_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(stream_));
+    }
+
     int requests() const override
     {
         return requests_;
