Do not destroy a loop's tasks while they post others

Cause: the loop cleared its list of tasks in place. Change: it takes the list out first, until nothing is posted any more. A daemon that is stopped with a call under way could have met the same.

--- a/modules/hornbeamlane_network/loop/EventLoop.cpp
+++ b/modules/hornbeamlane_network/loop/EventLoop.cpp
@@ -62,9 +62,11 @@
 
 EventLoop::~EventLoop()
 {
-    // Retained objects may post tasks when they end, and tasks may hold the last reference to a connection.
+    // Retained objects may post tasks when they end, and so may connections whose last reference a task holds.
     implementation_->retained.clear();
-    implementation_->tasks.clear();
+    while (!implementation_->tasks.empty()) {
+        const auto ended = std::exchange(implementation_->tasks, {});
+    }
     implementation_->signals.clear();
     implementation_->wakeUp.reset();
     event_base_free(implementation_->base);
