Bound replies without end on the product's own path too

What callers saw: an engine that sent an event without end kept its stream open until the deadline of its class (22 s in the test), and the entry collected all of it; a status that never ended kept the agent from ever asking again. Cause: evhttp bounds neither heads nor the lines before chunks nor trailers as it was set up, a call had no bound on its whole time, and the entry none on an event. Change: HttpCall ends a reply that has over 1 MiB, and eight times its body, beside the body, or a head over 64 KiB; a call may have a total time, which the agent's look at its engine uses, with a bound of 1 MiB on the status. The entry breaks off a stream whose event exceeds 1 MiB and cancels it at the agent.

--- a/modules/hornbeamlane_agent/Agent.cpp
+++ b/modules/hornbeamlane_agent/Agent.cpp
@@ -18,6 +18,9 @@
 /** Adds to a running request's deadline, so that the entry's own deadline strikes first. */
 constexpr auto engineTimeoutMargin = 5s;
 
+/** Longest status of an engine. */
+constexpr std::size_t maxStatusBytes = 1024 * 1024;
+
 } // namespace
 
 Agent::Agent(EventLoop &loop, RandomSource &random, AgentSettings settings)
@@ -384,7 +387,12 @@
         return;
     }
     isPollingEngine_ = true;
-    sendHttpRequest(loop_, {.address = settings_.engineAddress, .target = "/status", .timeout = 2s},
+    sendHttpRequest(loop_,
+                    {.address = settings_.engineAddress,
+                     .target = "/status",
+                     .timeout = 2s,
+                     .totalTime = 4s,
+                     .maxResponseBytes = maxStatusBytes},
                     [this](HttpCallEnd end, const HttpResponse &response) { handleEngineStatus(end, response); });
 }
 
--- a/modules/hornbeamlane_entry/CallerReply.cpp
+++ b/modules/hornbeamlane_entry/CallerReply.cpp
@@ -14,6 +14,8 @@
 /** Bytes waiting for the caller above which no further credit goes to the agent. */
 constexpr std::size_t callerBufferBytes = 64 * 1024;
 
+constexpr std::size_t maxEventBytes = 1024 * 1024;
+
 constexpr std::string_view eventEnd = "\n\n";
 
 } // namespace
@@ -124,6 +126,11 @@
     return !partialEvent_.empty();
 }
 
+bool CallerReply::isEventTooLong() const
+{
+    return partialEvent_.size() > maxEventBytes;
+}
+
 bool CallerReply::hasBegun() const
 {
     return exchange_->isStreaming();
--- a/modules/hornbeamlane_entry/CallerReply.h
+++ b/modules/hornbeamlane_entry/CallerReply.h
@@ -38,6 +38,9 @@
     /** Whether a part of an event has come without its end, so that the stream is not whole. */
     bool endsInsideEvent() const;
 
+    /** Whether that part is so long that it is no event any more. */
+    bool isEventTooLong() const;
+
     /** Drops what was collected of a response that has not begun, before another attempt. */
     void restart();
 
--- a/modules/hornbeamlane_entry/DirectFlow.cpp
+++ b/modules/hornbeamlane_entry/DirectFlow.cpp
@@ -114,6 +114,11 @@
         if (result == ResponseAssembler::Result::Accepted) {
             unpassedBytes_ += data->bytes.size();
             reply_.addData(data->bytes);
+            if (reply_.isEventTooLong()) {
+                hooks_.send(*target_, Cancel{.attempt = dispatch_.attempt});
+                handleBroken("an event of the stream has no end");
+                return;
+            }
             grantCredit();
         }
         applyResult(result);
--- a/modules/hornbeamlane_network/http/HttpCall.cpp
+++ b/modules/hornbeamlane_network/http/HttpCall.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamlane_network/http/HttpCall.h"
 
+#include "hornbeamlane_network/loop/Timer.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -12,6 +14,13 @@
 
 namespace {
 
+/** Bytes of an answer beside its body: heads, interim answers, trailers; and lines before chunks for each byte of it.
+ */
+constexpr std::size_t maxOverheadBytes = 1024 * 1024;
+constexpr std::size_t maxOverheadOfBodyByte = 8;
+
+constexpr std::size_t maxHeaderBytes = 64 * 1024;
+
 evhttp_cmd_type commandOf(const std::string &method)
 {
     if (method == "POST") {
@@ -44,6 +53,10 @@
     bool hasHead = false;
     bool isOver = false;
     bool hasSentBytes = false;
+    /** Bytes that have come, and those of them that were handed out as the body. */
+    std::size_t receivedBytes = 0;
+    std::size_t bodyBytes = 0;
+    std::unique_ptr<Timer> totalTimer;
     HttpCallEnd failure = HttpCallEnd::BrokenOff;
 
     Implementation(EventLoop &loopToUse, Options optionsToUse, Callbacks callbacksToUse)
@@ -62,17 +75,16 @@
     {
         const auto parts = splitAddress(options.address);
         if (!parts) {
-            loop.post([self = weak_from_this()] {
-                if (const auto live = self.lock()) {
-                    live->finish(HttpCallEnd::ConnectFailed);
-                }
-            });
+            failLater(HttpCallEnd::ConnectFailed);
             return;
         }
         connection = evhttp_connection_base_new(loop.base(), nullptr, parts->first.c_str(), parts->second);
         evhttp_connection_set_timeout(connection, static_cast<int>(options.timeout.count()));
         evhttp_connection_set_retries(connection, 0);
         watchOutput();
+        watchInput();
+        startTotalTimer();
+        evhttp_connection_set_max_headers_size(connection, maxHeaderBytes);
         evhttp_connection_set_max_body_size(connection, static_cast<ev_ssize_t>(options.maxResponseBytes));
         request = evhttp_request_new(
             [](evhttp_request *handle, void *context) { static_cast<Implementation *>(context)->handleDone(handle); },
@@ -116,6 +128,43 @@
             this);
     }
 
+    /** Ends the call if the peer sends so much beside the body; the library has no bound on that. */
+    void watchInput()
+    {
+        auto *input = bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+        evbuffer_add_cb(
+            input,
+            [](evbuffer *, const evbuffer_cb_info *change, void *context) {
+                auto *self = static_cast<Implementation *>(context);
+                self->receivedBytes += change->n_added;
+                const auto overhead = self->receivedBytes - self->bodyBytes;
+                if (overhead > maxOverheadBytes + maxOverheadOfBodyByte * self->bodyBytes) {
+                    self->failLater(HttpCallEnd::BrokenOff);
+                }
+            },
+            this);
+    }
+
+    void startTotalTimer()
+    {
+        if (options.totalTime) {
+            totalTimer = std::make_unique<Timer>(loop, [this] {
+                const auto keep = shared_from_this();
+                finish(HttpCallEnd::TimedOut);
+            });
+            totalTimer->startOnce(*options.totalTime);
+        }
+    }
+
+    void failLater(HttpCallEnd end)
+    {
+        loop.post([weak = weak_from_this(), end] {
+            if (const auto self = weak.lock()) {
+                self->finish(end);
+            }
+        });
+    }
+
     void handleHead(evhttp_request *handle)
     {
         const auto keep = shared_from_this();
@@ -140,6 +189,7 @@
         auto *buffer = evhttp_request_get_input_buffer(handle);
         std::string bytes(evbuffer_get_length(buffer), '\0');
         evbuffer_remove(buffer, bytes.data(), bytes.size());
+        bodyBytes += bytes.size();
         if (!isOver && !bytes.empty() && callbacks.data) {
             callbacks.data(bytes);
         }
@@ -163,6 +213,9 @@
             return;
         }
         isOver = true;
+        if (totalTimer) {
+            totalTimer->stop();
+        }
         // The connection may be in the middle of its own callback, so it is freed on the next turn.
         loop.post([self = shared_from_this()] { self->freeConnection(); });
         if (callbacks.end) {
--- a/modules/hornbeamlane_network/http/HttpCall.h
+++ b/modules/hornbeamlane_network/http/HttpCall.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace hornbeamlane {
 
@@ -36,6 +37,8 @@
         std::string body;
         /** Longest time without any progress. */
         std::chrono::seconds timeout{60};
+        /** Longest time from the start to the end of the answer; absent: no bound. */
+        std::optional<std::chrono::milliseconds> totalTime = std::nullopt;
         std::size_t maxResponseBytes = 64 * 1024 * 1024;
     };
 
--- a/testing/standins/EngineStandIn.cpp
+++ b/testing/standins/EngineStandIn.cpp
@@ -18,6 +18,9 @@
 /** Token at which a stream ends that the fault "endInsideEvent" has hit. */
 constexpr std::uint64_t cutPosition = 5;
 
+/** What a stream with the fault "endlessEvent" sends in each step from that token on. */
+constexpr std::size_t floodBytes = 32 * 1024;
+
 std::string tokenText(std::uint64_t position)
 {
     return "w" + std::to_string(position) + " ";
@@ -155,6 +158,10 @@
     if (!stream.exchange->isStreaming()) {
         stream.exchange->startStream({.status = 200, .contentType = "text/event-stream"});
     }
+    if (stream.position >= cutPosition && isFlooding_) {
+        stream.exchange->sendChunk(std::string(floodBytes, 'x'));
+        return true;
+    }
     if (stream.position == cutPosition && streamsToCut_ > 0) {
         --streamsToCut_;
         stream.exchange->sendChunk("data: {\"cho");
@@ -200,6 +207,7 @@
         return;
     }
     stall_ = std::chrono::milliseconds(faults.value("stallMilliseconds", 0));
+    isFlooding_ = faults.value("endlessEvent", false);
     streamsToCut_ = faults.value("endInsideEvent", streamsToCut_);
     if (faults.value("turnCold", false)) {
         turnCold();
--- a/testing/standins/EngineStandIn.h
+++ b/testing/standins/EngineStandIn.h
@@ -18,7 +18,8 @@
     cold for some steps; more than coldCapacity requests at once then make it fall over: it breaks all connections off
     and starts again with a new incarnation. A prompt that contains "crash-the-engine" does the same at any time.
 
-    PUT /faults {"endInsideEvent": N} lets N streams end in an orderly way in the middle of an event.
+    PUT /faults {"endInsideEvent": N} lets N streams end in an orderly way in the middle of an event;
+    {"endlessEvent": true} lets streams send an event without end.
 
     POST /v1/chat/completions; GET /status reports the load as it was reportLag ago, and cache events; POST /orders
     takes fenced orders; GET and PUT /kv/<request> export and import the KV cache of a stream.
@@ -86,6 +87,8 @@
     Duration stall_{0};
     /** Streams that are still to end inside an event. */
     int streamsToCut_ = 0;
+    /** Streams send an event without end. */
+    bool isFlooding_ = false;
 };
 
 } // namespace hornbeamlane::testing
--- /dev/null
+++ b/tests/network/HttpCallTest.cpp
@@ -0,0 +1,81 @@
+#include "hornbeamlane_network/hornbeamlane_network.h"
+#include "standins/ScriptedServer.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace hornbeamlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** How a server floods a connection in place of an answer. */
+struct EndlessReply
+{
+    std::string name;
+    std::string start;
+    std::string endless;
+};
+
+class HttpCallTest : public ::testing::TestWithParam<EndlessReply>
+{
+};
+
+// Guards against memory and time that a call takes by a reply that never ends.
+TEST_P(HttpCallTest, EndsAReplyWithoutEnd)
+{
+    constexpr std::size_t mostBytes = 16 * 1024 * 1024;
+    EventLoop loop;
+    testing::ScriptedServer::Connection *flooding = nullptr;
+    testing::ScriptedServer server(loop,
+                                   [&](testing::ScriptedServer::Connection &connection, const std::string &, int) {
+                                       connection.send(GetParam().start);
+                                       flooding = &connection;
+                                   });
+    std::size_t sent = 0;
+    std::string piece;
+    while (piece.size() < std::size_t{32} * 1024) {
+        piece += GetParam().endless;
+    }
+    Timer pump(loop, [&] {
+        if (flooding != nullptr && flooding->unsentBytes() == 0) {
+            flooding->send(piece);
+            sent += std::min(flooding->unsentBytes(), piece.size());
+        }
+    });
+    pump.startRepeating(milliseconds(1));
+    std::optional<HttpCallEnd> result;
+    sendHttpRequest(loop,
+                    {.address = server.address(),
+                     .timeout = std::chrono::seconds(2),
+                     .totalTime = milliseconds(1500),
+                     .maxResponseBytes = std::size_t{4} * 1024 * 1024},
+                    [&](HttpCallEnd end, const HttpResponse &) {
+                        result = end;
+                        loop.stop();
+                    });
+    Timer limit(loop, [&] { loop.stop(); });
+    limit.startOnce(milliseconds(4000));
+    const auto started = loop.now();
+    loop.run();
+    ASSERT_TRUE(result);
+    EXPECT_NE(*result, HttpCallEnd::Complete);
+    EXPECT_LE(sent, mostBytes);
+    EXPECT_LT(loop.now() - started, milliseconds(2500));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Floods, HttpCallTest,
+    ::testing::Values(EndlessReply{"StatusLine", "", "HTTP/1.1 200 "},
+                      EndlessReply{"OneHeader", "HTTP/1.1 200 OK\r\nX: ", "x"},
+                      EndlessReply{"ManyHeaders", "HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+                      EndlessReply{"InterimAnswers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+                      EndlessReply{"Body", "HTTP/1.1 200 OK\r\n\r\n", "body"},
+                      EndlessReply{"ChunkSize", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+                      EndlessReply{"Trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                                   "X: x\r\n"}),
+    [](const auto &param) { return param.param.name; });
+
+} // namespace
+} // namespace hornbeamlane
--- a/tests/path/PathTest.cpp
+++ b/tests/path/PathTest.cpp
@@ -124,6 +124,23 @@
     EXPECT_EQ(answer.response.body.find("data: {\"chodata"), std::string::npos);
 }
 
+// Guards against memory that an engine takes by an event without end, and against an engine that goes on with it.
+TEST_F(PathTest, EndsAStreamWhoseEventHasNoEnd)
+{
+    setFaults(path_.engineAddress(), {{"endlessEvent", true}});
+    const auto started = path_.loop().now();
+    const auto answer =
+        path_.call("POST", "/v1/chat/completions", LocalPath::teamHeaders(), LocalPath::chatBody(100'000, true));
+    EXPECT_NE(answer.end, HttpCallEnd::Complete);
+    EXPECT_LT(answer.response.body.size(), 100'000U);
+    // Well before the deadline of its class.
+    EXPECT_LT(path_.loop().now() - started, 5s);
+    setFaults(path_.engineAddress(), {{"endlessEvent", false}});
+    path_.runUntil([] { return false; }, 200ms);
+    const auto status = path_.callAt(path_.engineAddress(), "GET", "/status?fresh=1", {}, "");
+    EXPECT_EQ(json::parse(status.response.body)["running"].get<int>(), 0);
+}
+
 // Guards against an order that runs twice when its caller sends it again, and against a changed order under its key.
 TEST_F(PathTest, RunsAnOrderOnce)
 {
