Tell crashes in the product's message form

Cause: the gateway had a codec of its own for crashes and claims, beside that of the messages between processes. Change: CrashUpdate and TrialUpdate are messages of hornbeamlane_messages; datagrams and the row of the store carry their frames. CrashMessage only turns times into ages.

--- a/modules/hornbeamlane_gateway/crashes/CrashExchange.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashExchange.cpp
@@ -25,13 +25,15 @@
 {
 }
 
-std::string CrashExchange::encode(std::vector<ServerCrash> crashes, bool withClaims)
+void CrashExchange::sendCrashes(const std::vector<ServerCrash> &crashes,
+                                const std::function<void(const std::string &)> &send)
 {
-    CrashMessage message{.sender = options_.incarnation, .sequence = ++sequence_, .crashes = std::move(crashes)};
-    if (withClaims) {
-        message.claims = trials_.ownClaims();
+    for (std::size_t from = 0; from < crashes.size(); from += options_.maxCrashesInMessage) {
+        const auto to = std::min(crashes.size(), from + options_.maxCrashesInMessage);
+        const std::vector<ServerCrash> some(crashes.begin() + static_cast<std::ptrdiff_t>(from),
+                                            crashes.begin() + static_cast<std::ptrdiff_t>(to));
+        send(encodeCrashes(some, loop_.now()));
     }
-    return encodeCrashMessage(message, loop_.now());
 }
 
 void CrashExchange::tellCrashes(const std::vector<CrashId> &ids)
@@ -42,17 +44,15 @@
             told.push_back(crash);
         }
     }
-    for (std::size_t from = 0; from < told.size(); from += options_.maxCrashesInMessage) {
-        const auto to = std::min(told.size(), from + options_.maxCrashesInMessage);
-        hooks_.sendToAll(encode(
-            {told.begin() + static_cast<std::ptrdiff_t>(from), told.begin() + static_cast<std::ptrdiff_t>(to)}, false));
-    }
+    sendCrashes(told, hooks_.sendToAll);
 }
 
 void CrashExchange::tellClaims()
 {
-    hooks_.sendToAll(encode({}, true));
-    if (!trials_.ownClaims().empty()) {
+    const auto claims = trials_.ownClaims();
+    hooks_.sendToAll(
+        encodeMessage(TrialUpdate{.sender = options_.incarnation, .sequence = ++sequence_, .claims = claims}));
+    if (!claims.empty()) {
         claimTimer_.startOnce(options_.claimInterval);
     } else {
         claimTimer_.stop();
@@ -74,44 +74,49 @@
     }
     const auto pause = isSame ? std::min(resend.pause * 2, options_.maxResend) : options_.firstResend;
     resend = {.ownDigest = own, .peerDigest = digest, .sentAt = now, .pause = pause};
-    const auto &crashes = evidence_.crashes();
-    for (std::size_t from = 0; from < crashes.size(); from += options_.maxCrashesInMessage) {
-        const auto to = std::min(crashes.size(), from + options_.maxCrashesInMessage);
-        hooks_.sendTo(address,
-                      encode({crashes.begin() + static_cast<std::ptrdiff_t>(from),
-                              crashes.begin() + static_cast<std::ptrdiff_t>(to)},
-                             false));
-    }
+    sendCrashes(evidence_.crashes(), [this, &address](const std::string &bytes) { hooks_.sendTo(address, bytes); });
 }
 
 bool CrashExchange::onMessage(std::string_view bytes)
 {
-    const auto now = loop_.now();
-    const auto message = decodeCrashMessage(bytes, now);
+    DecodeFailure failure = DecodeFailure::None;
+    const auto message = decodeMessage(bytes, failure);
     if (!message) {
         return false;
     }
+    if (const auto *claims = std::get_if<TrialUpdate>(&*message)) {
+        takeClaims(*claims);
+        return true;
+    }
+    const auto *update = std::get_if<CrashUpdate>(&*message);
+    if (update == nullptr) {
+        return false;
+    }
+    const auto now = loop_.now();
     bool hasChanged = false;
-    for (const auto &crash : message->crashes) {
+    for (const auto &crash : crashesOf(*update, now)) {
         hasChanged = evidence_.onCrash(crash, now) || hasChanged;
     }
-    if (message->claims) {
-        auto &newest = sequences_[message->sender];
-        if (message->sequence > newest) {
-            newest = message->sequence;
-            if (trials_.onClaims(message->sender, *message->claims, now)) {
-                logEvent(LogLevel::Info, "trial_gave_way", {{"to", std::to_string(message->sender.value())}});
-                tellClaims();
-            }
-            hasChanged = true;
-        }
-    }
     if (hasChanged) {
         hooks_.changed();
     }
     return true;
 }
 
+void CrashExchange::takeClaims(const TrialUpdate &update)
+{
+    auto &newest = sequences_[update.sender];
+    if (update.sequence <= newest) {
+        return;
+    }
+    newest = update.sequence;
+    if (trials_.onClaims(update.sender, update.claims, loop_.now())) {
+        logEvent(LogLevel::Info, "trial_gave_way", {{"to", std::to_string(update.sender.value())}});
+        tellClaims();
+    }
+    hooks_.changed();
+}
+
 void CrashExchange::sweep(TimePoint now)
 {
     trials_.expire(now);
--- a/modules/hornbeamlane_gateway/crashes/CrashExchange.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashExchange.h
@@ -3,6 +3,7 @@
 #include "hornbeamlane_gateway/crashes/CrashMessage.h"
 #include "hornbeamlane_network/loop/Timer.h"
 #include "hornbeamlane_routing/crashes/CrashEvidence.h"
+#include "hornbeamlane_routing/crashes/SuspectTrials.h"
 
 #include <functional>
 #include <map>
@@ -67,7 +68,9 @@
         std::chrono::milliseconds pause{0};
     };
 
-    std::string encode(std::vector<ServerCrash> crashes, bool withClaims);
+    /** Sends crashes in messages of bounded size. */
+    void sendCrashes(const std::vector<ServerCrash> &crashes, const std::function<void(const std::string &)> &send);
+    void takeClaims(const TrialUpdate &update);
 
     EventLoop &loop_;
     CrashEvidence &evidence_;
@@ -76,7 +79,7 @@
     Hooks hooks_;
     Timer claimTimer_;
     std::uint64_t sequence_ = 0;
-    /** Newest message with claims of each sender. */
+    /** Newest message of each sender. */
     std::map<Incarnation, std::uint64_t> sequences_;
     std::map<std::string, Resend> resends_;
 };
--- /dev/null
+++ b/modules/hornbeamlane_messages/types/CrashMessages.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "hornbeamlane_base/hornbeamlane_base.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace hornbeamlane {
+
+/** Hash of something that requests can have in common and that may crash a server; equal on all hosts. */
+using TraitHash = Number<struct TraitTag>;
+
+/** Names one crash: hash of the server and of the start of it that ended. */
+using CrashId = Number<struct CrashTag>;
+
+/** What one request has in common with others. */
+struct RequestTraits
+{
+    /** The whole request; equal for each repetition of it. */
+    TraitHash whole;
+    /** The parts of its prompt that other requests may share. */
+    std::vector<TraitHash> parts;
+};
+
+/** A request that was at a server when it crashed and had got nothing of its answer's body. */
+struct CrashCandidate
+{
+    RequestTraits traits;
+    /** The server had begun to answer it. */
+    bool hadHead = false;
+};
+
+/** What an entry knows of one crash. */
+struct CrashRecord
+{
+    CrashId id;
+    /** Time since the crash as the message was sent. */
+    std::chrono::milliseconds age{0};
+    std::vector<CrashCandidate> candidates;
+    /** Traits of candidates with which a server has begun an answer since. */
+    std::vector<TraitHash> cleared;
+    /** Parts of candidates with which servers had begun answers before. */
+    std::vector<TraitHash> begunBefore;
+};
+
+/** Crashes that an entry tells others of, or that a row of the table keeps. */
+struct CrashUpdate
+{
+    std::vector<CrashRecord> crashes;
+    /** Time of day, since 1970, at which a row was written; zero in a message. */
+    std::chrono::milliseconds writtenAt{0};
+};
+
+/** An entry's word that it runs, or is about to run, a request with a suspect trait. */
+struct TrialClaim
+{
+    TraitHash trait;
+    bool isRunning = false;
+};
+
+/** All claims of an entry at present. */
+struct TrialUpdate
+{
+    Incarnation sender;
+    /** Grows with each message of one start of the sender, so that old claims do not replace new ones. */
+    std::uint64_t sequence = 0;
+    std::vector<TrialClaim> claims;
+};
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -20,13 +20,13 @@
 
 bool hasAll(const RequestTraits &traits, const std::vector<TraitHash> &wanted)
 {
-    return std::all_of(wanted.begin(), wanted.end(), [&traits](TraitHash trait) { return traits.has(trait); });
+    return std::all_of(wanted.begin(), wanted.end(), [&traits](TraitHash trait) { return hasTrait(traits, trait); });
 }
 
 bool isOfCandidate(const ServerCrash &crash, TraitHash trait)
 {
     return std::any_of(crash.candidates.begin(), crash.candidates.end(),
-                       [trait](const CrashCandidate &candidate) { return candidate.traits.has(trait); });
+                       [trait](const CrashCandidate &candidate) { return hasTrait(candidate.traits, trait); });
 }
 
 enum class FactKind : std::uint64_t { Candidate = 1, Head, Part, Cleared, BegunBefore };
@@ -85,7 +85,7 @@
 {
     std::vector<TraitHash> found;
     for (const auto suspect : findings(now).suspects) {
-        if (traits.has(suspect)) {
+        if (hasTrait(traits, suspect)) {
             found.push_back(suspect);
         }
     }
--- a/modules/hornbeamlane_routing/crashes/RequestTraits.cpp
+++ b/modules/hornbeamlane_routing/crashes/RequestTraits.cpp
@@ -36,9 +36,9 @@
     return text;
 }
 
-bool RequestTraits::has(TraitHash trait) const
+bool hasTrait(const RequestTraits &traits, TraitHash trait)
 {
-    return whole == trait || containsTrait(parts, trait);
+    return traits.whole == trait || containsTrait(traits.parts, trait);
 }
 
 RequestTraits traitsOf(const RequestIdentity &identity)
--- a/modules/hornbeamlane_routing/crashes/RequestTraits.h
+++ b/modules/hornbeamlane_routing/crashes/RequestTraits.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hornbeamlane_base/hornbeamlane_base.h"
+#include "hornbeamlane_messages/hornbeamlane_messages.h"
 
 #include <string>
 #include <string_view>
@@ -8,25 +8,14 @@
 
 namespace hornbeamlane {
 
-/** Hash of something that requests can have in common and that may crash a server; equal on all hosts. */
-using TraitHash = Number<struct TraitTag>;
-
 bool containsTrait(const std::vector<TraitHash> &traits, TraitHash trait);
 
+/** Whether it is a part or the whole of the request. */
+bool hasTrait(const RequestTraits &traits, TraitHash trait);
+
 /** Hexadecimal, separated by commas, for log lines; at most this many. */
 std::string formatTraits(const std::vector<TraitHash> &traits, std::size_t most = 8);
 
-/** What one request has in common with others. */
-struct RequestTraits
-{
-    /** The whole request; equal for each repetition of it. */
-    TraitHash whole;
-    /** The parts of its prompt that other requests may share. */
-    std::vector<TraitHash> parts;
-
-    bool has(TraitHash trait) const;
-};
-
 /** What the traits of a request are made of. */
 struct RequestIdentity
 {
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
@@ -4,6 +4,13 @@
 
 namespace hornbeamlane {
 
+namespace {
+
+/** Longest age that a record can state; far more than any crash counts. */
+constexpr std::chrono::hours longestAge{24};
+
+} // namespace
+
 std::vector<const CrashCandidate *> ServerCrash::likelyCandidates() const
 {
     const bool anyHead =
@@ -27,6 +34,26 @@
     return containsTrait(begunBefore, trait);
 }
 
+CrashRecord toRecord(const ServerCrash &crash, TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
+    return {.id = crash.id,
+            .age = std::max(age, std::chrono::milliseconds(0)),
+            .candidates = crash.candidates,
+            .cleared = crash.cleared,
+            .begunBefore = crash.begunBefore};
+}
+
+ServerCrash fromRecord(const CrashRecord &record, TimePoint now)
+{
+    const auto age = std::clamp<std::chrono::milliseconds>(record.age, std::chrono::milliseconds(0), longestAge);
+    return {.id = record.id,
+            .at = now - age,
+            .candidates = record.candidates,
+            .cleared = record.cleared,
+            .begunBefore = record.begunBefore};
+}
+
 namespace {
 
 bool wasAtAnotherCrash(TraitHash whole, const ServerCrash &crash, const std::vector<ServerCrash> &all)
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.h
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.h
@@ -2,23 +2,10 @@
 
 #include "hornbeamlane_routing/crashes/RequestTraits.h"
 
-#include <chrono>
-#include <cstdint>
 #include <vector>
 
 namespace hornbeamlane {
 
-/** Names one crash: hash of the server and of the start of it that ended. */
-using CrashId = Number<struct CrashTag>;
-
-/** A request that was at a server when it crashed and had got nothing of its answer's body. */
-struct CrashCandidate
-{
-    RequestTraits traits;
-    /** The server had begun to answer it. */
-    bool hadHead = false;
-};
-
 /**
     What is known of the end of one server process.
 
@@ -41,6 +28,10 @@
     bool hadBegunBefore(TraitHash trait) const;
 };
 
+/** The crash as it is told to others, and back. */
+CrashRecord toRecord(const ServerCrash &crash, TimePoint now);
+ServerCrash fromRecord(const CrashRecord &record, TimePoint now);
+
 /**
     Whether the crash proves nothing any more: all parts of its likely candidates are cleared, and none of these was at
     another crash as a whole. A candidate without parts is judged as a whole.
--- a/modules/hornbeamlane_routing/crashes/SuspectTrials.h
+++ b/modules/hornbeamlane_routing/crashes/SuspectTrials.h
@@ -10,13 +10,6 @@
 /** Number of a request within one entry. */
 using RequestNumber = Number<struct RequestTag>;
 
-/** An entry's word that it runs, or is about to run, a request with a suspect trait. */
-struct TrialClaim
-{
-    TraitHash trait;
-    bool isRunning = false;
-};
-
 /**
     Lets one request at a time, of all entries, show whether its suspect traits crash servers.
 
