Quarantine messages of a chat that crash engines on the product's own path

Change: PromptPartGuard feeds CrashEvidence with the messages of a chat but the last one. An agent numbers the losses of its engine, so that all entries name a loss alike; it cannot tell a crash from a single answer that was broken off, so it takes three losses to refuse, and a single one makes suspects only. Entries tell each other crashes and trials over their links and pass them on; one that starts is told all of it.

--- a/modules/hornbeamlane_agent/Agent.cpp
+++ b/modules/hornbeamlane_agent/Agent.cpp
@@ -212,6 +212,7 @@
         return;
     }
     auto &work = found->second;
+    work.engineLossesAtStart = engineLosses_;
     admission_.started(id, loop_.now());
     EngineAttempt::Callbacks callbacks;
     callbacks.message = [this, session = work.session](const Message &message) { sendTo(session, message); };
@@ -250,12 +251,16 @@
         endWork(id, result.status < 500 ? Outcome::Succeeded : Outcome::Failed);
         return;
     }
+    std::uint64_t engineLoss = 0;
     if (result.refusal.execution == ExecutionState::NotRun) {
         ledger_.refuse(id, localTime());
     } else {
         ledger_.lose(id, localTime());
+        // All attempts that were started between two losses end by the same one.
+        engineLoss = work.engineLossesAtStart + 1;
+        engineLosses_ = std::max(engineLosses_, engineLoss);
     }
-    reject(work.session, id, work.dispatch.team, result.refusal);
+    reject(work.session, id, work.dispatch.team, result.refusal, engineLoss);
     endWork(id, Outcome::ConnectionLost);
     if (result.refusal.execution == ExecutionState::NotRun) {
         setEngineDown(true);
@@ -318,7 +323,8 @@
     endWork(id, AdmissionController::Outcome::Cancelled);
 }
 
-void Agent::reject(SessionId session, const AttemptId &attempt, const TeamId &team, const Refusal &refusal)
+void Agent::reject(SessionId session, const AttemptId &attempt, const TeamId &team, const Refusal &refusal,
+                   std::uint64_t engineLoss)
 {
     logEvent(LogLevel::Info, "attempt_rejected",
              {{"attempt", attempt.toString()},
@@ -328,7 +334,8 @@
     sendTo(session,
            Rejected{.attempt = attempt,
                     .refusal = refusal,
-                    .freeTeamConcurrency = admission_.freeConcurrency(team, loop_.now())});
+                    .freeTeamConcurrency = admission_.freeConcurrency(team, loop_.now()),
+                    .engineLoss = engineLoss});
 }
 
 void Agent::runAdmission()
--- a/modules/hornbeamlane_agent/Agent.h
+++ b/modules/hornbeamlane_agent/Agent.h
@@ -45,6 +45,7 @@
         Dispatch dispatch;
         /** Empty while the request waits in the queue. */
         std::shared_ptr<EngineAttempt> attempt;
+        std::uint64_t engineLossesAtStart = 0;
     };
 
     void acceptSession(std::intptr_t socket);
@@ -59,7 +60,8 @@
     void abandonAttempt(const AttemptId &attempt);
     void refuseWork(const AttemptId &attempt, const Refusal &refusal);
     void endWork(const AttemptId &attempt, AdmissionController::Outcome outcome);
-    void reject(SessionId session, const AttemptId &attempt, const TeamId &team, const Refusal &refusal);
+    void reject(SessionId session, const AttemptId &attempt, const TeamId &team, const Refusal &refusal,
+                std::uint64_t engineLoss = 0);
 
     void runAdmission();
     void runTableAction(const TeamLimits::TableAction &action);
@@ -96,6 +98,8 @@
     std::uint64_t cacheSequence_ = 0;
     CatalogueVersion appliedSettled_;
     SessionId lastSession_ = 0;
+    /** Losses of the engine, counted by attempts that it broke off. */
+    std::uint64_t engineLosses_ = 0;
     bool isPollingEngine_ = false;
     bool isEngineDown_ = false;
     bool isFetchingVersions_ = false;
--- a/modules/hornbeamlane_entry/CallerRequest.cpp
+++ b/modules/hornbeamlane_entry/CallerRequest.cpp
@@ -28,14 +28,14 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-/** Messages of a chat request as one text, in order. */
-std::string promptOf(const nlohmann::json &body)
+/** Messages of a chat request, in order. */
+std::vector<std::string> messagesOf(const nlohmann::json &body)
 {
-    std::string prompt;
+    std::vector<std::string> messages;
     for (const auto &message : body["messages"]) {
-        prompt += message.value("role", "") + ":" + message["content"].dump() + "\n";
+        messages.push_back(message.value("role", "") + ":" + message["content"].dump() + "\n");
     }
-    return prompt;
+    return messages;
 }
 
 bool hasChatForm(const nlohmann::json &body)
@@ -140,7 +140,11 @@
         dispatch.maxTokens = static_cast<std::uint32_t>(
             std::min<std::uint64_t>(body.value("max_tokens", std::uint64_t{defaultMaxTokens}), UINT32_MAX));
         dispatch.isRepeatable = true;
-        result_.prompt = promptOf(body);
+        result_.sharedMessages = messagesOf(body);
+        for (const auto &message : result_.sharedMessages) {
+            result_.prompt += message;
+        }
+        result_.sharedMessages.pop_back();
         return true;
     }
 
--- a/modules/hornbeamlane_entry/ClaimedFlow.cpp
+++ b/modules/hornbeamlane_entry/ClaimedFlow.cpp
@@ -87,7 +87,7 @@
         run(coordinator_.onDispatchNotSent(action.attempt, now));
         return;
     }
-    hooks_.dispatched(*target_, dispatch_);
+    hooks_.dispatched(*target_, dispatch_, request_);
 }
 
 void ClaimedFlow::onTableReply(TableOperation operation, const TableReply &reply)
--- a/modules/hornbeamlane_entry/DirectFlow.cpp
+++ b/modules/hornbeamlane_entry/DirectFlow.cpp
@@ -93,7 +93,7 @@
         return;
     }
     tracker_.advance(dispatch_.attempt, AttemptProgress::Sent);
-    hooks_.dispatched(target, dispatch_);
+    hooks_.dispatched(target, dispatch_, request_);
 }
 
 void DirectFlow::onMessage(const ServerId &, Incarnation sender, const Message &message)
@@ -150,7 +150,7 @@
     const bool hasNotRun = rejected.refusal.execution == ExecutionState::NotRun;
     // Before the attempt ends, so that it counts among the requests that were running at the loss.
     if (!hasNotRun && rejected.refusal.reason == RefusalReason::ServerLost && dispatch_.kind == WorkKind::Model) {
-        hooks_.engineLost(*target_);
+        hooks_.engineLost(*target_, rejected.engineLoss);
     }
     endAttempt(hasNotRun ? AttemptEnd::Refused : AttemptEnd::Lost, false);
     retryOrRefuse(rejected.refusal);
--- a/modules/hornbeamlane_entry/Entry.cpp
+++ b/modules/hornbeamlane_entry/Entry.cpp
@@ -73,6 +73,7 @@
                [this](const std::string &peer, const Hello &hello) {
                    membership_.linkUp(peer, hello);
                    updatePeers();
+                   peers_.send(peer, routing_.crashes().everything(loop_.now()));
                },
            .down =
                [this](const std::string &peer, Incarnation) {
@@ -89,7 +90,12 @@
           {.send = [this](const std::string &peer, const Message &message) { sendToPeer(peer, message); },
            .inForce = [this](CatalogueVersion, const Catalogue &catalogue) { applyCatalogue(catalogue); },
            .drainsChanged = [this](const DrainSet &drains) { routing_.applyDrains(drains.inForce(), loop_.now()); }})
-    , routing_(settings_.dataCentre, incarnation_, random)
+    , routing_(settings_.dataCentre, incarnation_, random,
+               [this](const Message &message) {
+                   for (const auto &[name, incarnation] : peers_.peers()) {
+                       peers_.send(name, message);
+                   }
+               })
     , contact_({}, loop.now())
     , housekeepingTimer_(loop, [this] { housekeep(); })
     , hostsTimer_(loop, [this] { pollHosts(); })
@@ -221,6 +227,12 @@
     dispatch.fingerprint = routing_.quarantine().fingerprint(dispatch.team, dispatch.target, dispatch.body);
     if (dispatch.kind == WorkKind::Model) {
         dispatch.prefixes = prefixHasher_.prefixes(dispatch.target, request->prompt);
+        request->traits = traitsOf({.target = dispatch.target,
+                                    .team = dispatch.team,
+                                    .method = dispatch.method,
+                                    .path = dispatch.path,
+                                    .body = dispatch.body,
+                                    .sharedParts = std::move(request->sharedMessages)});
     }
     startFlow(std::move(*request), exchange);
 }
@@ -275,6 +287,7 @@
 {
     retryBudget_.countRequest(loop_.now());
     const auto id = ++lastFlow_;
+    request.number = RequestNumber(id);
     CallerReply reply(exchange, replyHooks(request));
     const bool isClaimed = !request.dispatch.isRepeatable && !request.dispatch.idempotencyKey.empty();
     exchange->onClosed([this, id] {
@@ -314,7 +327,8 @@
         }
         return agents_.send(target.server, message);
     };
-    hooks.dispatched = [this](const RequestFlow::Target &target, const Dispatch &dispatch) {
+    hooks.dispatched = [this](const RequestFlow::Target &target, const Dispatch &dispatch,
+                              const CallerRequest &request) {
         logEvent(LogLevel::Info, "dispatched",
                  {{"attempt", dispatch.attempt.toString()},
                   {"team", dispatch.team.name()},
@@ -322,12 +336,18 @@
                   {"server", target.server.name()}});
         metrics_.onDecision("server_choice", target.server.name());
         routing_.onDispatched({.server = target.server, .incarnation = target.incarnation}, dispatch, loop_.now());
+        routing_.crashes().onDispatched(dispatch.attempt, request, target.incarnation);
     };
     hooks.ended = [this](const RequestFlow::Target &target, const Dispatch &dispatch, bool isComplete) {
         routing_.onEnded({.server = target.server, .incarnation = target.incarnation}, dispatch, isComplete,
                          loop_.now());
+        if (isComplete) {
+            routing_.crashes().onAnswerBegun(dispatch.attempt, loop_.now());
+        }
+        routing_.crashes().onEnded(dispatch.attempt);
     };
-    hooks.engineLost = [this](const RequestFlow::Target &target) {
+    hooks.engineLost = [this](const RequestFlow::Target &target, std::uint64_t engineLoss) {
+        routing_.crashes().onEngineLost(target.incarnation, engineLoss, loop_.now());
         routing_.quarantine().onServerLost(target.incarnation, loop_.now());
         shareQuarantine();
     };
@@ -415,6 +435,7 @@
     }
     // The flow may be in the middle of its own callback, so it is destroyed on the next turn.
     loop_.post([this, flow] {
+        routing_.crashes().onRequestEnded(RequestNumber(flow));
         flows_.erase(flow);
         std::erase_if(flowOfAttempt_, [flow](const auto &entry) { return entry.second == flow; });
         reportIfIdle();
@@ -497,6 +518,11 @@
         return;
     }
     const auto flow = found->second;
+    if (std::holds_alternative<ResponseHead>(message)) {
+        routing_.crashes().onHead(*attempt);
+    } else if (std::holds_alternative<ResponseData>(message)) {
+        routing_.crashes().onAnswerBegun(*attempt, loop_.now());
+    }
     if (const auto *rejected = std::get_if<Rejected>(&message)) {
         metrics_.onDecision("agent_rejected", std::string(toString(rejected->refusal.reason)));
     }
@@ -525,6 +551,14 @@
         shareQuarantine();
         return;
     }
+    if (const auto *crashes = std::get_if<CrashUpdate>(&message)) {
+        routing_.crashes().merge(*crashes, loop_.now());
+        return;
+    }
+    if (const auto *trials = std::get_if<TrialUpdate>(&message)) {
+        routing_.crashes().merge(*trials, loop_.now());
+        return;
+    }
     // Entries that are cut off together must not take each other for contact with the outside.
     if (peers_.isInOtherDataCentre(peer)) {
         contact_.noteContact(loop_.now());
@@ -586,6 +620,7 @@
 void Entry::housekeep()
 {
     shareQuarantine();
+    routing_.crashes().sweep(loop_.now());
     const auto now = loop_.now();
     metrics_.setGauge("hornbeamlane_requests_running", {}, static_cast<double>(flows_.size()));
     metrics_.setGauge("hornbeamlane_catalogue_version", {}, static_cast<double>(membership_.version().value()));
--- a/modules/hornbeamlane_entry/EntryRouting.cpp
+++ b/modules/hornbeamlane_entry/EntryRouting.cpp
@@ -15,12 +15,14 @@
 
 } // namespace
 
-EntryRouting::EntryRouting(DataCentreId dataCentre, Incarnation self, RandomSource &random)
+EntryRouting::EntryRouting(DataCentreId dataCentre, Incarnation self, RandomSource &random,
+                           std::function<void(const Message &)> tellPeers)
     : dataCentre_(std::move(dataCentre))
     , random_(random)
     , chooser_(view_, cache_)
     , spill_(view_)
     , quarantine_(self)
+    , crashes_(self, std::move(tellPeers))
 {
 }
 
@@ -75,6 +77,7 @@
     view_.onLinkDown(server, incarnation);
     if (!isPlanned && !isLeaving) {
         quarantine_.onServerLost(incarnation, now);
+        crashes_.onEngineLost(incarnation, 0, now);
     }
 }
 
@@ -129,6 +132,13 @@
         none.refusal = quarantine_.refusal(dispatch.fingerprint, now);
         return std::nullopt;
     }
+    if (const auto decision = crashes_.decide(request, now); decision != PromptPartGuard::Decision::Send) {
+        none.isTemporary = decision == PromptPartGuard::Decision::Wait;
+        none.refusal = none.isTemporary
+            ? refuse(RefusalReason::NoServerAvailable, "a request like it is tried for whether it crashes servers")
+            : crashes_.refusal(request, now);
+        return std::nullopt;
+    }
     const auto target = view_.findTarget(dispatch.kind, dispatch.target);
     const auto dataCentre = target ? chooseDataCentre(request, *target, now) : std::nullopt;
     if (!dataCentre) {
--- a/modules/hornbeamlane_entry/EntryRouting.h
+++ b/modules/hornbeamlane_entry/EntryRouting.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_admission/hornbeamlane_admission.h"
 #include "hornbeamlane_entry/CallerRequest.h"
+#include "hornbeamlane_entry/PromptPartGuard.h"
 #include "hornbeamlane_routing/hornbeamlane_routing.h"
 
 #include <memory>
@@ -29,7 +30,9 @@
         bool isTemporary = false;
     };
 
-    EntryRouting(DataCentreId dataCentre, Incarnation self, RandomSource &random);
+    /** `tellPeers` sends a message to all linked entries. */
+    EntryRouting(DataCentreId dataCentre, Incarnation self, RandomSource &random,
+                 std::function<void(const Message &)> tellPeers);
 
     void applyCatalogue(const std::shared_ptr<const Catalogue> &catalogue);
     void applyDrains(const std::vector<DrainRecord> &drains, TimePoint now);
@@ -50,6 +53,11 @@
 
     CrashQuarantine &quarantine();
 
+    PromptPartGuard &crashes()
+    {
+        return crashes_;
+    }
+
 private:
     void learnHomeServers(const TeamId &team);
     std::optional<DataCentreIndex> chooseDataCentre(const CallerRequest &request, TargetIndex target, TimePoint now);
@@ -64,6 +72,7 @@
     ServerChooser chooser_;
     SpillPolicy spill_;
     CrashQuarantine quarantine_;
+    PromptPartGuard crashes_;
     std::set<TeamId> teamsWithHomes_;
     std::vector<bool> wasDrained_;
 };
--- a/modules/hornbeamlane_entry/RequestFlow.h
+++ b/modules/hornbeamlane_entry/RequestFlow.h
@@ -40,10 +40,10 @@
         /** False if no byte of the message left the process. */
         std::function<bool(const Target &, const Message &)> send;
         /** An attempt was sent to, or has ended at, the server; keeps the entry's own counts. */
-        std::function<void(const Target &, const Dispatch &)> dispatched;
+        std::function<void(const Target &, const Dispatch &, const CallerRequest &)> dispatched;
         std::function<void(const Target &, const Dispatch &, bool isComplete)> ended;
         /** The engine broke the response off while the agent lives; what it ran may have crashed it. */
-        std::function<void(const Target &)> engineLost;
+        std::function<void(const Target &, std::uint64_t engineLoss)> engineLost;
         std::function<bool(TimePoint)> takeRetry;
         std::function<TimePoint()> now;
     };
--- a/modules/hornbeamlane_messages/codec/FieldCodec.h
+++ b/modules/hornbeamlane_messages/codec/FieldCodec.h
@@ -181,7 +181,7 @@
 { v.field("attempt", m.attempt); v.field("seq", m.sequence); v.field("bytes", m.bytes); }
 template <class V> void visitFields(V &v, ResponseEnd &m) { v.field("attempt", m.attempt); v.field("seq", m.sequence); }
 template <class V> void visitFields(V &v, Rejected &m)
-{ v.field("attempt", m.attempt); v.field("refusal", m.refusal); v.field("budget", m.freeTeamConcurrency); }
+{ v.field("attempt", m.attempt); v.field("refusal", m.refusal); v.field("budget", m.freeTeamConcurrency); v.field("loss", m.engineLoss); }
 template <class V> void visitFields(V &v, CatalogueUpdate &m)
 { v.field("version", m.version); v.field("settled", m.settledVersion); v.field("document", m.document); }
 template <class V> void visitFields(V &v, CatalogueRequest &m) { v.field("known", m.knownVersion); }
--- a/modules/hornbeamlane_messages/types/AttemptMessages.h
+++ b/modules/hornbeamlane_messages/types/AttemptMessages.h
@@ -112,6 +112,8 @@
     Refusal refusal;
     /** Free budget of the team at this agent after the refusal. */
     std::uint32_t freeTeamConcurrency = 0;
+    /** Number of the loss of the engine that ended the attempt, the same for all attempts that it ended; 0: none. */
+    std::uint64_t engineLoss = 0;
 };
 
 } // namespace hornbeamlane
--- a/tests/path/PathTest.cpp
+++ b/tests/path/PathTest.cpp
@@ -225,5 +225,33 @@
     ASSERT_TRUE(path_.runUntilReady());
 }
 
+// Guards against requests of one kind that crash the engine again and again: no two alike, they share one message.
+TEST_F(PathTest, QuarantinesAMessageThatCrashesServers)
+{
+    const auto send = [this](const std::string &shared, int number) {
+        const json body = {{"model", "draft"},
+                           {"max_tokens", 4},
+                           {"messages",
+                            {{{"role", "system"}, {"content", shared}},
+                             {{"role", "user"}, {"content", "question " + std::to_string(number)}}}}};
+        const auto answer = path_.call("POST", "/v1/chat/completions", LocalPath::teamHeaders(), body.dump());
+        path_.runUntil([] { return false; }, 100ms);
+        return answer.response.status == 200 ? "served" : refusalOf(answer).first;
+    };
+    const auto falls = [this] {
+        const auto answer = path_.callAt(path_.engineAddress(), "GET", "/status?fresh=1", {}, "");
+        return json::parse(answer.response.body)["falls"].get<int>();
+    };
+    constexpr int requests = 8;
+    std::string last;
+    for (int i = 0; i < requests; ++i) {
+        last = send("crash-the-engine", i);
+    }
+    EXPECT_EQ(last, "quarantined");
+    EXPECT_LE(falls(), 3);
+    ASSERT_TRUE(path_.runUntilReady());
+    EXPECT_EQ(send("a sound message", requests), "served");
+}
+
 } // namespace
 } // namespace hornbeamlane
