Do not take a server whose entry has gone for one that has crashed

Cause: the entries of servers that cannot reach the store lapse like those of crashed ones, and the requests that were given up at them counted as evidence. A suspect was held before it was known that no server could take it anyway. Change: only a refused connection, another start of the server, or another server at its address shows a crash; what failed is kept for 10 s, until a crashed server is seen again. Requests that no server can take are refused as such at once.

--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
@@ -120,12 +120,10 @@
     if (backend != nullptr && backend->spec.isDraining) {
         return nullptr;
     }
-    if (backend == nullptr || backend->isGone) {
-        return "entry_gone";
-    }
-    if (backend->spec.incarnation != start.incarnation) {
+    if (backend != nullptr && backend->spec.incarnation != start.incarnation) {
         return "started_again";
     }
+    // An entry that has gone is no proof: a server that is cut off loses its entry too.
     const auto &all = servers_.all();
     const bool isReplaced = std::any_of(all.begin(), all.end(), [&start](const auto &entry) {
         const auto &other = entry.second;
--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.h
@@ -25,8 +25,8 @@
 /**
     Tells servers that have crashed from connections that broke.
 
-    A server has crashed if it refuses connections right after one broke, if its entry has gone without having announced
-    that, or if another start of it, or another server, has its address.
+    A server has crashed if it refuses connections right after one broke, or if another start of it, or another server,
+   has its address without its having announced its end. One that only cannot be reached may be cut off.
 */
 class CrashDetector final
 {
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -93,21 +93,6 @@
                         .sharedParts = sharedPromptParts(request.headers, gateway_.settings_.headers.promptParts)});
 }
 
-bool ForwardedRequest::passesCrashGuard()
-{
-    switch (gateway_.crashes_.decide(number_, traits_)) {
-    case CrashGuard::Decision::Send:
-        return true;
-    case CrashGuard::Decision::Refuse:
-        refuseAsQuarantined();
-        return false;
-    case CrashGuard::Decision::Wait:
-        hold();
-        return false;
-    }
-    return true;
-}
-
 void ForwardedRequest::refuseAsQuarantined()
 {
     const auto quarantine = gateway_.crashes_.quarantineOf(traits_);
@@ -200,7 +185,9 @@
 
 void ForwardedRequest::dispatch(bool mayQueue)
 {
-    if (!passesCrashGuard()) {
+    const auto decision = gateway_.crashes_.decide(number_, traits_);
+    if (decision == CrashGuard::Decision::Refuse) {
+        refuseAsQuarantined();
         return;
     }
     auto &state = gateway_.stateOf(service_);
@@ -216,6 +203,10 @@
         refuse(refusalFor(gateway_.backends_.lastFailure()));
         return;
     }
+    if (decision == CrashGuard::Decision::Wait) {
+        hold();
+        return;
+    }
     if (server && !isBehindOthers && !isLimited) {
         send(*server);
         return;
@@ -281,8 +272,9 @@
 
 bool ForwardedRequest::tryLeaveQueue()
 {
-    if (!passesCrashGuard()) {
+    if (const auto decision = gateway_.crashes_.decide(number_, traits_); decision != CrashGuard::Decision::Send) {
         leaveQueue();
+        decision == CrashGuard::Decision::Refuse ? refuseAsQuarantined() : hold();
         return true;
     }
     const auto server = chooseServer();
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -58,8 +58,6 @@
     bool admit();
     void readTraits();
     void dispatch(bool mayQueue);
-    /** Whether it may be sent as far as crashes are concerned; otherwise it has been refused or held. */
-    bool passesCrashGuard();
     void refuseAsQuarantined();
     void hold();
     std::optional<ServerId> chooseServer();
--- a/modules/hornbeamlane_routing/crashes/FailedSends.h
+++ b/modules/hornbeamlane_routing/crashes/FailedSends.h
@@ -13,8 +13,8 @@
 public:
     struct Options
     {
-        /** Time within which the end of a server has to be noticed. */
-        std::chrono::milliseconds memory{6000};
+        /** Time within which a server that has crashed has to be seen again. */
+        std::chrono::milliseconds memory{10000};
         std::size_t maxPerServer = 32;
     };
 
--- /dev/null
+++ b/tests/gateway/CrashDetectorTest.cpp
@@ -0,0 +1,119 @@
+#include "hornbeamlane_gateway/crashes/CrashDetector.h"
+#include "hornbeamlane_network/loop/Timer.h"
+#include "standins/ScriptedServer.h"
+
+#include <gtest/gtest.h>
+
+namespace hornbeamlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+class CrashDetectorTest : public ::testing::Test
+{
+protected:
+    void list(const std::string &id, const std::string &address, std::uint64_t incarnation, bool isDraining = false)
+    {
+        book_.update({.id = ServerId(id),
+                      .service = ServiceId("pool"),
+                      .address = address,
+                      .slots = 8,
+                      .isDraining = isDraining,
+                      .incarnation = incarnation},
+                     loop_.now());
+    }
+
+    ServerStart startOf(const std::string &id) const
+    {
+        const auto &spec = book_.find(ServerId(id))->spec;
+        return {.server = spec.id, .incarnation = spec.incarnation, .address = spec.address};
+    }
+
+    /** A connection to the server breaks; waits until it is known whether the server has crashed. */
+    void breakOff(const std::string &id)
+    {
+        detector_.onBrokenOff(startOf(id), candidate_, [this] { loop_.stop(); });
+        loop_.run();
+    }
+
+    EventLoop loop_;
+    BackendBook book_;
+    const CrashCandidate candidate_{.traits = {.whole = TraitHash(7)}, .hadHead = true};
+    std::vector<std::string> crashed_;
+    std::size_t candidates_ = 0;
+    CrashDetector detector_{
+        loop_,
+        book_,
+        {},
+        {.unanswered = [](const ServerId &) { return std::vector<CrashCandidate>(); },
+         .crashed =
+             [this](const ServerStart &start, std::string_view evidence, std::vector<CrashCandidate> candidates) {
+                 crashed_.push_back(start.server.name() + " " + std::string(evidence));
+                 candidates_ += candidates.size();
+             }}};
+};
+
+// Guards against a crash that goes unnoticed while the server is down.
+TEST_F(CrashDetectorTest, TakesARefusedConnectionForACrash)
+{
+    testing::ScriptedServer server(loop_, [](auto &, const auto &, int) {});
+    list("s1", server.address(), 1);
+    server.crash();
+    breakOff("s1");
+    EXPECT_EQ(crashed_, std::vector<std::string>{"s1 connection_refused"});
+    EXPECT_EQ(candidates_, 1U);
+}
+
+// Guards against a server that is blamed for a single connection: it goes on.
+TEST_F(CrashDetectorTest, DoesNotTakeABrokenConnectionForACrash)
+{
+    testing::ScriptedServer server(loop_, [](auto &, const auto &, int) {});
+    list("s1", server.address(), 1);
+    breakOff("s1");
+    detector_.sweep(loop_.now());
+    EXPECT_TRUE(crashed_.empty());
+}
+
+// Guards against servers that are blamed for a cut between them and the table, which takes their entries away.
+TEST_F(CrashDetectorTest, DoesNotTakeALostEntryForACrash)
+{
+    list("s1", "127.0.0.1:9", 1);
+    detector_.onGivenUp(startOf("s1"), candidate_);
+    book_.remove(ServerId("s1"), std::nullopt);
+    detector_.sweep(loop_.now());
+    book_.sweep(loop_.now());
+    detector_.sweep(loop_.now());
+    list("s1", "127.0.0.1:9", 1);
+    detector_.sweep(loop_.now());
+    EXPECT_TRUE(crashed_.empty());
+}
+
+// Guards against a crash that no connection shows, because the host was silent: the server is seen again as another
+// start.
+TEST_F(CrashDetectorTest, KnowsACrashByTheNextStart)
+{
+    list("s1", "127.0.0.1:9", 1);
+    detector_.onGivenUp(startOf("s1"), candidate_);
+    list("s1", "127.0.0.1:9", 2);
+    detector_.sweep(loop_.now());
+    list("s2", "127.0.0.1:10", 1);
+    detector_.onGivenUp(startOf("s2"), candidate_);
+    book_.remove(ServerId("s2"), std::nullopt);
+    list("s3", "127.0.0.1:10", 1);
+    detector_.sweep(loop_.now());
+    detector_.sweep(loop_.now());
+    EXPECT_EQ(crashed_, (std::vector<std::string>{"s1 started_again", "s2 address_taken"}));
+}
+
+// Guards against a planned end that is taken for a crash.
+TEST_F(CrashDetectorTest, LeavesOutServersThatAreLeaving)
+{
+    list("s1", "127.0.0.1:9", 1, true);
+    breakOff("s1");
+    list("s1", "127.0.0.1:9", 2);
+    detector_.sweep(loop_.now());
+    EXPECT_TRUE(crashed_.empty());
+}
+
+} // namespace
+} // namespace hornbeamlane
