--- a/tests/gateway/CrashDetectorTest.cpp
+++ b/tests/gateway/CrashDetectorTest.cpp
@@ -59,6 +59,9 @@
     testing::ScriptedServer server(loop_, [](auto &, const auto &, int) {});
     list("s1", server.address(), 1);
     server.crash();
+    Timer crashed(loop_, [this] { loop_.stop(); });
+    crashed.startOnce(milliseconds(10));
+    loop_.run();
     breakOff("s1");
     EXPECT_EQ(crashed_, std::vector<std::string>{"s1 connection_refused"});
     EXPECT_EQ(candidates_, 1U);
