Let the tests of crash evidence compile beside the others of their group

Change: the alias belongs to the fixture, `first` is `firstPart`, durations are written in full. No check has changed.

--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -7,11 +7,7 @@
 namespace hornbeamlane {
 namespace {
 
-using std::chrono::minutes;
-using std::chrono::seconds;
-using Verdict = CrashEvidence::Verdict;
-
-constexpr TraitHash first{1};
+constexpr TraitHash firstPart{1};
 constexpr TraitHash deadly{2};
 constexpr TraitHash other{3};
 constexpr TraitHash another{4};
@@ -32,6 +28,8 @@
 class CrashEvidenceTest : public ::testing::Test
 {
 protected:
+    using Verdict = CrashEvidence::Verdict;
+
     void begin(const RequestTraits &traits)
     {
         std::vector<CrashId> cleared;
@@ -49,29 +47,29 @@
 // Guards against a second crash where one is enough to tell: of all at the server one alone had the head of its answer.
 TEST_F(CrashEvidenceTest, RefusesAtOnceWhatOneBegunAnswerExplains)
 {
-    begin(request(1, {first}));
+    begin(request(1, {firstPart}));
     evidence_.onCrash(crash(1, start,
-                            {{.traits = request(2, {first, deadly}), .hadHead = true},
+                            {{.traits = request(2, {firstPart, deadly}), .hadHead = true},
                              {.traits = request(3, {other}), .hadHead = false}}),
                       start);
-    EXPECT_EQ(judge({first, deadly}), Verdict::Quarantined);
-    EXPECT_EQ(judge({first}), Verdict::Allowed);
+    EXPECT_EQ(judge({firstPart, deadly}), Verdict::Quarantined);
+    EXPECT_EQ(judge({firstPart}), Verdict::Allowed);
     EXPECT_EQ(judge({other}), Verdict::Allowed);
     const auto culprits = evidence_.culpritsOf(request(9, {deadly}), start);
     ASSERT_EQ(culprits.size(), 1U);
     EXPECT_EQ(culprits[0].traits, std::vector<TraitHash>{deadly});
-    EXPECT_GT(culprits[0].until, start + minutes(1));
+    EXPECT_GT(culprits[0].until, start + std::chrono::minutes(1));
 }
 
 // Guards against sound requests that are refused because their first part has always come with a deadly one so far.
 TEST_F(CrashEvidenceTest, TriesPartsApartThatHaveAlwaysComeTogether)
 {
-    evidence_.onCrash(crash(1, start, {{.traits = request(2, {first, deadly}), .hadHead = true}}), start);
-    EXPECT_EQ(judge({first, deadly}), Verdict::Quarantined);
-    EXPECT_EQ(judge({first}), Verdict::Suspect);
+    evidence_.onCrash(crash(1, start, {{.traits = request(2, {firstPart, deadly}), .hadHead = true}}), start);
+    EXPECT_EQ(judge({firstPart, deadly}), Verdict::Quarantined);
+    EXPECT_EQ(judge({firstPart}), Verdict::Suspect);
     EXPECT_EQ(judge({deadly}), Verdict::Suspect);
-    begin(request(3, {first}));
-    EXPECT_EQ(judge({first}), Verdict::Allowed);
+    begin(request(3, {firstPart}));
+    EXPECT_EQ(judge({firstPart}), Verdict::Allowed);
     EXPECT_EQ(judge({deadly, other}), Verdict::Quarantined);
 }
 
@@ -79,7 +77,7 @@
 TEST_F(CrashEvidenceTest, TriesEachPartIfSeveralMayBeTheCause)
 {
     evidence_.onCrash(crash(1, start,
-                            {{.traits = request(2, {first, deadly}), .hadHead = false},
+                            {{.traits = request(2, {firstPart, deadly}), .hadHead = false},
                              {.traits = request(3, {other}), .hadHead = false}}),
                       start);
     EXPECT_EQ(judge({deadly}), Verdict::Suspect);
@@ -87,9 +85,9 @@
     EXPECT_EQ(judge({another}), Verdict::Allowed);
     begin(request(3, {other}));
     EXPECT_EQ(judge({other}), Verdict::Allowed);
-    evidence_.onCrash(crash(2, start, {{.traits = request(4, {first, deadly}), .hadHead = false}}), start);
-    EXPECT_EQ(judge({first, deadly}), Verdict::Quarantined);
-    EXPECT_EQ(judge({first}), Verdict::Suspect);
+    evidence_.onCrash(crash(2, start, {{.traits = request(4, {firstPart, deadly}), .hadHead = false}}), start);
+    EXPECT_EQ(judge({firstPart, deadly}), Verdict::Quarantined);
+    EXPECT_EQ(judge({firstPart}), Verdict::Suspect);
 }
 
 // Guards against parts that pay for a crash which another part explains: that was at more crashes.
@@ -131,18 +129,18 @@
 TEST_F(CrashEvidenceTest, ForgetsCrashes)
 {
     evidence_.onCrash(crash(1, start, {{.traits = request(2, {deadly}), .hadHead = true}}), start);
-    EXPECT_EQ(judge({deadly}, start + minutes(1)), Verdict::Quarantined);
-    EXPECT_EQ(judge({deadly}, start + seconds(150)), Verdict::Suspect);
-    EXPECT_EQ(judge({deadly}, start + minutes(4)), Verdict::Allowed);
-    evidence_.onCrash(crash(2, start + minutes(4), {{.traits = request(3, {deadly}), .hadHead = true}}),
-                      start + minutes(4));
-    EXPECT_EQ(judge({deadly}, start + minutes(9)), Verdict::Quarantined);
-    evidence_.expire(start + minutes(15));
+    EXPECT_EQ(judge({deadly}, start + std::chrono::minutes(1)), Verdict::Quarantined);
+    EXPECT_EQ(judge({deadly}, start + std::chrono::seconds(150)), Verdict::Suspect);
+    EXPECT_EQ(judge({deadly}, start + std::chrono::minutes(4)), Verdict::Allowed);
+    evidence_.onCrash(crash(2, start + std::chrono::minutes(4), {{.traits = request(3, {deadly}), .hadHead = true}}),
+                      start + std::chrono::minutes(4));
+    EXPECT_EQ(judge({deadly}, start + std::chrono::minutes(9)), Verdict::Quarantined);
+    evidence_.expire(start + std::chrono::minutes(15));
     EXPECT_TRUE(evidence_.crashes().empty());
-    EXPECT_EQ(judge({deadly}, start + minutes(15)), Verdict::Allowed);
+    EXPECT_EQ(judge({deadly}, start + std::chrono::minutes(15)), Verdict::Allowed);
     // News that are older than any evidence counts do not revive it.
-    EXPECT_FALSE(
-        evidence_.onCrash(crash(1, start, {{.traits = request(2, {deadly}), .hadHead = true}}), start + minutes(15)));
+    EXPECT_FALSE(evidence_.onCrash(crash(1, start, {{.traits = request(2, {deadly}), .hadHead = true}}),
+                                   start + std::chrono::minutes(15)));
 }
 
 // Guards against memory that grows with crashes, and against crashes without a meaning that displace those with one.
@@ -151,11 +149,12 @@
     evidence_.onCrash(crash(1, start, {{.traits = request(1, {deadly}), .hadHead = true}}), start);
     for (std::uint64_t id = 2; id < 500; ++id) {
         const auto traits = request(id, {TraitHash(100000 + id)});
-        evidence_.onCrash(crash(id, start + seconds(1), {{.traits = traits, .hadHead = false}}), start + seconds(1));
+        evidence_.onCrash(crash(id, start + std::chrono::seconds(1), {{.traits = traits, .hadHead = false}}),
+                          start + std::chrono::seconds(1));
         begin(traits);
     }
     EXPECT_LE(evidence_.crashes().size(), 64U);
-    EXPECT_EQ(judge({deadly}, start + seconds(1)), Verdict::Quarantined);
+    EXPECT_EQ(judge({deadly}, start + std::chrono::seconds(1)), Verdict::Quarantined);
 }
 
 // Guards against entries that come to different verdicts: what they know is merged in any order and any number of
@@ -251,9 +250,9 @@
     EXPECT_EQ(low_.ownClaims().size(), 1U);
     high_.onClaims(Incarnation(1), low_.ownClaims(), start);
     EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + wait));
-    high_.expire(start + seconds(2));
-    EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + seconds(2)));
-    EXPECT_TRUE(high_.mayRun(RequestNumber(1), suspects_, start + seconds(2) + wait));
+    high_.expire(start + std::chrono::seconds(2));
+    EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + std::chrono::seconds(2)));
+    EXPECT_TRUE(high_.mayRun(RequestNumber(1), suspects_, start + std::chrono::seconds(2) + wait));
 }
 
 } // namespace
