Do not blame requests for servers that are only cut off

Cause: a refused connection was taken for a proof of a crash, and what failed within 10 s before for its cause. Change: a refused connection shows the cause only of what broke off within 0.4 s. Such a crash counts in full if the answer to a request had begun, or once another start of the server is seen (its entry, its address, or a 421 in its place); otherwise what was at it is suspect for 15 s, and refused for 5 s if it was at several. It is taken back when the same start answers within 1.5 s. More crashes within 100 ms than three, or 15 % of the servers, count as a cut unless one part was at most of them; crashes within 100 ms count as one against a part with which answers had begun before. Lines on culprits are bounded. Why it works: a deadly part comes again and is at crashes that lie apart; a cut hits everything at the same moment once.

--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
@@ -24,6 +24,19 @@
 
 } // namespace
 
+std::string_view toString(CrashSign sign)
+{
+    switch (sign) {
+    case CrashSign::ConnectionRefused:
+        return "connection_refused";
+    case CrashSign::StartedAgain:
+        return "started_again";
+    case CrashSign::AddressTaken:
+        return "address_taken";
+    }
+    return "unknown";
+}
+
 CrashId ServerStart::id() const
 {
     return CrashId(hash64(server.name() + "/" + std::to_string(incarnation)));
@@ -62,13 +75,6 @@
     watched_.emplace(start.id(), start);
 }
 
-void CrashDetector::onUnreachable(const ServerStart &start)
-{
-    if (failed_.hasAny(start.id())) {
-        probe(start, [] {});
-    }
-}
-
 void CrashDetector::probe(const ServerStart &start, std::function<void()> checked)
 {
     auto &probe = probes_[start.id()];
@@ -97,31 +103,25 @@
     logEvent(LogLevel::Info, "server_probed",
              {{"server", start.server.name()}, {"address", start.address}, {"result", std::string(toString(result))}});
     if (result == ConnectProbe::Result::Refused) {
-        reportCrash(start, "connection_refused");
+        auto candidates = failed_.since(id, loop_.now() - options_.refusalReach);
+        for (auto &candidate : hooks_.unanswered(start.server)) {
+            candidates.push_back(std::move(candidate));
+        }
+        hooks_.crashed(start, CrashSign::ConnectionRefused, std::move(candidates));
     }
     for (const auto &call : checked) {
         call();
     }
 }
 
-void CrashDetector::reportCrash(const ServerStart &start, std::string_view evidence)
-{
-    auto candidates = failed_.take(start.id(), loop_.now());
-    for (auto &candidate : hooks_.unanswered(start.server)) {
-        candidates.push_back(std::move(candidate));
-    }
-    watched_.erase(start.id());
-    hooks_.crashed(start, evidence, std::move(candidates));
-}
-
-const char *CrashDetector::endOf(const ServerStart &start) const
+std::optional<CrashSign> CrashDetector::endOf(const ServerStart &start) const
 {
     const auto *backend = servers_.find(start.server);
     if (backend != nullptr && backend->spec.isDraining) {
-        return nullptr;
+        return std::nullopt;
     }
     if (backend != nullptr && backend->spec.incarnation != start.incarnation) {
-        return "started_again";
+        return CrashSign::StartedAgain;
     }
     // An entry that has gone is no proof: a server that is cut off loses its entry too.
     const auto &all = servers_.all();
@@ -129,7 +129,7 @@
         const auto &other = entry.second;
         return !other.isGone && other.spec.id != start.server && other.spec.address == start.address;
     });
-    return isReplaced ? "address_taken" : nullptr;
+    return isReplaced ? std::optional(CrashSign::AddressTaken) : std::nullopt;
 }
 
 void CrashDetector::sweep(TimePoint now)
@@ -142,8 +142,9 @@
     // Reporting a crash ends the watch.
     const auto watched = watched_;
     for (const auto &[id, start] : watched) {
-        if (const auto *evidence = endOf(start)) {
-            reportCrash(start, evidence);
+        if (const auto sign = endOf(start)) {
+            watched_.erase(id);
+            hooks_.crashed(start, *sign, failed_.take(id));
         }
     }
 }
--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string_view>
 #include <vector>
 
 namespace hornbeamlane {
@@ -22,11 +24,20 @@
     CrashId id() const;
 };
 
+/** What shows that a server has crashed. */
+enum class CrashSign {
+    ConnectionRefused, ///< Nobody listens at its address; it may also be cut off.
+    StartedAgain,
+    AddressTaken, ///< Another server has its address.
+};
+
+std::string_view toString(CrashSign sign);
+
 /**
     Tells servers that have crashed from connections that broke.
 
-    A server has crashed if it refuses connections right after one broke, or if another start of it, or another server,
-   has its address without its having announced its end. One that only cannot be reached may be cut off.
+    A server seems to have crashed if it refuses connections right after one broke, and has if another start of it, or
+    another server, has its address without its having announced its end. One that cannot be reached is not looked at.
 */
 class CrashDetector final
 {
@@ -36,14 +47,17 @@
         std::chrono::milliseconds probeTimeout{120};
         /** Time after a refused or accepted probe for which the same start is not probed again. */
         std::chrono::milliseconds probePause{200};
+        /** A refused connection shows the cause of what broke off within this time before; what failed earlier may have
+            failed because the server is cut off. */
+        std::chrono::milliseconds refusalReach{400};
     };
 
     struct Hooks
     {
         /** Requests without an answer that are at the server now. */
         std::function<std::vector<CrashCandidate>(const ServerId &)> unanswered;
-        /** The server has crashed with these requests; `evidence` is a word for the log. */
-        std::function<void(const ServerStart &, std::string_view evidence, std::vector<CrashCandidate>)> crashed;
+        /** The server has crashed with these requests. */
+        std::function<void(const ServerStart &, CrashSign, std::vector<CrashCandidate>)> crashed;
     };
 
     CrashDetector(EventLoop &loop, const BackendBook &servers, Options options, Hooks hooks);
@@ -54,9 +68,6 @@
     /** The request was given up without an answer, which says nothing if the server lives on. */
     void onGivenUp(const ServerStart &start, CrashCandidate candidate);
 
-    /** No connection could be opened. */
-    void onUnreachable(const ServerStart &start);
-
     /** Looks for the ends of servers in their entries. */
     void sweep(TimePoint now);
 
@@ -72,9 +83,8 @@
     bool isLeaving(const ServerId &server) const;
     void probe(const ServerStart &start, std::function<void()> checked);
     void finishProbe(CrashId id, ConnectProbe::Result result);
-    void reportCrash(const ServerStart &start, std::string_view evidence);
-    /** Why the start has ended according to the entries of the servers; null if it has not. */
-    const char *endOf(const ServerStart &start) const;
+    /** What the entries of the servers say of the start; empty if it has not ended. */
+    std::optional<CrashSign> endOf(const ServerStart &start) const;
 
     EventLoop &loop_;
     const BackendBook &servers_;
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
@@ -8,18 +8,28 @@
 
 namespace hornbeamlane {
 
+namespace {
+
+/** Lines on culprits between two sweeps; a cut may look like many crashes for a moment. */
+constexpr std::size_t maxCulpritLines = 6;
+
+/** A server that answers sooner than this after its crash has not crashed; later it may be another start of it. */
+constexpr std::chrono::milliseconds shortestDownTime{1500};
+
+} // namespace
+
 CrashGuard::CrashGuard(EventLoop &loop, RandomSource &random, const BackendBook &servers, Options options, Hooks hooks)
     : loop_(loop)
+    , servers_(servers)
     , hooks_(std::move(hooks))
     , evidence_(options.evidence)
     , trials_(options.incarnation, options.trials)
-    , detector_(
-          loop, servers, {},
-          {.unanswered = hooks_.unanswered,
-           .crashed =
-               [this](const ServerStart &start, std::string_view evidence, std::vector<CrashCandidate> candidates) {
-                   handleCrash(start, evidence, std::move(candidates));
-               }})
+    , detector_(loop, servers, {},
+                {.unanswered = hooks_.unanswered,
+                 .crashed =
+                     [this](const ServerStart &start, CrashSign sign, std::vector<CrashCandidate> candidates) {
+                         handleCrash(start, sign, std::move(candidates));
+                     }})
     , exchange_(loop, evidence_, trials_, {.incarnation = options.incarnation},
                 {.sendToAll = hooks_.sendToAll, .sendTo = hooks_.sendTo, .changed = [this] { handleChange(); }})
     , row_(loop, random, evidence_, {},
@@ -87,6 +97,24 @@
     exchange_.tellClaims();
 }
 
+void CrashGuard::onServerAnswered(const ServerStart &start, TimePoint sentAt, bool isMisdirected)
+{
+    const auto crashedAt = evidence_.timeOf(start.id());
+    if (!crashedAt || sentAt <= *crashedAt) {
+        return;
+    }
+    const bool isStillDown = loop_.now() - *crashedAt < shortestDownTime;
+    const bool isNews =
+        isMisdirected ? evidence_.onConfirmed(start.id()) : isStillDown && evidence_.onRefuted(start.id());
+    if (!isNews) {
+        return;
+    }
+    logEvent(LogLevel::Info, isMisdirected ? "crash_confirmed" : "crash_refuted",
+             {{"server", start.server.name()}, {"address", start.address}});
+    exchange_.tellCrashes({start.id()});
+    handleChange();
+}
+
 void CrashGuard::onAnswerBegun(RequestNumber request, const RequestTraits &traits)
 {
     std::vector<CrashId> cleared;
@@ -111,18 +139,18 @@
     }
 }
 
-void CrashGuard::handleCrash(const ServerStart &start, std::string_view evidence,
-                             std::vector<CrashCandidate> candidates)
+void CrashGuard::handleCrash(const ServerStart &start, CrashSign sign, std::vector<CrashCandidate> candidates)
 {
-    const ServerCrash crash{.id = start.id(), .at = loop_.now(), .candidates = std::move(candidates)};
-    const auto heads = std::count_if(crash.candidates.begin(), crash.candidates.end(),
-                                     [](const CrashCandidate &candidate) { return candidate.hadHead; });
+    const ServerCrash crash{.id = start.id(),
+                            .at = loop_.now(),
+                            .candidates = std::move(candidates),
+                            .isConfirmed = sign != CrashSign::ConnectionRefused};
     logEvent(LogLevel::Warning, "server_crashed",
              {{"server", start.server.name()},
               {"address", start.address},
-              {"evidence", std::string(evidence)},
+              {"sign", std::string(toString(sign))},
               {"unanswered", std::to_string(crash.candidates.size())},
-              {"answer_begun", std::to_string(heads)}});
+              {"answer_begun", crash.hasHead() ? "yes" : "no"}});
     if (evidence_.onCrash(crash, loop_.now())) {
         exchange_.tellCrashes({crash.id});
         handleChange();
@@ -145,20 +173,27 @@
         current[culprit.traits] = culprit.crashes;
         const auto known = loggedCulprits_.find(culprit.traits);
         if (known == loggedCulprits_.end() || known->second != culprit.crashes) {
-            logEvent(LogLevel::Warning, "requests_quarantined",
-                     {{"traits", formatTraits(culprit.traits)},
-                      {"crashes", std::to_string(culprit.crashes)},
-                      {"for_s", formatSeconds(culprit.until - now)}});
+            logCulprit("requests_quarantined", culprit, now);
         }
     }
     for (const auto &[traits, crashes] : loggedCulprits_) {
         if (!current.contains(traits)) {
-            logEvent(LogLevel::Info, "quarantine_ended", {{"traits", formatTraits(traits)}});
+            logCulprit("quarantine_ended", {.traits = traits, .until = now, .crashes = crashes}, now);
         }
     }
     loggedCulprits_ = std::move(current);
 }
 
+void CrashGuard::logCulprit(const std::string &event, const Culprit &culprit, TimePoint now)
+{
+    if (++culpritLines_ <= maxCulpritLines) {
+        logEvent(LogLevel::Warning, event,
+                 {{"traits", formatTraits(culprit.traits)},
+                  {"crashes", std::to_string(culprit.crashes)},
+                  {"for_s", formatSeconds(culprit.until - now)}});
+    }
+}
+
 std::size_t CrashGuard::culpritCount()
 {
     return evidence_.findings(loop_.now()).culprits.size();
@@ -168,8 +203,14 @@
 {
     const auto now = loop_.now();
     evidence_.expire(now);
+    evidence_.setServerCount(servers_.all().size());
     detector_.sweep(now);
     exchange_.sweep(now);
+    if (culpritLines_ > maxCulpritLines) {
+        logEvent(LogLevel::Warning, "culprit_lines_left_out",
+                 {{"lines", std::to_string(culpritLines_ - maxCulpritLines)}});
+    }
+    culpritLines_ = 0;
     logCulprits();
     row_.check();
 }
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.h
@@ -67,6 +67,10 @@
 
     void onSent(RequestNumber request, const ServerId &server);
 
+    /** A server has sent the head of an answer to a request of that time; a misdirected one shows another server there.
+     */
+    void onServerAnswered(const ServerStart &start, TimePoint sentAt, bool isMisdirected);
+
     /** A server has begun to answer the request and lives. */
     void onAnswerBegun(RequestNumber request, const RequestTraits &traits);
 
@@ -104,13 +108,15 @@
     void sweep();
 
 private:
-    void handleCrash(const ServerStart &start, std::string_view evidence, std::vector<CrashCandidate> candidates);
+    void handleCrash(const ServerStart &start, CrashSign sign, std::vector<CrashCandidate> candidates);
     void endTrial(RequestNumber request);
     void handleChange();
-    /** One line for each culprit that is new, has gone or has crashed another server. */
+    /** One line for each culprit that is new, has gone or has crashed another server, up to a bound. */
     void logCulprits();
+    void logCulprit(const std::string &event, const Culprit &culprit, TimePoint now);
 
     EventLoop &loop_;
+    const BackendBook &servers_;
     Hooks hooks_;
     CrashEvidence evidence_;
     SuspectTrials trials_;
@@ -120,6 +126,8 @@
     std::map<RequestNumber, ServerId> running_;
     /** Culprits as last logged: their traits and crashes. */
     std::map<std::vector<TraitHash>, std::size_t> loggedCulprits_;
+    /** Lines on culprits since the last sweep. */
+    std::size_t culpritLines_ = 0;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/crashes/CrashRow.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashRow.h
@@ -23,8 +23,8 @@
     {
         /** Time for which a difference has to last before it is written, drawn between these bounds: mostly one entry
             writes for all, and what is cleared at once is not written. */
-        std::chrono::milliseconds fromDelay{300};
-        std::chrono::milliseconds toDelay{800};
+        std::chrono::milliseconds fromDelay{500};
+        std::chrono::milliseconds toDelay{1500};
         /** Pause after a failed write; doubles up to the bound. */
         std::chrono::milliseconds firstPause{500};
         std::chrono::milliseconds maxPause{5000};
--- a/modules/hornbeamlane_gateway/request/BackendSend.h
+++ b/modules/hornbeamlane_gateway/request/BackendSend.h
@@ -14,6 +14,8 @@
 {
     ServerStart start;
     std::unique_ptr<Http1ClientConnection> connection;
+    /** The connection had been used before. */
+    bool isKept = false;
     std::optional<Http1ResponseHead> head;
     /** Collected body of an answer that is not streamed. */
     std::string body;
@@ -23,6 +25,16 @@
     TimePoint startedAt;
     TimePoint lastEventAt;
 
+    /** A kept connection that breaks as soon as it is used again was broken before, which says nothing of the request.
+     */
+    bool wasStale(TimePoint now) const
+    {
+        return isKept && !head && now - startedAt < staleTime;
+    }
+
+    /** Longer than it takes a server in reach to reset a connection. */
+    static constexpr std::chrono::milliseconds staleTime{10};
+
     /** Nothing of the answer's body has come, no whole event of a stream either. */
     bool isUnanswered() const
     {
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -338,6 +338,7 @@
     sending.groupEpoch = backend->spec.group ? backend->spec.group->epoch : 0;
     sending.startedAt = now();
     sending.connection = gateway_.pool_.acquire(server, sending.start.address);
+    sending.isKept = sending.connection->isReusable();
     tried_.push_back(server);
     ++sends_;
     holdsUntil_.reset();
@@ -366,6 +367,7 @@
     if (const auto left = parseMilliseconds(head.header(names.warmup))) {
         gateway_.backends_.onWarmup(send_->start.server, *left, now());
     }
+    gateway_.crashes_.onServerAnswered(send_->start, send_->startedAt, head.status == statusMisdirected);
     send_->head = head;
     send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head, names);
     if (firstByteAt_ == TimePoint{}) {
@@ -494,9 +496,10 @@
     ++runs_;
     const auto start = send_->start;
     const auto candidate = unansweredAt(start.server);
+    const bool wasStale = send_->wasStale(now());
     endSend(BackendOutcome::Failed);
     events_.dropPartialEvent();
-    if (!candidate) {
+    if (!candidate || wasStale) {
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
     }
@@ -514,7 +517,6 @@
     auto &backends = gateway_.backends_;
     backends.onRankTurnedAway(send_->start.server, send_->groupEpoch, now());
     const bool isGroupClosed = backends.isInClosedGroup(send_->start.server, now());
-    gateway_.crashes_.detector().onUnreachable(send_->start);
     endSend(BackendOutcome::Unreachable);
     retryOrRefuse(isGroupClosed ? GatewayRefusal::GroupBroken : GatewayRefusal::NoServer);
 }
--- a/modules/hornbeamlane_messages/codec/FieldCodec.h
+++ b/modules/hornbeamlane_messages/codec/FieldCodec.h
@@ -205,7 +205,8 @@
 template <class V> void visitFields(V &v, CrashRecord &m)
 {
     v.field("id", m.id); v.field("age", m.age); v.field("candidates", m.candidates); v.field("cleared", m.cleared);
-    v.field("begun", m.begunBefore);
+    v.field("begun", m.begunBefore); v.field("confirmed", m.isConfirmed);
+    v.field("refuted", m.isRefuted);
 }
 template <class V> void visitFields(V &v, CrashUpdate &m) { v.field("crashes", m.crashes); v.field("writtenAt", m.writtenAt); }
 template <class V> void visitFields(V &v, TrialClaim &m) { v.field("t", m.trait); v.field("r", m.isRunning); }
--- a/modules/hornbeamlane_messages/types/CrashMessages.h
+++ b/modules/hornbeamlane_messages/types/CrashMessages.h
@@ -42,6 +42,10 @@
     std::vector<TraitHash> cleared;
     /** Parts of candidates with which servers had begun answers before. */
     std::vector<TraitHash> begunBefore;
+    /** Another start of the server has been seen; before that it may only be cut off. */
+    bool isConfirmed = false;
+    /** The same start of the server has answered since, so it had not crashed. */
+    bool isRefuted = false;
 };
 
 /** Crashes that an entry tells others of, or that a row of the table keeps. */
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -29,7 +29,7 @@
                        [trait](const CrashCandidate &candidate) { return hasTrait(candidate.traits, trait); });
 }
 
-enum class FactKind : std::uint64_t { Candidate = 1, Head, Part, Cleared, BegunBefore };
+enum class FactKind : std::uint64_t { Candidate = 1, Head, Part, Cleared, BegunBefore, Confirmed };
 
 std::uint64_t hashOfFact(FactKind kind, CrashId crash, TraitHash trait, TraitHash more = TraitHash())
 {
@@ -40,7 +40,7 @@
 
 std::uint64_t hashOfFacts(const ServerCrash &crash)
 {
-    std::uint64_t sum = 0;
+    std::uint64_t sum = crash.isConfirmed ? hashOfFact(FactKind::Confirmed, crash.id, TraitHash()) : 0;
     for (const auto &candidate : crash.candidates) {
         const auto whole = candidate.traits.whole;
         sum ^= hashOfFact(FactKind::Candidate, crash.id, whole);
@@ -130,6 +130,8 @@
     for (const auto trait : crash.begunBefore) {
         isNew = addTo(known.begunBefore, trait) || isNew;
     }
+    isNew = (crash.isConfirmed && !std::exchange(known.isConfirmed, true)) || isNew;
+    isNew = (crash.isRefuted && !std::exchange(known.isRefuted, true)) || isNew;
     isNew = markBegunBefore(known) || isNew;
     noteChange(isNew);
     return isNew;
@@ -150,13 +152,48 @@
     }
 }
 
-ServerCrash *CrashEvidence::find(CrashId id)
+const ServerCrash *CrashEvidence::find(CrashId id) const
 {
     const auto found =
         std::find_if(crashes_.begin(), crashes_.end(), [id](const ServerCrash &crash) { return crash.id == id; });
     return found == crashes_.end() ? nullptr : &*found;
 }
 
+ServerCrash *CrashEvidence::find(CrashId id)
+{
+    return const_cast<ServerCrash *>(std::as_const(*this).find(id));
+}
+
+void CrashEvidence::setServerCount(std::size_t servers)
+{
+    const auto share = static_cast<std::size_t>(options_.shareTogether * static_cast<double>(servers));
+    const auto most = std::max(CrashRules().mostTogether, share);
+    isOutdated_ = isOutdated_ || most != options_.rules.mostTogether;
+    options_.rules.mostTogether = most;
+}
+
+std::optional<TimePoint> CrashEvidence::timeOf(CrashId id) const
+{
+    const auto *crash = find(id);
+    return crash == nullptr ? std::nullopt : std::optional(crash->at);
+}
+
+bool CrashEvidence::onConfirmed(CrashId id)
+{
+    auto *crash = find(id);
+    const bool isNew = crash != nullptr && !std::exchange(crash->isConfirmed, true);
+    noteChange(isNew);
+    return isNew;
+}
+
+bool CrashEvidence::onRefuted(CrashId id)
+{
+    auto *crash = find(id);
+    const bool isNew = crash != nullptr && !std::exchange(crash->isRefuted, true);
+    noteChange(isNew);
+    return isNew;
+}
+
 ServerCrash &CrashEvidence::findOrAdd(const ServerCrash &crash)
 {
     if (auto *known = find(crash.id)) {
@@ -267,7 +304,8 @@
         const auto age = now - crash.at;
         // A settled crash may still tell of a request that is repeated as a whole.
         const auto settledBound = std::max(options_.settledTime, options_.rules.suspicion);
-        return age >= options_.rules.quarantine || (age >= settledBound && isSettled(crash, crashes_));
+        const bool isDoubtful = !isLikely(crash) && age >= 2 * options_.rules.doubt;
+        return age >= options_.rules.quarantine || isDoubtful || (age >= settledBound && isSettled(crash, crashes_));
     });
     noteChange(old > 0);
 }
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.h
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.h
@@ -26,12 +26,14 @@
     {
         CrashRules rules;
         /** Crashes remembered at most; those that prove nothing any more make room first, then the oldest. */
-        std::size_t maxCrashes = 64;
+        std::size_t maxCrashes = 128;
         std::size_t maxCandidates = 16;
         /** Parts remembered of one candidate; those that are not proven come first. */
         std::size_t maxParts = 32;
         /** Parts remembered with which answers have begun. */
         std::size_t maxBegunParts = 8192;
+        /** Share of all servers that may crash at the same moment by requests; see CrashRules::mostTogether. */
+        double shareTogether = 0.15;
         /** Time for which a crash is kept that proves nothing any more, so that peers hear of it. */
         std::chrono::milliseconds settledTime = std::chrono::seconds(30);
     };
@@ -53,6 +55,18 @@
     /** A server has begun an answer to a request and lives; true if that clears something of these crashes. */
     bool onAnswerBegun(const RequestTraits &traits, std::vector<CrashId> &cleared);
 
+    /** The start of the server that was taken for crashed has answered; true if that is news. */
+    bool onRefuted(CrashId id);
+
+    /** Another start of the server has been seen; true if that is news. */
+    bool onConfirmed(CrashId id);
+
+    /** When the server is thought to have crashed; empty if nothing is known of that. */
+    std::optional<TimePoint> timeOf(CrashId id) const;
+
+    /** Servers that there are, of which a few may crash at the same moment by requests. */
+    void setServerCount(std::size_t servers);
+
     /** Forgets what is too old. */
     void expire(TimePoint now);
 
@@ -68,6 +82,7 @@
 
 private:
     ServerCrash *find(CrashId id);
+    const ServerCrash *find(CrashId id) const;
     ServerCrash &findOrAdd(const ServerCrash &crash);
     bool addCandidate(ServerCrash &crash, const CrashCandidate &candidate);
     std::vector<TraitHash> partsToKeep(const CrashCandidate &candidate) const;
--- a/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace hornbeamlane {
 
@@ -63,31 +64,83 @@
     }
 }
 
-/** The crashes of the trait that was at most of them; of equals one with which no answer had begun before. */
-const Crashes *largest(const CrashesByTrait &byTrait)
+/** Crashes in groups of those that are close to the first of their group. */
+std::vector<Crashes> groupsOf(const Crashes &crashes, const CrashRules &rules)
 {
-    const Crashes *most = nullptr;
+    std::vector<const ServerCrash *> sorted(crashes.begin(), crashes.end());
+    std::sort(sorted.begin(), sorted.end(), [](const ServerCrash *a, const ServerCrash *b) {
+        return std::pair(a->at, a->id) < std::pair(b->at, b->id);
+    });
+    std::vector<Crashes> groups;
+    TimePoint groupStart;
+    for (const auto *crash : sorted) {
+        if (groups.empty() || crash->at - groupStart > rules.together) {
+            groups.emplace_back();
+            groupStart = crash->at;
+        }
+        groups.back().insert(crash);
+    }
+    return groups;
+}
+
+/** Leaves out the crashes of many servers at the same moment, except those of a trait that was at most of them. */
+Crashes withoutCuts(const Crashes &crashes, const CrashRules &rules)
+{
+    Crashes result;
+    for (const auto &group : groupsOf(crashes, rules)) {
+        if (group.size() <= rules.mostTogether) {
+            result.insert(group.begin(), group.end());
+            continue;
+        }
+        for (const auto &[trait, ofTrait] : crashesByTrait(group)) {
+            if (ofTrait.size() * 2 > group.size()) {
+                result.insert(ofTrait.begin(), ofTrait.end());
+            }
+        }
+    }
+    return result;
+}
+
+/** How much speaks against a trait that was at these crashes. */
+std::size_t weightOf(TraitHash trait, const Crashes &crashes, const CrashRules &rules)
+{
+    if (!hadBegunBefore(trait, crashes)) {
+        return crashes.size();
+    }
+    return groupsOf(crashes, rules).size();
+}
+
+/** The crashes of the trait that most speaks against; of equals one with which no answer had begun before. */
+struct Heaviest
+{
+    Crashes crashes;
+    std::size_t weight = 0;
+};
+
+Heaviest heaviest(const CrashesByTrait &byTrait, const CrashRules &rules)
+{
+    Heaviest result;
     bool isProven = false;
     for (const auto &[trait, crashes] : byTrait) {
         const bool hadBegun = hadBegunBefore(trait, crashes);
-        if (most == nullptr || crashes.size() > most->size()
-            || (crashes.size() == most->size() && isProven && !hadBegun)) {
-            most = &crashes;
+        const auto weight = weightOf(trait, crashes, rules);
+        if (weight > result.weight || (weight == result.weight && isProven && !hadBegun)) {
+            result = {.crashes = crashes, .weight = weight};
             isProven = hadBegun;
         }
     }
-    return most;
+    return result;
 }
 
 /** Takes out the crashes that one culprit explains; false if no trait was at enough of them. */
-bool takeCulprit(Crashes &unexplained, const CrashRules &rules, TimePoint now, CrashFindings &findings)
+bool takeCulprit(Crashes &unexplained, const CrashRules &rules, std::chrono::milliseconds time, TimePoint now,
+                 CrashFindings &findings)
 {
     const auto byTrait = crashesByTrait(unexplained);
-    const auto *most = largest(byTrait);
-    if (most == nullptr || most->size() < rules.crashesToQuarantine) {
+    const auto [explained, weight] = heaviest(byTrait, rules);
+    if (weight < rules.crashesToQuarantine) {
         return false;
     }
-    const auto explained = *most;
     Traits together;
     for (const auto &[trait, crashes] : byTrait) {
         if (crashes == explained) {
@@ -95,7 +148,7 @@
         }
     }
     const auto guilty = leastProven(together, explained);
-    const auto until = lastOf(explained) + rules.quarantine;
+    const auto until = lastOf(explained) + time;
     if (now < until) {
         findings.culprits.push_back(
             {.traits = {guilty.begin(), guilty.end()}, .until = until, .crashes = explained.size()});
@@ -130,18 +183,12 @@
     return common.value_or(Traits());
 }
 
-bool hadHead(const ServerCrash &crash)
-{
-    return std::any_of(crash.candidates.begin(), crash.candidates.end(),
-                       [](const CrashCandidate &candidate) { return candidate.hadHead; });
-}
-
 /** Judges a crash that no culprit explains. */
 void judgeSingle(const ServerCrash &crash, const CrashRules &rules, TimePoint now, CrashFindings &findings)
 {
     const auto heldUntil = crash.at + rules.hold;
-    const auto suspectUntil = crash.at + rules.suspicion;
-    const auto explanation = hadHead(crash) ? onlyExplanation(crash) : Traits();
+    const auto suspectUntil = crash.at + (isLikely(crash) ? rules.suspicion : rules.doubt);
+    const auto explanation = crash.hasHead() ? onlyExplanation(crash) : Traits();
     if (!explanation.empty() && now < heldUntil) {
         findings.culprits.push_back(
             {.traits = {explanation.begin(), explanation.end()}, .until = heldUntil, .crashes = 1});
@@ -159,17 +206,30 @@
 
 } // namespace
 
+bool isLikely(const ServerCrash &crash)
+{
+    return crash.isConfirmed || crash.hasHead();
+}
+
 CrashFindings findCulprits(const std::vector<ServerCrash> &crashes, const CrashRules &rules, TimePoint now)
 {
     CrashFindings findings;
-    Crashes unexplained;
+    Crashes likely;
+    Crashes doubtful;
     for (const auto &crash : crashes) {
-        unexplained.insert(&crash);
-    }
-    while (takeCulprit(unexplained, rules, now, findings)) {}
-    for (const auto *crash : unexplained) {
-        judgeSingle(*crash, rules, now, findings);
+        if (!crash.isRefuted) {
+            (isLikely(crash) ? likely : doubtful).insert(&crash);
+        }
     }
+    const auto explain = [&](Crashes unexplained, std::chrono::milliseconds time) {
+        unexplained = withoutCuts(unexplained, rules);
+        while (takeCulprit(unexplained, rules, time, now, findings)) {}
+        for (const auto *crash : unexplained) {
+            judgeSingle(*crash, rules, now, findings);
+        }
+    };
+    explain(likely, rules.quarantine);
+    explain(doubtful, rules.doubtfulHold);
     // Of a culprit with several traits, a request that has only some of them can tell which one it is.
     for (const auto &culprit : findings.culprits) {
         if (culprit.traits.size() > 1) {
--- a/modules/hornbeamlane_routing/crashes/CrashFindings.h
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.h
@@ -37,8 +37,22 @@
     std::chrono::milliseconds hold = std::chrono::minutes(2);
     /** Time after a single crash for which what was at it is suspect. */
     std::chrono::milliseconds suspicion = std::chrono::minutes(3);
+    /** Time within which a crash that may only be a cut has to be confirmed, and for which what was at it is suspect.
+     */
+    std::chrono::milliseconds doubt = std::chrono::seconds(15);
+    /** Time after the last of several such crashes for which requests with what was at all of them are refused. */
+    std::chrono::milliseconds doubtfulHold = std::chrono::seconds(5);
+    /** Crashes so close to each other count as one against a part with which answers had begun before: they may have a
+       cause in common that is no request, and the part had no chance to be cleared in between. */
+    std::chrono::milliseconds together{100};
+    /** More crashes so close to each other than this count as a cut or a loss of power, unless one trait was at most of
+        them. */
+    std::size_t mostTogether = 3;
 };
 
+/** Whether a server is likely to have crashed by a request: it was seen to start again, or had begun an answer. */
+bool isLikely(const ServerCrash &crash);
+
 /**
     Explains crashes by as few traits as possible.
 
--- a/modules/hornbeamlane_routing/crashes/FailedSends.cpp
+++ b/modules/hornbeamlane_routing/crashes/FailedSends.cpp
@@ -23,18 +23,25 @@
     sends.push_back({.candidate = std::move(candidate), .at = now});
 }
 
-std::vector<CrashCandidate> FailedSends::take(CrashId server, TimePoint now)
+std::vector<CrashCandidate> FailedSends::take(CrashId server)
+{
+    auto candidates = since(server, TimePoint());
+    servers_.erase(server);
+    return candidates;
+}
+
+std::vector<CrashCandidate> FailedSends::since(CrashId server, TimePoint start) const
 {
-    expire(now);
     std::vector<CrashCandidate> candidates;
     const auto found = servers_.find(server);
     if (found == servers_.end()) {
         return candidates;
     }
-    for (auto &send : found->second) {
-        candidates.push_back(std::move(send.candidate));
+    for (const auto &send : found->second) {
+        if (send.at >= start) {
+            candidates.push_back(send.candidate);
+        }
     }
-    servers_.erase(found);
     return candidates;
 }
 
--- a/modules/hornbeamlane_routing/crashes/FailedSends.h
+++ b/modules/hornbeamlane_routing/crashes/FailedSends.h
@@ -24,7 +24,10 @@
     void add(CrashId server, CrashCandidate candidate, TimePoint now);
 
     /** Takes out what failed at the server. */
-    std::vector<CrashCandidate> take(CrashId server, TimePoint now);
+    std::vector<CrashCandidate> take(CrashId server);
+
+    /** What failed at the server since then, which may be the cause of an end that was noticed now. */
+    std::vector<CrashCandidate> since(CrashId server, TimePoint start) const;
 
     bool hasAny(CrashId server) const;
 
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
@@ -11,10 +11,14 @@
 
 } // namespace
 
+bool ServerCrash::hasHead() const
+{
+    return std::any_of(candidates.begin(), candidates.end(), [](const CrashCandidate &one) { return one.hadHead; });
+}
+
 std::vector<const CrashCandidate *> ServerCrash::likelyCandidates() const
 {
-    const bool anyHead =
-        std::any_of(candidates.begin(), candidates.end(), [](const CrashCandidate &one) { return one.hadHead; });
+    const bool anyHead = hasHead();
     std::vector<const CrashCandidate *> likely;
     for (const auto &candidate : candidates) {
         if (candidate.hadHead || !anyHead) {
@@ -41,7 +45,9 @@
             .age = std::max(age, std::chrono::milliseconds(0)),
             .candidates = crash.candidates,
             .cleared = crash.cleared,
-            .begunBefore = crash.begunBefore};
+            .begunBefore = crash.begunBefore,
+            .isConfirmed = crash.isConfirmed,
+            .isRefuted = crash.isRefuted};
 }
 
 ServerCrash fromRecord(const CrashRecord &record, TimePoint now)
@@ -51,7 +57,9 @@
             .at = now - age,
             .candidates = record.candidates,
             .cleared = record.cleared,
-            .begunBefore = record.begunBefore};
+            .begunBefore = record.begunBefore,
+            .isConfirmed = record.isConfirmed,
+            .isRefuted = record.isRefuted};
 }
 
 namespace {
@@ -76,7 +84,7 @@
         return hasOpenPart || (!crash.isCleared(whole) && (parts.empty() || wasAtAnotherCrash(whole, crash, all)));
     };
     const auto likely = crash.likelyCandidates();
-    return std::none_of(likely.begin(), likely.end(), isOpen);
+    return crash.isRefuted || std::none_of(likely.begin(), likely.end(), isOpen);
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.h
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.h
@@ -20,6 +20,13 @@
     std::vector<TraitHash> cleared;
     /** Parts of candidates with which servers had begun answers before: seldom the cause. */
     std::vector<TraitHash> begunBefore;
+    /** Another start of the server has been seen; before that it may only be cut off. */
+    bool isConfirmed = false;
+    /** The same start of the server has answered since, so it had not crashed. */
+    bool isRefuted = false;
+
+    /** Whether the answer to a candidate had begun. */
+    bool hasHead() const;
 
     /** Candidates that may have caused the crash: those whose answer had begun, or all if there is none. */
     std::vector<const CrashCandidate *> likelyCandidates() const;
@@ -33,8 +40,8 @@
 ServerCrash fromRecord(const CrashRecord &record, TimePoint now);
 
 /**
-    Whether the crash proves nothing any more: all parts of its likely candidates are cleared, and none of these was at
-    another crash as a whole. A candidate without parts is judged as a whole.
+    Whether the crash proves nothing any more: it is refuted, or all parts of its likely candidates are cleared, and
+   none of these was at another crash as a whole. A candidate without parts is judged as a whole.
 */
 bool isSettled(const ServerCrash &crash, const std::vector<ServerCrash> &all);
 
