Count an engine's loss beside its agent as a crash, not as a cut

What callers saw: on the product's own path, a message under which engines crash before they answer was refused for seconds only. Cause: since cuts are told from crashes, a loss without a begun answer is in doubt, also where no cut is possible. Change: an agent and its engine share a host, so a loss that an agent reports is confirmed; the end of the agent is not. Evidence: PromptPartGuardTest, of which the first test failed before.

--- a/modules/hornbeamlane_entry/PromptPartGuard.cpp
+++ b/modules/hornbeamlane_entry/PromptPartGuard.cpp
@@ -115,7 +115,8 @@
 void PromptPartGuard::onEngineLost(Incarnation agent, std::uint64_t loss, TimePoint now)
 {
     const auto name = std::to_string(agent.value()) + "/" + std::to_string(loss);
-    ServerCrash crash{.id = CrashId(hash64(name)), .at = now};
+    // An agent and its engine share a host, so no cut lies between them; the agent itself may only be cut off.
+    ServerCrash crash{.id = CrashId(hash64(name)), .at = now, .isConfirmed = loss != 0};
     for (const auto &[id, attempt] : attempts_) {
         if (attempt.agent == agent && !attempt.hasBegun) {
             crash.candidates.push_back({.traits = attempt.traits, .hadHead = attempt.hadHead});
