Log the limits that servers name

Change: the gateway reads the limit from each answer (ServerRateLimits, RateLimitGuard), logs each change of it (server_limit) and once a second what it has sent to such servers (limited_server), both in bounded volume, and counts them. Nothing else changes.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -90,6 +90,7 @@
                },
            .sendTo = [this](const std::string &address, const std::string &bytes) { peers_.sendTo(address, bytes); },
            .writeRow = std::move(hooks.writeCrashRow)})
+    , rateLimits_(loop, metrics_, settings_.headers)
     , callers_(loop,
                {.limits =
                     [this] {
@@ -330,6 +331,7 @@
     }
     pool_.sweep(now);
     crashes_.sweep();
+    rateLimits_.sweep();
     setEntryCount(peers_.entryCount(now));
     for (auto &[service, state] : services_) {
         state.governor.onPeerShare(peers_.loads().boundFor(hashOfService(service)));
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "hornbeamlane_gateway/backends/BackendPool.h"
 #include "hornbeamlane_gateway/crashes/CrashGuard.h"
 #include "hornbeamlane_gateway/peers/PeerExchange.h"
+#include "hornbeamlane_gateway/ratelimits/RateLimitGuard.h"
 #include "hornbeamlane_gateway/request/ForwardedRequest.h"
 #include "hornbeamlane_network/http1/Http1Server.h"
 #include "hornbeamlane_network/loop/Timer.h"
@@ -116,10 +117,12 @@
     EventLoop &loop_;
     RandomSource &random_;
     GatewaySettings settings_;
+    MetricsRegistry metrics_;
     BackendBook backends_;
     BackendPool pool_;
     PeerExchange peers_;
     CrashGuard crashes_;
+    RateLimitGuard rateLimits_;
     /** Shared with the requests that were admitted under it. */
     std::shared_ptr<const RouteTable> table_;
     std::map<ServiceId, ServiceState> services_;
@@ -133,7 +136,6 @@
     std::size_t collectedBytes_ = 0;
     Http1Server callers_;
     Http1Server status_;
-    MetricsRegistry metrics_;
     Timer sweepTimer_;
     Timer waitTimer_;
     Timer heldTimer_;
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -34,6 +34,8 @@
     std::string faultyServer = "X-Faulty-Server";
     /** Time for which the server stays cold, in milliseconds. */
     std::string warmup = "X-Warmup-Ms";
+    /** Requests a second that the server takes from all entries together, as a decimal number. */
+    std::string rateLimit = "X-Rate-Limit";
     /** Position in a stream after which it goes on. */
     std::string lastEventId = "Last-Event-Id";
     /** Parts of the prompt in order, "<id>:<tokens>" each, separated by commas; the last one is the request's own. */
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -344,6 +344,7 @@
     holdsUntil_.reset();
     gateway_.crashes_.onSent(number_, server);
     gateway_.backends_.onSent(server);
+    gateway_.rateLimits_.onSent(sending.start, sends_ > 1);
     gateway_.stateOf(service_).starts.count(sending.startedAt);
     gateway_.peers_.markChanged();
     // The request outlives the connection, which it owns; the callbacks end with the connection. A reference held by
@@ -368,6 +369,7 @@
         gateway_.backends_.onWarmup(send_->start.server, *left, now());
     }
     gateway_.crashes_.onServerAnswered(send_->start, send_->startedAt, head.status == statusMisdirected);
+    gateway_.rateLimits_.onAnswer(attemptId_, send_->start, send_->startedAt, head);
     send_->head = head;
     send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head, names);
     if (firstByteAt_ == TimePoint{}) {
