Show that a server gets more than the limit that it names

Cause (of the failure): no entry obeys the limit. The world of entries and servers of the tests is called GatewayWorld, since servers do not only crash in it.

--- a/tests/gateway/CrashingPartTest.cpp
+++ b/tests/gateway/CrashingPartTest.cpp
@@ -1,4 +1,4 @@
-#include "gateway/CrashWorld.h"
+#include "gateway/GatewayWorld.h"
 
 #include <gtest/gtest.h>
 
@@ -32,7 +32,7 @@
     std::chrono::milliseconds pause{30};
 };
 
-std::vector<std::shared_ptr<CallerAnswer>> run(CrashWorld &world, std::size_t entries, const Traffic &traffic)
+std::vector<std::shared_ptr<CallerAnswer>> run(GatewayWorld &world, std::size_t entries, const Traffic &traffic)
 {
     std::vector<std::shared_ptr<CallerAnswer>> sound;
     for (int round = 0; round < traffic.rounds; ++round) {
@@ -49,7 +49,7 @@
 // one part of their prompts. Sound requests with the same first part are served meanwhile.
 TEST(CrashingPartTest, StopsSendingAPartThatCrashesServers)
 {
-    CrashWorld world({.entries = 3, .servers = 6});
+    GatewayWorld world({.entries = 3, .servers = 6});
     world.deadlyParts = {"dead"};
     world.runFor(std::chrono::milliseconds(100));
     const Traffic traffic;
@@ -62,7 +62,7 @@
 // may be the cause.
 TEST(CrashingPartTest, StopsAPartUnderWhichServersCrashBeforeTheyAnswer)
 {
-    CrashWorld world({.entries = 3, .servers = 6, .sendsHeadBeforeCrash = false});
+    GatewayWorld world({.entries = 3, .servers = 6, .sendsHeadBeforeCrash = false});
     world.deadlyParts = {"dead"};
     world.runFor(std::chrono::milliseconds(100));
     const Traffic traffic;
@@ -74,7 +74,7 @@
 // Guards against two such parts at a time being taken for one, or for the parts that come with them.
 TEST(CrashingPartTest, StopsTwoPartsAtATime)
 {
-    CrashWorld world({.entries = 3, .servers = 6});
+    GatewayWorld world({.entries = 3, .servers = 6});
     world.deadlyParts = {"dead", "fatal"};
     world.runFor(std::chrono::milliseconds(100));
     std::vector<std::shared_ptr<CallerAnswer>> sound;
@@ -94,7 +94,7 @@
 // Guards against trust in the past: a part that was harmless until now may crash servers from now on.
 TEST(CrashingPartTest, StopsAPartThatWasHarmlessBefore)
 {
-    CrashWorld world({.entries = 3, .servers = 6});
+    GatewayWorld world({.entries = 3, .servers = 6});
     world.runFor(std::chrono::milliseconds(100));
     Traffic traffic{.rounds = 6};
     EXPECT_EQ(servedOf(run(world, 3, traffic)), 6);
@@ -108,7 +108,7 @@
 // Guards against evidence that a restart forgets: the restarted entry learns it from the others.
 TEST(CrashingPartTest, KeepsAPartInQuarantineWhenEntriesRestart)
 {
-    CrashWorld world({.entries = 3, .servers = 6});
+    GatewayWorld world({.entries = 3, .servers = 6});
     world.deadlyParts = {"dead"};
     world.runFor(std::chrono::milliseconds(100));
     run(world, 3, {.rounds = 6});
@@ -125,7 +125,7 @@
 // so do entries that were all restarted at once.
 TEST(CrashingPartTest, SharesEvidenceThroughTheTable)
 {
-    CrashWorld world({.entries = 3, .servers = 6, .hasPeers = false, .hasTable = true});
+    GatewayWorld world({.entries = 3, .servers = 6, .hasPeers = false, .hasTable = true});
     world.deadlyParts = {"dead"};
     world.runFor(std::chrono::milliseconds(100));
     run(world, 1, {.rounds = 4});
@@ -144,7 +144,7 @@
 // Guards against evidence that is lost because the table could not be written when it came up.
 TEST(CrashingPartTest, WritesEvidenceOnceTheTableIsBack)
 {
-    CrashWorld world({.entries = 2, .servers = 6, .hasPeers = false, .hasTable = true});
+    GatewayWorld world({.entries = 2, .servers = 6, .hasPeers = false, .hasTable = true});
     world.deadlyParts = {"dead"};
     world.runFor(std::chrono::milliseconds(100));
     world.setTableReachable(false);
@@ -161,7 +161,7 @@
 // Guards against sound requests that pay for crashes with another cause: they are served again at once.
 TEST(CrashingPartTest, ServesSoundRequestsAfterCrashesWithoutACause)
 {
-    CrashWorld world({.entries = 3, .servers = 6});
+    GatewayWorld world({.entries = 3, .servers = 6});
     world.silentParts = {"a:40,c:8,x:1"};
     world.runFor(std::chrono::milliseconds(100));
     for (std::size_t server = 0; server < 3; ++server) {
--- a/tests/gateway/GatewayMessages.h
+++ b/tests/gateway/GatewayMessages.h
@@ -19,10 +19,10 @@
         + "\r\nX-Server-Signature: s\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-inline std::string streamHead(const std::string &head)
+inline std::string streamHead(const std::string &head, const std::string &more = "")
 {
-    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + headerOf(head, "X-Attempt-Id")
-        + "\r\nX-Server-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + headerOf(head, "X-Attempt-Id") + "\r\nX-Server-Signature: s\r\n" + more
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
 /** Head of a stream that has neither a length nor chunks: the end of the connection ends it. */
--- a/tests/gateway/CrashWorld.cpp
+++ b/tests/gateway/GatewayWorld.cpp
@@ -1,4 +1,4 @@
-#include "gateway/CrashWorld.h"
+#include "gateway/GatewayWorld.h"
 
 #include <sstream>
 
@@ -6,7 +6,7 @@
 
 using std::chrono::milliseconds;
 
-CrashWorld::CrashWorld(Options options)
+GatewayWorld::GatewayWorld(Options options)
     : options_(options)
     , entries_(options.entries)
     , servers_(options.servers)
@@ -26,9 +26,9 @@
     }
 }
 
-CrashWorld::~CrashWorld() = default;
+GatewayWorld::~GatewayWorld() = default;
 
-void CrashWorld::startEntry(std::size_t index)
+void GatewayWorld::startEntry(std::size_t index)
 {
     GatewaySettings settings{.name = "entry" + std::to_string(index), .dataCentre = DataCentreId("here")};
     settings.callerAddress = "127.0.0.1:0";
@@ -60,7 +60,7 @@
     introduceEntries();
 }
 
-void CrashWorld::writeRow(const std::string &value, RowVersion expected, const TableClient::ReplyHandler &handler)
+void GatewayWorld::writeRow(const std::string &value, RowVersion expected, const TableClient::ReplyHandler &handler)
 {
     if (!isTableReachable_) {
         handler({.status = TableStatus::Unavailable});
@@ -76,7 +76,7 @@
     later(milliseconds(5), [this] { readRow(); });
 }
 
-void CrashWorld::readRow()
+void GatewayWorld::readRow()
 {
     if (!isTableReachable_ || rowVersion_ == RowVersion()) {
         return;
@@ -88,7 +88,7 @@
     }
 }
 
-void CrashWorld::introduceEntries()
+void GatewayWorld::introduceEntries()
 {
     if (!options_.hasPeers) {
         return;
@@ -102,7 +102,7 @@
     }
 }
 
-void CrashWorld::restartEntry(std::size_t index)
+void GatewayWorld::restartEntry(std::size_t index)
 {
     entries_[index].reset();
     startEntry(index);
@@ -112,7 +112,7 @@
     readRow();
 }
 
-void CrashWorld::listServerAt(Gateway &entry, const Server &server)
+void GatewayWorld::listServerAt(Gateway &entry, const Server &server)
 {
     entry.backends().update({.id = ServerId(server.id),
                              .service = ServiceId("pool"),
@@ -123,7 +123,7 @@
     entry.serversChanged();
 }
 
-void CrashWorld::listServer(Server &server)
+void GatewayWorld::listServer(Server &server)
 {
     const ServerId old(server.id);
     server.id = server.process->address() + "/" + std::to_string(++server.lifetimes);
@@ -133,7 +133,7 @@
     }
 }
 
-bool CrashWorld::isDeadly(const std::string &parts) const
+bool GatewayWorld::isDeadly(const std::string &parts) const
 {
     std::istringstream list(parts);
     for (std::string part; std::getline(list, part, ',');) {
@@ -144,8 +144,10 @@
     return false;
 }
 
-void CrashWorld::answerRequest(Server &server, testing::ScriptedServer::Connection &connection, const std::string &head)
+void GatewayWorld::answerRequest(Server &server, testing::ScriptedServer::Connection &connection,
+                                 const std::string &head)
 {
+    server.arrivals.push_back(loop_.now());
     if (isDeadly(headerOf(head, "X-Prompt-Parts"))) {
         ++deadlyRequests_;
         if (options_.sendsHeadBeforeCrash) {
@@ -157,10 +159,11 @@
     if (silentParts.contains(headerOf(head, "X-Prompt-Parts"))) {
         return;
     }
-    connection.send(streamHead(head) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
+    const auto limit = server.limit ? "X-Rate-Limit: " + std::to_string(*server.limit) + "\r\n" : std::string();
+    connection.send(streamHead(head, limit) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
 }
 
-void CrashWorld::crashServer(std::size_t index)
+void GatewayWorld::crashServer(std::size_t index)
 {
     auto &server = servers_[index];
     server.process->crash();
@@ -171,13 +174,23 @@
     });
 }
 
-void CrashWorld::later(milliseconds delay, std::function<void()> action)
+void GatewayWorld::setLimit(std::size_t server, std::optional<double> perSecond)
+{
+    servers_[server].limit = perSecond;
+}
+
+const std::vector<TimePoint> &GatewayWorld::arrivals(std::size_t server) const
+{
+    return servers_[server].arrivals;
+}
+
+void GatewayWorld::later(milliseconds delay, std::function<void()> action)
 {
     timers_.push_back(std::make_unique<Timer>(loop_, std::move(action)));
     timers_.back()->startOnce(delay);
 }
 
-std::shared_ptr<CallerAnswer> CrashWorld::send(std::size_t entry, const std::string &parts)
+std::shared_ptr<CallerAnswer> GatewayWorld::send(std::size_t entry, const std::string &parts)
 {
     auto result = std::make_shared<CallerAnswer>();
     auto &connection = callers_.emplace_back(std::make_unique<Http1ClientConnection>(
@@ -200,7 +213,7 @@
     return result;
 }
 
-void CrashWorld::runFor(milliseconds time)
+void GatewayWorld::runFor(milliseconds time)
 {
     Timer end(loop_, [this] { loop_.stop(); });
     end.startOnce(time);
--- a/tests/gateway/CrashWorld.h
+++ b/tests/gateway/GatewayWorld.h
@@ -5,14 +5,15 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace hornbeamlane {
 
-/** Entries that hear each other, servers that crash under certain prompt parts and come back, and callers of them. */
-class CrashWorld final
+/** Entries that hear each other, servers that crash under certain prompt parts or name limits, and callers of them. */
+class GatewayWorld final
 {
 public:
     struct Options
@@ -29,8 +30,8 @@
         bool hasTable = false;
     };
 
-    explicit CrashWorld(Options options);
-    ~CrashWorld();
+    explicit GatewayWorld(Options options);
+    ~GatewayWorld();
 
     /** Parts under which servers crash as they begin to answer. */
     std::set<std::string> deadlyParts;
@@ -56,6 +57,12 @@
 
     void crashServer(std::size_t index);
 
+    /** Requests a second that the server names in its answers from now on; empty: none. */
+    void setLimit(std::size_t server, std::optional<double> perSecond);
+
+    /** When requests have reached a server, also in its earlier lifetimes. */
+    const std::vector<TimePoint> &arrivals(std::size_t server) const;
+
     /** Whether the table answers; without it nothing is written or read. */
     void setTableReachable(bool isReachable)
     {
@@ -81,6 +88,8 @@
         std::unique_ptr<testing::ScriptedServer> process;
         std::string id;
         int lifetimes = 0;
+        std::optional<double> limit;
+        std::vector<TimePoint> arrivals;
     };
 
     void startEntry(std::size_t index);
