Keep the token bucket with the base types

Cause: a server's limit on requests needs the same bucket in the gateway, which does not depend on the admission of agents. Change: TokenBucket moves to hornbeamlane_base and tells its level; no other change.

--- a/modules/hornbeamlane_admission/hornbeamlane_admission.h
+++ b/modules/hornbeamlane_admission/hornbeamlane_admission.h
@@ -16,4 +16,3 @@
 #include "hornbeamlane_admission/teams/TeamLeaseBook.h"
 #include "hornbeamlane_admission/teams/TeamLeaseRow.h"
 #include "hornbeamlane_admission/teams/TeamLimits.h"
-#include "hornbeamlane_admission/teams/TokenBucket.h"
--- a/modules/hornbeamlane_admission/teams/TeamLimits.h
+++ b/modules/hornbeamlane_admission/teams/TeamLimits.h
@@ -2,7 +2,7 @@
 
 #include "hornbeamlane_admission/teams/FloorSplit.h"
 #include "hornbeamlane_admission/teams/TeamLeaseBook.h"
-#include "hornbeamlane_admission/teams/TokenBucket.h"
+#include "hornbeamlane_base/rate/TokenBucket.h"
 
 #include <functional>
 #include <limits>
--- a/modules/hornbeamlane_base/hornbeamlane_base.h
+++ b/modules/hornbeamlane_base/hornbeamlane_base.h
@@ -1,5 +1,5 @@
 /**
-    Time, identifiers, failures, random numbers and hashes that every other module uses.
+    Time, identifiers, failures, random numbers, hashes and token buckets that every other module uses.
 
     Depends on nothing of the project. Public headers include the standard library only.
 */
@@ -12,4 +12,5 @@
 #include "hornbeamlane_base/identity/AttemptId.h"
 #include "hornbeamlane_base/identity/Identifiers.h"
 #include "hornbeamlane_base/random/RandomSource.h"
+#include "hornbeamlane_base/rate/TokenBucket.h"
 #include "hornbeamlane_base/time/Time.h"
--- a/modules/hornbeamlane_admission/teams/TokenBucket.cpp
+++ b/modules/hornbeamlane_base/rate/TokenBucket.cpp
@@ -1,4 +1,4 @@
-#include "hornbeamlane_admission/teams/TokenBucket.h"
+#include "hornbeamlane_base/rate/TokenBucket.h"
 
 #include <algorithm>
 
--- a/modules/hornbeamlane_admission/teams/TokenBucket.h
+++ b/modules/hornbeamlane_base/rate/TokenBucket.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hornbeamlane_base/hornbeamlane_base.h"
+#include "hornbeamlane_base/time/Time.h"
 
 namespace hornbeamlane {
 
@@ -19,6 +19,12 @@
     /** Also below zero: the debt is paid before the next taking. A negative amount gives back. */
     void take(double amount);
 
+    /** What is left, as of the last call of advance(); below zero after a debt. */
+    double level() const
+    {
+        return level_;
+    }
+
     void setLevel(double level)
     {
         level_ = level;
