--- a/tests/gateway/CrashDetectorTest.cpp
+++ b/tests/gateway/CrashDetectorTest.cpp
@@ -47,7 +47,7 @@
         {},
         {.unanswered = [](const ServerId &) { return std::vector<CrashCandidate>(); },
          .crashed =
-             [this](const ServerStart &start, CrashSign sign, std::vector<CrashCandidate> candidates) {
+             [this](const ServerStart &start, CrashSign sign, const std::vector<CrashCandidate> &candidates) {
                  crashed_.push_back(start.server.name() + " " + std::string(toString(sign)));
                  candidates_ += candidates.size();
              }}};
--- a/tests/gateway/EndlessAnswerTest.cpp
+++ b/tests/gateway/EndlessAnswerTest.cpp
@@ -160,6 +160,7 @@
 {
     constexpr int requests = 24;
     std::vector<std::shared_ptr<CallerAnswer>> results;
+    results.reserve(requests);
     for (int i = 0; i < requests; ++i) {
         results.push_back(send());
     }
