Keep within the limits on requests that servers name

Cause: no entry obeyed the limit, and none could by itself, since the limit is a sum over all entries. The class of fault: a bound that belongs to all entries, learned by one of them. Change: an answer with a limit puts it in force, at all entries, since they tell each other with the loads. A server without tokens is left out of the choice; where all servers of a service have limits, a request waits if they let it through in time and is refused at once if they do not.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -22,7 +22,7 @@
 }
 
 BackendBook::BackendBook(Options options)
-    : options_(options)
+    : options_(std::move(options))
 {
 }
 
@@ -156,6 +156,7 @@
     bool anyForming = false;
     bool anyOpen = false;
     bool anyNotExcluded = false;
+    bool anyRateLimited = false;
     for (auto &[id, backend] : backends_) {
         if (backend.spec.service != request.service || !isUsable(backend, now)
             || (request.allowed != nullptr && !request.allowed->contains(backend.spec.dataCentre))) {
@@ -177,6 +178,10 @@
         if (isFull(backend) || isColdFull(backend, now, random)) {
             continue;
         }
+        if (options_.isRateLimited(backend)) {
+            anyRateLimited = true;
+            continue;
+        }
         auto &list = now < backend.avoidUntil ? avoided : candidates;
         list.push_back({.backend = &backend, .score = score(backend, request, now)});
     }
@@ -188,6 +193,8 @@
             lastFailure_ = NoChoice::NoServer;
         } else if (!anyOpen) {
             lastFailure_ = anyForming ? NoChoice::GroupForming : NoChoice::GroupBroken;
+        } else if (anyRateLimited) {
+            lastFailure_ = NoChoice::RateLimited;
         } else {
             lastFailure_ = anyNotExcluded ? NoChoice::AllFull : NoChoice::AllExcluded;
         }
@@ -357,4 +364,15 @@
     return result;
 }
 
+std::vector<const Backend *> BackendBook::usable(const ServiceId &service, TimePoint now) const
+{
+    std::vector<const Backend *> servers;
+    for (const auto &[id, backend] : backends_) {
+        if (backend.spec.service == service && isUsable(backend, now) && isGroupOpen(backend, now)) {
+            servers.push_back(&backend);
+        }
+    }
+    return servers;
+}
+
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -112,6 +112,8 @@
         std::chrono::milliseconds coldTurnTime{150};
         /** Entries that share the bounds of a cold server; see setEntryCount(). */
         std::uint32_t entryCount = 16;
+        /** Whether a server has named a limit on requests a second that leaves nothing for this entry now. */
+        std::function<bool(const Backend &)> isRateLimited = [](const Backend &) { return false; };
     };
 
     struct Request
@@ -129,6 +131,7 @@
         GroupBroken, ///< All servers that could take it are ranks of groups that have lost a rank.
         GroupForming, ///< All ranks of such a group are back; it opens within a second.
         AllFull,
+        RateLimited, ///< Each server that is not full has named a limit that leaves nothing for this entry now.
         AllExcluded, ///< Each usable server has been tried already.
     };
 
@@ -192,6 +195,9 @@
 
     Occupancy occupancy(const ServiceId &service, TimePoint now) const;
 
+    /** Servers of a service that may get requests now, full ones included. */
+    std::vector<const Backend *> usable(const ServiceId &service, TimePoint now) const;
+
     const std::map<ServerId, Backend> &all() const
     {
         return backends_;
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -37,6 +37,12 @@
 /** A lost rank is seldom back within two seconds; callers wait a third of their time at most, here 2.7 s. */
 constexpr RetryAfterRange afterBrokenGroup{.from = milliseconds(2300), .to = milliseconds(2660)};
 
+constexpr milliseconds longestRetryAfter{3000};
+
+/** Requests that the limits of servers let through while one waits, for each one up to it, so that waiting makes sense.
+ */
+constexpr double fairChance = 0.5;
+
 /** Part of the bound that late requests may fill: entries do not see each other's queues, but they see the load. */
 constexpr double lateShareOfLimit = 0.9;
 
@@ -56,7 +62,8 @@
     : loop_(loop)
     , random_(random)
     , settings_(std::move(settings))
-    , backends_({.entryCount = assumedEntries})
+    , backends_({.entryCount = assumedEntries,
+                 .isRateLimited = [this](const Backend &backend) { return rateLimits_.isLimited(backend); }})
     , pool_(loop, {})
     , peers_(loop, {.name = settings_.name, .incarnation = random.incarnation(), .address = settings_.peerAddress},
              {.ownLoad =
@@ -77,6 +84,10 @@
               .crashDigest = [this] { return crashes_.digest(); },
               .peerCrashDigest = [this](const std::string &address,
                                         std::uint64_t digest) { crashes_.exchange().onPeerDigest(address, digest); },
+              .rateLimits = [this](bool all) { return rateLimits_.reports(all); },
+              .demands = [this] { return ownDemands(); },
+              .peerRateLimits = [this](Incarnation sender,
+                                       const auto &reports) { rateLimits_.onPeerReports(sender, reports); },
               .otherMessage = [this](std::string_view bytes) { return crashes_.exchange().onMessage(bytes); }})
     , crashes_(
           loop, random, backends_, {.incarnation = random.incarnation()},
@@ -90,7 +101,18 @@
                },
            .sendTo = [this](const std::string &address, const std::string &bytes) { peers_.sendTo(address, bytes); },
            .writeRow = std::move(hooks.writeCrashRow)})
-    , rateLimits_(loop, metrics_, settings_.headers)
+    , rateLimits_(loop, random, metrics_, settings_.headers,
+                  {.waiting = [this](const ServiceId &service) { return stateOf(service).queue.size(); },
+                   .demandOfPeers =
+                       [this](const ServiceId &service) { return peers_.loads().demandFor(hashOfService(service)); },
+                   .tellingTime = [this] { return peers_.tellingTime(); },
+                   .heardShare =
+                       [this] {
+                           return std::min(1.0,
+                                           (1.0 + static_cast<double>(peers_.loads().activePeers()))
+                                               / peers_.entryCount(loop_.now()));
+                       },
+                   .serverOf = [this](ServerStartHash server) { return serverOf(server); }})
     , callers_(loop,
                {.limits =
                     [this] {
@@ -110,6 +132,7 @@
     , sweepTimer_(loop, [this] { sweep(); })
     , waitTimer_(loop, [this] { expireWaiting(); })
     , heldTimer_(loop, [this] { crashesChanged(); })
+    , rateTimer_(loop, [this] { checkRateLimited(); })
     , drainTimer_(loop, [this] { checkDrained(); })
 {
 }
@@ -311,6 +334,29 @@
     armWaitTimer();
 }
 
+std::optional<ServerId> Gateway::serverOf(ServerStartHash start) const
+{
+    for (const auto &[id, backend] : backends_.all()) {
+        if (hashOfStart(id, backend.spec.incarnation) == start) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<std::pair<ServiceHash, std::uint32_t>> Gateway::ownDemands() const
+{
+    std::vector<std::pair<ServiceHash, std::uint32_t>> demands;
+    if (!rateLimits_.isActive()) {
+        return demands;
+    }
+    for (const auto &[service, state] : services_) {
+        demands.emplace_back(hashOfService(service),
+                             static_cast<std::uint32_t>(rateLimits_.demand(service) * demandScale));
+    }
+    return demands;
+}
+
 std::vector<std::pair<ServiceHash, std::uint32_t>> Gateway::ownBounds() const
 {
     std::vector<std::pair<ServiceHash, std::uint32_t>> bounds;
@@ -406,10 +452,48 @@
     }
 }
 
-Duration Gateway::drawRetryAfter(GatewayRefusal refusal)
+Duration Gateway::drawRetryAfter(GatewayRefusal refusal, const ServiceId &service)
 {
     const auto &range = refusal == GatewayRefusal::GroupBroken ? afterBrokenGroup : afterOverload;
-    return range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
+    const auto drawn =
+        range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
+    const auto rate = refusal == GatewayRefusal::RateLimited ? ownRate(service) : std::nullopt;
+    if (!rate || *rate <= 0) {
+        return drawn;
+    }
+    // Those that wait already take the next turns.
+    const std::chrono::duration<double> backlog(static_cast<double>(stateOf(service).queue.size()) / *rate);
+    return std::min<Duration>(drawn + std::chrono::duration_cast<milliseconds>(backlog), longestRetryAfter);
+}
+
+std::optional<double> Gateway::ownRate(const ServiceId &service) const
+{
+    return rateLimits_.isActive() ? rateLimits_.ownRate(service, backends_.usable(service, loop_.now())) : std::nullopt;
+}
+
+bool Gateway::isRateTooLow(const ServiceId &service, Duration wait)
+{
+    const auto rate = ownRate(service);
+    const auto position = static_cast<double>(stateOf(service).queue.size() + 1);
+    return rate && *rate * std::chrono::duration<double>(wait).count() < position * fairChance;
+}
+
+void Gateway::watchRateLimits()
+{
+    if (rateLimits_.isActive() && !std::exchange(isWatchingRateLimits_, true)) {
+        rateTimer_.startOnce(rateLimits_.checkInterval());
+    }
+}
+
+void Gateway::checkRateLimited()
+{
+    isWatchingRateLimits_ = false;
+    serveQueues();
+    const bool isAnyWaiting = std::any_of(services_.begin(), services_.end(),
+                                          [](const auto &entry) { return entry.second.queue.size() > 0; });
+    if (isAnyWaiting) {
+        watchRateLimits();
+    }
 }
 
 std::vector<CrashCandidate> Gateway::unansweredAt(const ServerId &server) const
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -96,6 +96,9 @@
     bool isShortened(const RouteSpec &route, std::chrono::milliseconds timeLeft);
     /** Bounds that this entry keeps at services whose pace it has seen. */
     std::vector<std::pair<ServiceHash, std::uint32_t>> ownBounds() const;
+    /** Requests that this entry has to send to each service at once, while any server may have a limit. */
+    std::vector<std::pair<ServiceHash, std::uint32_t>> ownDemands() const;
+    std::optional<ServerId> serverOf(ServerStartHash start) const;
     void expireWaiting();
     void armWaitTimer();
     void sweep();
@@ -103,7 +106,15 @@
     void setEntryCount(std::uint32_t count);
     void checkDrained();
     /** Time after which to come back: callers that were refused together come back spread out. */
-    Duration drawRetryAfter(GatewayRefusal refusal);
+    Duration drawRetryAfter(GatewayRefusal refusal, const ServiceId &service);
+    /** Requests a second that this entry may send to a service all of whose servers name limits; empty if one does not.
+     */
+    std::optional<double> ownRate(const ServiceId &service) const;
+    /** Whether such limits leave no fair chance to a request that comes now and may wait so long. */
+    bool isRateTooLow(const ServiceId &service, Duration wait);
+    /** Looks at waiting requests again when the limits of servers may leave room, as long as there are both. */
+    void watchRateLimits();
+    void checkRateLimited();
     std::vector<CrashCandidate> unansweredAt(const ServerId &server) const;
     /** What is known of crashes has changed, or held requests have waited for a while. */
     void crashesChanged();
@@ -139,8 +150,10 @@
     Timer sweepTimer_;
     Timer waitTimer_;
     Timer heldTimer_;
+    Timer rateTimer_;
     Timer drainTimer_;
     std::function<void()> drained_;
+    bool isWatchingRateLimits_ = false;
     bool isStopping_ = false;
     bool hasStoppedAccepting_ = false;
     TimePoint stopAcceptingAt_;
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -68,6 +68,12 @@
     }
 }
 
+std::chrono::milliseconds PeerExchange::tellingTime() const
+{
+    const auto rounds = (peers_.size() + options_.fanOut - 1) / options_.fanOut;
+    return options_.interval * std::max<std::size_t>(rounds, 1);
+}
+
 std::uint32_t PeerExchange::entryCount(TimePoint now) const
 {
     const auto known = std::count_if(peers_.begin(), peers_.end(), [now](const auto &entry) {
@@ -79,7 +85,8 @@
 
 void PeerExchange::receive(std::string_view bytes, const std::string &sender)
 {
-    const auto message = decodeLoadMessage(bytes);
+    const auto now = loop_.now();
+    const auto message = decodeLoadMessage(bytes, now);
     if (!message && callbacks_.otherMessage(bytes)) {
         return;
     }
@@ -88,13 +95,13 @@
                  {{"sender", sender}, {"bytes", std::to_string(bytes.size())}});
         return;
     }
-    const auto now = loop_.now();
     addPeer(sender);
     auto &peer = peers_[sender];
     peer.heardAt = now;
     callbacks_.peerVersions(message->tableVersions);
     callbacks_.peerCrashDigest(sender, message->crashDigest);
     if (loads_.take(*message, now)) {
+        callbacks_.peerRateLimits(message->incarnation, message->rateLimits);
         callbacks_.changed();
     }
 }
@@ -127,6 +134,8 @@
     }
     // Peers that are silent may be gone; they are told seldom, so that one that is back is found again.
     const bool toAll = now - lastSentToAll_ >= options_.idleInterval;
+    const bool tellsAllLimits = peers_.size() > options_.fanOut || now - rateLimitsToldAt_ >= options_.idleInterval;
+    rateLimitsToldAt_ = tellsAllLimits ? now : rateLimitsToldAt_;
     const auto bytes = encodeLoadMessage({.sender = options_.name,
                                           .sequence = ++sequence_,
                                           .incarnation = options_.incarnation,
@@ -134,7 +143,10 @@
                                           .tableVersions = callbacks_.tableVersions(),
                                           .inFlight = callbacks_.ownLoad(),
                                           .bounds = callbacks_.bounds(),
-                                          .crashDigest = callbacks_.crashDigest()});
+                                          .crashDigest = callbacks_.crashDigest(),
+                                          .rateLimits = callbacks_.rateLimits(tellsAllLimits),
+                                          .demands = callbacks_.demands()},
+                                         now);
     for (const auto &address : nextPeers(now, toAll)) {
         socket_.send(address, bytes);
     }
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -42,6 +42,15 @@
         std::function<std::uint64_t()> crashDigest = [] { return 0; };
         std::function<void(const std::string &address, std::uint64_t digest)> peerCrashDigest = [](const auto &, auto) {
         };
+        /** Limits that servers have named, to tell; all of them, or those with news. */
+        std::function<std::vector<RateLimitReport>(bool all)> rateLimits = [](bool) {
+            return std::vector<RateLimitReport>();
+        };
+        std::function<std::vector<std::pair<ServiceHash, std::uint32_t>>()> demands = [] {
+            return std::vector<std::pair<ServiceHash, std::uint32_t>>();
+        };
+        std::function<void(Incarnation sender, const std::vector<RateLimitReport> &)> peerRateLimits =
+            [](auto, const auto &) {};
         /** Takes a message that tells no load; false if it is of no known kind. */
         std::function<bool(std::string_view bytes)> otherMessage = [](auto) { return false; };
     };
@@ -73,6 +82,9 @@
         return loads_;
     }
 
+    /** Time after which all peers have heard of a change. */
+    std::chrono::milliseconds tellingTime() const;
+
     /** Entries heard of within the last minute and this one. */
     std::uint32_t entryCount(TimePoint now) const;
 
@@ -100,6 +112,7 @@
     bool hasChanged_ = true;
     TimePoint lastSent_;
     TimePoint lastSentToAll_;
+    TimePoint rateLimitsToldAt_;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace hornbeamlane {
@@ -43,6 +44,48 @@
     return pairs;
 }
 
+/** Four numbers for each report: server, limit, age in milliseconds, requests sent. */
+constexpr std::size_t numbersOfReport = 4;
+
+/** Limits are told in thousandths of a request a second, plus one; zero tells that there is none any more. */
+constexpr double rateScale = 1000;
+constexpr double maxRate = 1e6;
+
+nlohmann::json encodeReports(const std::vector<RateLimitReport> &reports, TimePoint now)
+{
+    auto numbers = nlohmann::json::array();
+    for (const auto &report : reports) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - report.shownAt).count();
+        const auto rate = std::min(report.perSecond.value_or(0), maxRate) * rateScale;
+        numbers.push_back(report.server);
+        numbers.push_back(report.perSecond ? 1 + static_cast<std::uint64_t>(std::llround(rate)) : 0);
+        numbers.push_back(std::max<std::int64_t>(age, 0));
+        numbers.push_back(report.sent);
+    }
+    return numbers;
+}
+
+std::vector<RateLimitReport> decodeReports(const nlohmann::json &numbers, TimePoint now)
+{
+    std::vector<RateLimitReport> reports;
+    if (!numbers.is_array() || numbers.size() > numbersOfReport * maxPairs
+        || !std::all_of(numbers.begin(), numbers.end(), [](const auto &one) { return one.is_number_unsigned(); })) {
+        return reports;
+    }
+    for (std::size_t i = 0; i + numbersOfReport <= numbers.size(); i += numbersOfReport) {
+        const auto rate = numbers[i + 1].get<std::uint64_t>();
+        const std::chrono::milliseconds age(numbers[i + 2].get<std::uint32_t>());
+        RateLimitReport report{.server = numbers[i].get<ServerStartHash>(),
+                               .shownAt = now - age,
+                               .sent = numbers[i + 3].get<std::uint32_t>()};
+        if (rate > 0) {
+            report.perSecond = static_cast<double>(rate - 1) / rateScale;
+        }
+        reports.push_back(report);
+    }
+    return reports;
+}
+
 bool hasVersion(const nlohmann::json &document)
 {
     const auto version = document.find("v");
@@ -61,19 +104,25 @@
     return static_cast<ServiceHash>(hash64(service.name()));
 }
 
-std::string encodeLoadMessage(const LoadMessage &message)
+std::string encodeLoadMessage(const LoadMessage &message, TimePoint now)
 {
-    const nlohmann::json document = {{"v", protocolVersion},           {"n", message.sender},
-                                     {"s", message.sequence},          {"i", message.incarnation.value()},
-                                     {"m", message.isMapHolder},       {"t", message.tableVersions},
-                                     {"l", flatten(message.inFlight)}, {"b", flatten(message.bounds)},
-                                     {"q", message.crashDigest}};
+    nlohmann::json document = {{"v", protocolVersion},           {"n", message.sender},
+                               {"s", message.sequence},          {"i", message.incarnation.value()},
+                               {"m", message.isMapHolder},       {"t", message.tableVersions},
+                               {"l", flatten(message.inFlight)}, {"b", flatten(message.bounds)},
+                               {"q", message.crashDigest}};
+    if (!message.rateLimits.empty()) {
+        document["r"] = encodeReports(message.rateLimits, now);
+    }
+    if (!message.demands.empty()) {
+        document["d"] = flatten(message.demands);
+    }
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
     return bytes;
 }
 
-std::optional<LoadMessage> decodeLoadMessage(std::string_view bytes)
+std::optional<LoadMessage> decodeLoadMessage(std::string_view bytes, TimePoint now)
 {
     // The library throws for sizes that do not fit its containers, also when asked not to.
     if (detail::checkCborBounds(bytes) != DecodeFailure::None) {
@@ -110,6 +159,12 @@
     if (const auto bounds = document.find("b"); bounds != document.end()) {
         message.bounds = pairsFrom(*bounds).value_or(NumberPairs());
     }
+    if (const auto reports = document.find("r"); reports != document.end()) {
+        message.rateLimits = decodeReports(*reports, now);
+    }
+    if (const auto demands = document.find("d"); demands != document.end()) {
+        message.demands = pairsFrom(*demands).value_or(NumberPairs());
+    }
     if (const auto digest = document.find("q"); digest != document.end() && digest->is_number_unsigned()) {
         message.crashDigest = digest->get<std::uint64_t>();
     }
@@ -179,6 +234,17 @@
     return found == sums_.end() ? 0 : found->second;
 }
 
+double PeerLoads::demandFor(ServiceHash service) const
+{
+    double sum = 0;
+    for (const auto &[name, peer] : peers_) {
+        for (const auto &[told, demand] : peer.last.demands) {
+            sum += told == service ? demand / demandScale : 0;
+        }
+    }
+    return sum;
+}
+
 std::optional<double> PeerLoads::boundFor(ServiceHash service) const
 {
     std::vector<std::uint32_t> bounds;
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hornbeamlane_base/hornbeamlane_base.h"
+#include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,8 +23,9 @@
 
 ServiceHash hashOfService(const ServiceId &service);
 
-/** Bounds are told in thousandths of a service's places. */
+/** Bounds are told in thousandths of a service's places, demands in thousandths of a request. */
 constexpr double boundScale = 1000;
+constexpr double demandScale = 1000;
 
 /** What one entry tells the others about its requests at the servers. */
 struct LoadMessage
@@ -43,11 +44,16 @@
     std::vector<std::pair<ServiceHash, std::uint32_t>> bounds;
     /** Digest of what the sender knows of crashes; see CrashEvidence. */
     std::uint64_t crashDigest = 0;
+    /** Limits on requests a second that servers have named; the times are on the clock of the process that holds the
+        message and pass as ages, in whole milliseconds. */
+    std::vector<RateLimitReport> rateLimits;
+    /** Requests that the sender has to send at once to a service some of whose servers have limits, in thousandths. */
+    std::vector<std::pair<ServiceHash, std::uint32_t>> demands;
 };
 
 /** CBOR form of the message; decode() is empty for bytes that are no such message. */
-std::string encodeLoadMessage(const LoadMessage &message);
-std::optional<LoadMessage> decodeLoadMessage(std::string_view bytes);
+std::string encodeLoadMessage(const LoadMessage &message, TimePoint now);
+std::optional<LoadMessage> decodeLoadMessage(std::string_view bytes, TimePoint now);
 
 /** Sums what the other entries tell. A peer that has fallen silent is left out. */
 class PeerLoads final
@@ -73,6 +79,9 @@
     /** Median of the bounds that peers keep at a service, as a share of its places; empty if none has told one. */
     std::optional<double> boundFor(ServiceHash service) const;
 
+    /** Requests that all peers have to send to a service at once. */
+    double demandFor(ServiceHash service) const;
+
     /** When a peer last said that it holds the lease of the expert maps. */
     TimePoint mapHolderHeardAt() const
     {
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -41,7 +41,8 @@
 /** Whether a place is expected soon, so that waiting for it makes sense. */
 bool isWorthWaiting(BackendBook::NoChoice failure)
 {
-    return failure == BackendBook::NoChoice::AllFull || failure == BackendBook::NoChoice::GroupForming;
+    return failure == BackendBook::NoChoice::AllFull || failure == BackendBook::NoChoice::RateLimited
+        || failure == BackendBook::NoChoice::GroupForming;
 }
 
 } // namespace
@@ -78,6 +79,7 @@
     });
     timer_.startOnce(deadline_ - arrivedAt_);
     gateway_.stateOf(service_).retries.countRequest(arrivedAt_);
+    gateway_.rateLimits_.onRequest(service_);
     readTraits();
     dispatch(true);
 }
@@ -212,15 +214,20 @@
         return;
     }
     const auto wait = longestWait(time);
-    if (!isLate_ && wait > Duration::zero()) {
+    if (!isLate_ && wait > Duration::zero() && !gateway_.isRateTooLow(service_, wait)) {
         joinQueue(time + wait);
         return;
     }
     if (!queueAsLate(time)) {
-        refuse(GatewayRefusal::Overloaded);
+        refuseForLackOfPlace();
     }
 }
 
+void ForwardedRequest::refuseForLackOfPlace()
+{
+    refuse(gateway_.ownRate(service_) ? GatewayRefusal::RateLimited : GatewayRefusal::Overloaded);
+}
+
 std::optional<ServerId> ForwardedRequest::chooseServer()
 {
     auto excluded = gateway_.crashes_.serversToAvoid(number_);
@@ -245,12 +252,14 @@
     ticket_ = state.queue.add(queueRank(), std::min(latestStart, deadline_));
     state.waiting.emplace(*ticket_, weak_from_this());
     gateway_.armWaitTimer();
+    gateway_.watchRateLimits();
 }
 
 bool ForwardedRequest::queueAsLate(TimePoint time)
 {
     const auto latest = arrivedAt_ + std::min<Duration>(lateWait, (deadline_ - arrivedAt_) / 3);
-    if (time >= latest || route_->kind != RequestKind::Stream || gateway_.isBacklogTooLong(service_)) {
+    if (time >= latest || route_->kind != RequestKind::Stream || gateway_.isBacklogTooLong(service_)
+        || gateway_.isRateTooLow(service_, latest - time)) {
         return false;
     }
     isLate_ = true;
@@ -300,7 +309,7 @@
     if (!isLate_ && !exchange_->isStreaming() && queueAsLate(now())) {
         return;
     }
-    refuse(GatewayRefusal::Overloaded);
+    refuseForLackOfPlace();
 }
 
 void ForwardedRequest::leaveQueue()
@@ -680,7 +689,7 @@
     const auto status = statusOf(refusal);
     if (status == statusUnavailable) {
         const auto wait = refusal == GatewayRefusal::Quarantined ? gateway_.crashes_.quarantineOf(traits_).left
-                                                                 : gateway_.drawRetryAfter(refusal);
+                                                                 : gateway_.drawRetryAfter(refusal, service_);
         headers.emplace_back("Retry-After", formatSeconds(wait));
     }
     headers.emplace_back("Content-Type", "text/plain");
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -60,6 +60,8 @@
     void dispatch(bool mayQueue);
     void refuseAsQuarantined();
     void hold();
+    /** No server can take it in time, because they are busy or because of the limits that they name. */
+    void refuseForLackOfPlace();
     std::optional<ServerId> chooseServer();
     void send(const ServerId &server);
     HttpHeaders requestHeaders(const ServerId &server) const;
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
@@ -6,9 +6,10 @@
 
 std::string_view toString(GatewayRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 13> names = {
-        "not_ready",   "no_route",  "unknown_key",     "bad_request",   "no_server", "group_broken",     "overloaded",
-        "quarantined", "suspected", "retries_used_up", "server_failed", "timed_out", "timed_out_waiting"};
+    static constexpr std::array<std::string_view, 14> names = {
+        "not_ready",       "no_route",      "unknown_key",  "bad_request",      "no_server",
+        "group_broken",    "overloaded",    "rate_limited", "quarantined",      "suspected",
+        "retries_used_up", "server_failed", "timed_out",    "timed_out_waiting"};
     return names[static_cast<std::size_t>(refusal)];
 }
 
@@ -29,6 +30,7 @@
     case GatewayRefusal::NoServer:
     case GatewayRefusal::GroupBroken:
     case GatewayRefusal::Overloaded:
+    case GatewayRefusal::RateLimited:
     case GatewayRefusal::Quarantined:
     case GatewayRefusal::Suspected:
     case GatewayRefusal::RetriesUsedUp:
@@ -48,6 +50,8 @@
     case BackendBook::NoChoice::GroupForming:
     case BackendBook::NoChoice::AllFull:
         return GatewayRefusal::Overloaded;
+    case BackendBook::NoChoice::RateLimited:
+        return GatewayRefusal::RateLimited;
     case BackendBook::NoChoice::AllExcluded:
         return GatewayRefusal::RetriesUsedUp;
     }
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -335,5 +335,19 @@
     EXPECT_FALSE(lapses.usableUntil(start + milliseconds(5700)));
 }
 
+// Guards against work for a server beyond the limit that it has named while others take it, and against calling a
+// service full whose servers only take so many requests a second.
+TEST_F(BackendBookTest, LeavesOutServersWhoseLimitIsUsedUp)
+{
+    std::set<ServerId> limited = {ServerId("a")};
+    BackendBook book({.isRateLimited = [&limited](const Backend &one) { return limited.contains(one.spec.id); }});
+    book.update(server("a"), start);
+    book.update(server("b"), start);
+    EXPECT_EQ(book.choose({.service = pool, .dataCentre = here}, start, random_), ServerId("b"));
+    limited.insert(ServerId("b"));
+    EXPECT_FALSE(book.choose({.service = pool, .dataCentre = here}, start, random_));
+    EXPECT_EQ(book.lastFailure(), BackendBook::NoChoice::RateLimited);
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/gateway/CrashMessageTest.cpp
+++ b/tests/gateway/CrashMessageTest.cpp
@@ -54,8 +54,8 @@
     EXPECT_TRUE(isRow(row));
     EXPECT_FALSE(isRow(""));
     EXPECT_FALSE(isRow(encodeCrashes({knownCrash()}, messageTime)));
-    EXPECT_FALSE(isRow(encodeLoadMessage({.sender = "e"})));
-    EXPECT_FALSE(decodeLoadMessage(row));
+    EXPECT_FALSE(isRow(encodeLoadMessage({.sender = "e"}, TimePoint())));
+    EXPECT_FALSE(decodeLoadMessage(row, TimePoint()));
     RandomSource random(3);
     for (std::size_t length = 0; length < row.size(); ++length) {
         EXPECT_FALSE(isRow(row.substr(0, length)));
--- a/tests/gateway/PeerExchangeTest.cpp
+++ b/tests/gateway/PeerExchangeTest.cpp
@@ -35,7 +35,7 @@
     for (int peer = 0; peer < peers; ++peer) {
         sockets.push_back(
             std::make_unique<DatagramSocket>(loop, [&, peer](std::string_view bytes, const std::string &) {
-                const auto message = decodeLoadMessage(bytes);
+                const auto message = decodeLoadMessage(bytes, loop.now());
                 ASSERT_TRUE(message);
                 sequences.insert(message->sequence);
                 told.insert(peer);
--- a/tests/gateway/PeerLoadsTest.cpp
+++ b/tests/gateway/PeerLoadsTest.cpp
@@ -25,7 +25,14 @@
     sent.isMapHolder = true;
     sent.tableVersions = {4, 1ULL << 40};
     sent.bounds = {{ServiceHash(8), 750}};
-    const auto received = decodeLoadMessage(encodeLoadMessage(sent));
+    sent.rateLimits = {{.server = 9, .perSecond = 2.5, .shownAt = start - milliseconds(300), .sent = 7},
+                       {.server = 10, .perSecond = 0, .shownAt = start, .sent = 0},
+                       {.server = 11, .perSecond = std::nullopt, .shownAt = start, .sent = 1}};
+    sent.demands = {{ServiceHash(8), 1500}};
+    // The clocks of two hosts differ; what passes is the age.
+    const auto offset = std::chrono::hours(5);
+    const auto later = start + offset;
+    const auto received = decodeLoadMessage(encodeLoadMessage(sent, start), later);
     ASSERT_TRUE(received);
     EXPECT_EQ(received->sender, "entry");
     EXPECT_EQ(received->sequence, 3U);
@@ -34,6 +41,12 @@
     EXPECT_EQ(received->tableVersions, sent.tableVersions);
     EXPECT_EQ(received->inFlight, sent.inFlight);
     EXPECT_EQ(received->bounds, sent.bounds);
+    EXPECT_EQ(received->demands, sent.demands);
+    ASSERT_EQ(received->rateLimits.size(), sent.rateLimits.size());
+    for (std::size_t i = 0; i < sent.rateLimits.size(); ++i) {
+        sent.rateLimits[i].shownAt += offset;
+        EXPECT_EQ(received->rateLimits[i], sent.rateLimits[i]) << i;
+    }
 }
 
 // Guards against datagrams of strangers that crash a process or change what it knows.
@@ -42,15 +55,18 @@
     constexpr std::uint64_t seed = 4711;
     constexpr int inputs = 20000;
     RandomSource random(seed);
-    const auto good = encodeLoadMessage(message("entry", 3, 5));
-    EXPECT_FALSE(decodeLoadMessage(""));
-    EXPECT_FALSE(decodeLoadMessage("hello"));
+    auto full = message("entry", 3, 5);
+    full.rateLimits = {{.server = 9, .perSecond = 2.5, .shownAt = start, .sent = 7}};
+    full.demands = {{ServiceHash(8), 1500}};
+    const auto good = encodeLoadMessage(full, start);
+    EXPECT_FALSE(decodeLoadMessage("", start));
+    EXPECT_FALSE(decodeLoadMessage("hello", start));
     for (int i = 0; i < inputs; ++i) {
         auto bytes = good;
         for (std::uint64_t n = 1 + random.below(4); n > 0; --n) {
             bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
         }
-        decodeLoadMessage(bytes.substr(0, random.below(bytes.size() + 1)));
+        decodeLoadMessage(bytes.substr(0, random.below(bytes.size() + 1)), start);
     }
 }
 
--- a/tests/gateway/ServerLimitTest.cpp
+++ b/tests/gateway/ServerLimitTest.cpp
@@ -96,5 +96,52 @@
     EXPECT_GE(callers.served(), callers.sent() * 0.98);
 }
 
+// Guards against limits of all servers that are kept by refusing what they would have taken.
+TEST(ServerLimitTest, UsesTheLimitsOfAllServers)
+{
+    constexpr double limit = 5;
+    constexpr std::size_t servers = 3;
+    constexpr seconds length{5};
+    GatewayWorld world({.entries = 3, .servers = servers});
+    world.runFor(milliseconds(200));
+    Callers callers(world, 3);
+    for (std::size_t server = 0; server < servers; ++server) {
+        world.setLimit(server, limit);
+    }
+    callers.run(milliseconds(600));
+    const auto learned = world.loop().now();
+    callers.run(length);
+    std::size_t taken = 0;
+    for (std::size_t server = 0; server < servers; ++server) {
+        EXPECT_LE(busiestWindow(world.arrivals(server), learned), mostInWindow(limit));
+        taken += arrivedSince(world.arrivals(server), learned);
+    }
+    EXPECT_GE(static_cast<double>(taken), 0.8 * limit * servers * std::chrono::duration<double>(length).count());
+}
+
+// Guards against a limit that only the entry knows to which the server has answered: an entry that never got an answer
+// of the server, and one that has forgotten it by a restart, send it no more than the others leave.
+TEST(ServerLimitTest, TellsOtherEntriesOfALimit)
+{
+    GatewayWorld world({.entries = 2, .servers = 2});
+    world.runFor(milliseconds(200));
+    Callers callers(world, 2);
+    world.setLimit(0, 0);
+    while (world.arrivals(0).empty()) {
+        callers.run(milliseconds(1));
+    }
+    world.runFor(milliseconds(200));
+    const auto told = world.loop().now();
+    callers.run(milliseconds(500));
+    EXPECT_LE(arrivedSince(world.arrivals(0), told), 1U);
+    for (const std::size_t entry : {0, 1}) {
+        world.restartEntry(entry);
+        world.runFor(milliseconds(400));
+    }
+    const auto restarted = world.loop().now();
+    callers.run(milliseconds(500));
+    EXPECT_LE(arrivedSince(world.arrivals(0), restarted), 1U);
+}
+
 } // namespace
 } // namespace hornbeamlane
