Keep within the limit on requests that an engine names to its agent

Cause: the same as at the gateway, found by looking for it elsewhere: an agent reads status and content type of an answer only. Change: EngineRateLimit in the agent's admission keeps the limit that answers name, that of the status included. The agent is the only way to its engine, so its bucket is the whole limit, and one that has started learns the limit from the status before it starts any work. What cannot be in time is refused at once with the time to come back; the load report names what the engine then runs at a time, so that entries choose others. The bucket with its bounds (RateBucket) is that of the gateway's SharedRate. engine_limit is logged at each change. Evidence: PathTest.KeepsALimitThatAnEngineNames and KeepsALimitThatAServiceNames fail without the check in mayStartOne() and pass with it; AdmissionControllerTest.KeepsTheRateThatTheEngineNames.

--- a/modules/hornbeamlane_admission/controller/AdmissionController.cpp
+++ b/modules/hornbeamlane_admission/controller/AdmissionController.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamlane_admission/controller/AdmissionController.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hornbeamlane {
 
@@ -27,6 +28,7 @@
     , coldStart_(options_.coldStart)
     , adaptive_(options_.adaptive)
     , engine_(options_.engine, now)
+    , rate_(options_.engineRate)
     , queue_(options_.queue)
     , teams_(std::move(server), agent, options_.teams)
 {
@@ -69,8 +71,8 @@
     const auto found = classes_.find(request.requestClass);
     const auto targets = found == classes_.end() ? ClassEntry() : found->second;
     const auto firstTokenDeadline = now + std::min<Duration>(targets.firstTokenTarget, request.remainingDeadline);
-    const bool startsNow = queue_.size() == 0 && mayStartOne();
-    const auto wait = startsNow ? Duration::zero() : predictedWait(queue_.ahead(request.team, request.priority));
+    const bool startsNow = queue_.size() == 0 && mayStartOne(now);
+    const auto wait = startsNow ? Duration::zero() : predictedWait(queue_.ahead(request.team, request.priority), now);
     // An idle engine gets one request in any case: without it a bad estimate would never be corrected.
     const bool isProbe = startsNow && coldStart_.running() == 0;
     const bool isLate = !isProbe && queue_.isLate(now + wait + predictedFirstToken(), firstTokenDeadline);
@@ -113,15 +115,17 @@
     return std::min(coldStart_.limit(), adaptive_.limit());
 }
 
-bool AdmissionController::mayStartOne() const
+bool AdmissionController::mayStartOne(TimePoint now)
 {
-    return coldStart_.mayStart(engine_.leftovers()) && coldStart_.running() + engine_.leftovers() < adaptive_.limit();
+    return coldStart_.mayStart(engine_.leftovers()) && coldStart_.running() + engine_.leftovers() < adaptive_.limit()
+        && rate_.mayStart(now);
 }
 
 void AdmissionController::start(const AttemptId &attempt, Entry &entry, TimePoint now)
 {
     entry.isRunning = true;
     entry.number = coldStart_.started();
+    rate_.onStarted();
     entry.startedAt = now;
     deadlines_.emplace(entry.deadline, attempt);
 }
@@ -131,13 +135,25 @@
     return firstTokenTime_.hasSamples() ? firstTokenTime_.high() : Duration::zero();
 }
 
-Duration AdmissionController::predictedWait(std::size_t ahead) const
+Duration AdmissionController::predictedWait(std::size_t ahead, TimePoint now)
 {
+    const auto forRate = rate_.timeUntil(ahead + 1, now);
     if (!holdTime_.hasSamples()) {
-        return Duration::zero();
+        return forRate;
     }
     // Slots become free at this interval when all are in use.
-    return holdTime_.mean() * (ahead + 1) / std::max(limit(), 1U);
+    return std::max<Duration>(holdTime_.mean() * (ahead + 1) / std::max(limit(), 1U), forRate);
+}
+
+std::uint32_t AdmissionController::reportedLimit() const
+{
+    const auto rate = rate_.perSecond();
+    if (!rate || !holdTime_.hasSamples()) {
+        return limit();
+    }
+    // Entries fill servers up to what they may run at once; at its limit on requests a second an engine runs so many.
+    const auto running = std::ceil(*rate * std::chrono::duration<double>(holdTime_.mean()).count());
+    return static_cast<std::uint32_t>(std::clamp<double>(running, 1, std::max(limit(), 1U)));
 }
 
 void AdmissionController::started(const AttemptId &attempt, TimePoint now)
@@ -233,6 +249,11 @@
     }
 }
 
+bool AdmissionController::engineAnswered(std::optional<double> requestsPerSecond, TimePoint sentAt, TimePoint now)
+{
+    return rate_.onAnswer(requestsPerSecond, sentAt, now);
+}
+
 void AdmissionController::noteLeftovers()
 {
     teams_.setLeftovers(engine_.leftovers());
@@ -273,7 +294,7 @@
     for (const auto &item : queue_.dropLate(now, predictedFirstToken())) {
         refuseQueued(item, RefusalReason::DeadlineTooShort, "the first token would be late", now);
     }
-    while (queue_.size() > 0 && mayStartOne()) {
+    while (queue_.size() > 0 && mayStartOne(now)) {
         const auto item = queue_.pop();
         if (!teams_.mayStart(item->team, now)) {
             refuseQueued(*item, RefusalReason::TeamLimitReached, "the team's share of this server has shrunk", now);
@@ -310,6 +331,9 @@
     if (const auto earliest = queue_.earliestDeadline()) {
         consider(*earliest - predictedFirstToken());
     }
+    if (queue_.size() > 0) {
+        consider(rate_.nextStart());
+    }
     if (!deadlines_.empty()) {
         consider(deadlines_.begin()->first);
     }
@@ -319,7 +343,7 @@
 LoadReport AdmissionController::loadReport(TimePoint now)
 {
     LoadReport report{.inFlight = coldStart_.running() + engine_.leftovers(),
-                      .limit = limit(),
+                      .limit = reportedLimit(),
                       .queued = static_cast<std::uint32_t>(queue_.size()),
                       .warmFraction = coldStart_.warmFraction(),
                       .engineIncarnation = engine_.engine(),
--- a/modules/hornbeamlane_admission/controller/AdmissionController.h
+++ b/modules/hornbeamlane_admission/controller/AdmissionController.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_admission/concurrency/AdaptiveConcurrency.h"
 #include "hornbeamlane_admission/concurrency/ColdStartLimiter.h"
+#include "hornbeamlane_admission/concurrency/EngineRateLimit.h"
 #include "hornbeamlane_admission/concurrency/EngineWatch.h"
 #include "hornbeamlane_admission/controller/LatencyEstimate.h"
 #include "hornbeamlane_admission/queue/FairQueue.h"
@@ -33,6 +34,7 @@
         ColdStartLimiter::Options coldStart;
         AdaptiveConcurrency::Options adaptive;
         EngineWatch::Options engine;
+        RateBucket::Options engineRate;
         FairQueue::Options queue;
         TeamLimits::Options teams;
         /** Bounds the size of a load report; the rest follows with the next one. */
@@ -102,6 +104,9 @@
     void engineReported(const EngineReport &report, TimePoint now);
     /** A connection outside of any request, such as a health check, was refused or reset. */
     void connectionFailed(TimePoint now);
+    /** An answer of the engine, to a request of that time, names how many requests a second it takes, or nothing.
+        Returns true if that is a change. */
+    bool engineAnswered(std::optional<double> requestsPerSecond, TimePoint sentAt, TimePoint now);
 
     void setDraining(bool isDraining);
     /** Refuses new work from now on, for good. */
@@ -133,8 +138,15 @@
         return coldStart_.running();
     }
 
+    /** Requests that the engine may run at once. */
     std::uint32_t limit() const;
 
+    /** Requests a second that the engine takes; empty if it names no limit. */
+    std::optional<double> engineRate() const
+    {
+        return rate_.perSecond();
+    }
+
 private:
     struct Entry
     {
@@ -152,10 +164,11 @@
         TimePoint lastTokenAt;
     };
 
-    bool mayStartOne() const;
+    bool mayStartOne(TimePoint now);
     void start(const AttemptId &attempt, Entry &entry, TimePoint now);
     Duration predictedFirstToken() const;
-    Duration predictedWait(std::size_t ahead) const;
+    Duration predictedWait(std::size_t ahead, TimePoint now);
+    std::uint32_t reportedLimit() const;
     void refuseQueued(const FairQueue::Item &item, RefusalReason reason, const char *detail, TimePoint now);
     void noteFirstToken(Entry &entry, TimePoint now);
     void startQueued(TimePoint now);
@@ -166,6 +179,7 @@
     ColdStartLimiter coldStart_;
     AdaptiveConcurrency adaptive_;
     EngineWatch engine_;
+    EngineRateLimit rate_;
     FairQueue queue_;
     TeamLimits teams_;
     std::map<ClassId, ClassEntry> classes_;
--- a/modules/hornbeamlane_agent/Agent.cpp
+++ b/modules/hornbeamlane_agent/Agent.cpp
@@ -21,6 +21,14 @@
 /** Longest status of an engine. */
 constexpr std::size_t maxStatusBytes = 1024 * 1024;
 
+/** Header of an engine's answer: requests a second that it takes, a decimal number. */
+constexpr std::string_view rateLimitHeader = "X-Rate-Limit";
+
+std::string formatRate(std::optional<double> perSecond)
+{
+    return perSecond ? std::to_string(*perSecond) : "-";
+}
+
 } // namespace
 
 Agent::Agent(EventLoop &loop, RandomSource &random, AgentSettings settings)
@@ -216,6 +224,7 @@
     admission_.started(id, loop_.now());
     EngineAttempt::Callbacks callbacks;
     callbacks.message = [this, session = work.session](const Message &message) { sendTo(session, message); };
+    callbacks.head = [this, sentAt = loop_.now()](const HttpResponse &head) { readRateLimit(head, sentAt); };
     callbacks.firstByte = [this, id] { admission_.firstToken(id, loop_.now()); };
     callbacks.tokens = [this, id](std::uint32_t count) { admission_.tokens(id, count, loop_.now()); };
     callbacks.finished = [this, id](const EngineAttempt::Result &result) { handleFinished(id, result); };
@@ -394,6 +403,7 @@
         return;
     }
     isPollingEngine_ = true;
+    engineAskedAt_ = loop_.now();
     sendHttpRequest(loop_,
                     {.address = settings_.engineAddress,
                      .target = "/status",
@@ -412,6 +422,7 @@
         setEngineDown(end == HttpCallEnd::ConnectFailed);
         return;
     }
+    readRateLimit(response, engineAskedAt_);
     // A plain service need not offer a status; that it answers at all is then all there is to know.
     EngineReport report{.engine = Incarnation(1), .running = 0};
     const auto status = nlohmann::json::parse(response.body, nullptr, false);
@@ -424,6 +435,21 @@
     setEngineDown(false);
 }
 
+void Agent::readRateLimit(const HttpResponse &answer, TimePoint sentAt)
+{
+    const auto *named = findHeader(answer.headers, rateLimitHeader);
+    const auto perSecond = named == nullptr ? std::nullopt : parseRate(*named);
+    if (named != nullptr && !perSecond) {
+        logEvent(LogLevel::Warning, "engine_limit_malformed", {{"value", named->substr(0, 32)}});
+        return;
+    }
+    const auto before = admission_.engineRate();
+    if (admission_.engineAnswered(perSecond, sentAt, loop_.now())) {
+        logEvent(LogLevel::Warning, "engine_limit", {{"per_s", formatRate(perSecond)}, {"before", formatRate(before)}});
+        armAdmissionTimer();
+    }
+}
+
 void Agent::setEngineDown(bool isDown)
 {
     if (isDown != isEngineDown_) {
--- a/modules/hornbeamlane_agent/Agent.h
+++ b/modules/hornbeamlane_agent/Agent.h
@@ -69,6 +69,8 @@
     void pollEngine();
     void setEngineDown(bool isDown);
     void handleEngineStatus(HttpCallEnd end, const HttpResponse &response);
+    /** Reads the limit on requests that an answer of the engine names, to a request that was sent at that time. */
+    void readRateLimit(const HttpResponse &answer, TimePoint sentAt);
     void applyCatalogue(CatalogueVersion version, const Catalogue &catalogue);
     void fetchMissingVersions();
     void housekeep();
@@ -101,6 +103,7 @@
     /** Losses of the engine, counted by attempts that it broke off. */
     std::uint64_t engineLosses_ = 0;
     bool isPollingEngine_ = false;
+    TimePoint engineAskedAt_;
     bool isEngineDown_ = false;
     bool isFetchingVersions_ = false;
     bool isLeaving_ = false;
--- a/modules/hornbeamlane_agent/EngineAttempt.cpp
+++ b/modules/hornbeamlane_agent/EngineAttempt.cpp
@@ -68,6 +68,7 @@
 {
     result_.status = head.status;
     result_.contentType = head.contentType;
+    callbacks_.head(head);
     if (!isDetached_) {
         callbacks_.message(ResponseHead{.attempt = dispatch_.attempt,
                                         .sequence = sequence_++,
--- a/modules/hornbeamlane_agent/EngineAttempt.h
+++ b/modules/hornbeamlane_agent/EngineAttempt.h
@@ -43,6 +43,7 @@
     struct Callbacks
     {
         std::function<void(const Message &)> message;
+        std::function<void(const HttpResponse &head)> head;
         std::function<void()> firstByte;
         std::function<void(std::uint32_t tokens)> tokens;
         std::function<void(const Result &)> finished;
--- a/modules/hornbeamlane_base/hornbeamlane_base.h
+++ b/modules/hornbeamlane_base/hornbeamlane_base.h
@@ -12,5 +12,6 @@
 #include "hornbeamlane_base/identity/AttemptId.h"
 #include "hornbeamlane_base/identity/Identifiers.h"
 #include "hornbeamlane_base/random/RandomSource.h"
+#include "hornbeamlane_base/rate/RateBucket.h"
 #include "hornbeamlane_base/rate/TokenBucket.h"
 #include "hornbeamlane_base/time/Time.h"
--- a/modules/hornbeamlane_dispatch/ratelimits/SharedRate.cpp
+++ b/modules/hornbeamlane_dispatch/ratelimits/SharedRate.cpp
@@ -11,15 +11,13 @@
 }
 
 SharedRate::SharedRate(Options options)
-    : options_(options)
+    : bucket_(options)
 {
 }
 
 bool SharedRate::mayTake(const Share &share, TimePoint now, RandomSource &random)
 {
-    const auto rate = std::clamp(perSecond_, options_.lowestPerSecond, options_.highestPerSecond) * share.heard;
-    const auto capacity = 1 + rate * std::chrono::duration<double>(options_.burst).count();
-    bucket_.advance(now, rate, capacity);
+    bucket_.advance(now, share.heard);
     if (now - drawnAt_ >= share.delay) {
         drawnAt_ = now;
         drawAllowance(bucket_.level() * share.ofDemand, random);
--- a/modules/hornbeamlane_dispatch/ratelimits/SharedRate.h
+++ b/modules/hornbeamlane_dispatch/ratelimits/SharedRate.h
@@ -10,20 +10,12 @@
     Requests that all entries together may send to one server, as one of them sees it.
 
     There is one bucket of tokens. Each entry takes off what it sends, and what it hears that the others have sent;
-   until it hears that, it takes only its part of what is there.
+    until it hears that, it takes only its part of what is there.
 */
 class SharedRate final
 {
 public:
-    struct Options
-    {
-        /** Tokens that are kept while nothing is sent, as the time in which they come, beside one. */
-        std::chrono::milliseconds burst{250};
-        /** Rate of a server that names a lower one; its next answers have to show when it takes more. */
-        double lowestPerSecond = 0.2;
-        /** Higher limits are as good as none. */
-        double highestPerSecond = 1e6;
-    };
+    using Options = RateBucket::Options;
 
     /** What an entry knows of the others at this moment. */
     struct Share
@@ -42,18 +34,7 @@
 
     void setRate(double perSecond)
     {
-        perSecond_ = perSecond;
-    }
-
-    double perSecond() const
-    {
-        return perSecond_;
-    }
-
-    /** Tokens left, below zero if entries have sent at the same time. */
-    double level() const
-    {
-        return bucket_.level();
+        bucket_.setRate(perSecond);
     }
 
     /** Whether this entry may send a request now. Without one in between, the answer changes after the delay only. */
@@ -68,9 +49,7 @@
 private:
     void drawAllowance(double tokens, RandomSource &random);
 
-    Options options_;
-    double perSecond_ = 0;
-    TokenBucket bucket_;
+    RateBucket bucket_;
     /** Requests that this entry may still send until it is drawn anew. */
     std::uint32_t allowance_ = 0;
     TimePoint drawnAt_;
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <cctype>
 #include <charconv>
-#include <cmath>
 #include <cstdio>
 
 namespace hornbeamlane {
@@ -130,16 +129,6 @@
     return milliseconds(value);
 }
 
-std::optional<double> parseRate(std::string_view text)
-{
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
-    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value) || value < 0) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 std::string formatMilliseconds(Duration time)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.h
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.h
@@ -17,9 +17,6 @@
 /** A time in whole milliseconds; empty if the header is missing or no such time. */
 std::optional<std::chrono::milliseconds> parseMilliseconds(const std::string *text);
 
-/** A number of events a second, zero or more; empty if the text is no such decimal number. */
-std::optional<double> parseRate(std::string_view text);
-
 /** Whole milliseconds. */
 std::string formatMilliseconds(Duration time);
 
--- a/modules/hornbeamlane_network/http/HttpMessages.cpp
+++ b/modules/hornbeamlane_network/http/HttpMessages.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 
 namespace hornbeamlane {
 
@@ -78,4 +79,14 @@
     return std::nullopt;
 }
 
+std::optional<double> parseRate(std::string_view text)
+{
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value) || value < 0) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_network/http/HttpMessages.h
+++ b/modules/hornbeamlane_network/http/HttpMessages.h
@@ -49,4 +49,7 @@
 /** Value of a field of a query string, percent-decoded. */
 std::optional<std::string> queryField(std::string_view query, std::string_view name);
 
+/** A number of events a second, zero or more; empty if the text is no such decimal number. */
+std::optional<double> parseRate(std::string_view text);
+
 } // namespace hornbeamlane
--- a/testing/standins/EngineStandIn.cpp
+++ b/testing/standins/EngineStandIn.cpp
@@ -101,6 +101,7 @@
     stream.priority = std::strtoull(priority.c_str(), nullptr, 10);
     cacheEvents_.push_back(hash64(exchange->request().body));
     streams_.push_back(std::move(stream));
+    ++chats_;
     mostAtOnce_ = std::max(mostAtOnce_, streams_.size());
     const bool isCold = steps_ < coldUntilStep_;
     if (isCold && streams_.size() > options_.coldCapacity) {
@@ -151,12 +152,14 @@
             const json message = {{"role", "assistant"}, {"content", stream.text}};
             replyJson(stream.exchange, 200,
                       {{"object", "chat.completion"},
-                       {"choices", json::array({{{"index", 0}, {"message", message}, {"finish_reason", "stop"}}})}});
+                       {"choices", json::array({{{"index", 0}, {"message", message}, {"finish_reason", "stop"}}})}},
+                      rateLimitHeaders(rateLimit_));
         }
         return !isLast;
     }
     if (!stream.exchange->isStreaming()) {
-        stream.exchange->startStream({.status = 200, .contentType = "text/event-stream"});
+        stream.exchange->startStream(
+            {.status = 200, .contentType = "text/event-stream", .headers = rateLimitHeaders(rateLimit_)});
     }
     if (stream.position >= cutPosition && isFlooding_) {
         stream.exchange->sendChunk(std::string(floodBytes, 'x'));
@@ -183,6 +186,7 @@
         {"running", streams_.size()},
         {"mostAtOnce", mostAtOnce_},
         {"falls", falls_},
+        {"chats", chats_},
         {"steps", steps_},
         {"stepMicroseconds", std::chrono::duration_cast<std::chrono::microseconds>(options_.stepTime + stall_).count()},
         {"cacheSequence", cacheEvents_.size()},
@@ -193,10 +197,13 @@
 {
     const bool isFresh = queryField(exchange->request().query, "fresh") == "1";
     if (isFresh || reports_.empty()) {
-        replyJson(exchange, 200, status());
+        replyJson(exchange, 200, status(), rateLimitHeaders(rateLimit_));
         return;
     }
-    exchange->reply({.status = 200, .contentType = "application/json", .body = reports_.front().second});
+    exchange->reply({.status = 200,
+                     .contentType = "application/json",
+                     .headers = rateLimitHeaders(rateLimit_),
+                     .body = reports_.front().second});
 }
 
 void EngineStandIn::handleFaults(const Exchange &exchange)
@@ -208,6 +215,7 @@
     }
     stall_ = std::chrono::milliseconds(faults.value("stallMilliseconds", 0));
     isFlooding_ = faults.value("endlessEvent", false);
+    rateLimit_ = rateLimitOf(faults);
     streamsToCut_ = faults.value("endInsideEvent", streamsToCut_);
     if (faults.value("turnCold", false)) {
         turnCold();
--- a/testing/standins/EngineStandIn.h
+++ b/testing/standins/EngineStandIn.h
@@ -19,7 +19,8 @@
     and starts again with a new incarnation. A prompt that contains "crash-the-engine" does the same at any time.
 
     PUT /faults {"endInsideEvent": N} lets N streams end in an orderly way in the middle of an event;
-    {"endlessEvent": true} lets streams send an event without end.
+    {"endlessEvent": true} lets streams send an event without end; {"rateLimit": r} lets answers name that many requests
+    a second as the limit.
 
     POST /v1/chat/completions; GET /status reports the load as it was reportLag ago, and cache events; POST /orders
     takes fenced orders; GET and PUT /kv/<request> export and import the KV cache of a stream.
@@ -81,6 +82,7 @@
     std::uint64_t steps_ = 0;
     std::uint64_t coldUntilStep_ = 0;
     std::uint64_t falls_ = 0;
+    std::uint64_t chats_ = 0;
     std::uint64_t highestToken_ = 0;
     std::uint64_t mapVersion_ = 0;
     std::size_t mostAtOnce_ = 0;
@@ -89,6 +91,7 @@
     int streamsToCut_ = 0;
     /** Streams send an event without end. */
     bool isFlooding_ = false;
+    std::optional<double> rateLimit_;
 };
 
 } // namespace hornbeamlane::testing
--- a/testing/standins/ServiceStandIn.cpp
+++ b/testing/standins/ServiceStandIn.cpp
@@ -30,11 +30,13 @@
     if (request.path == "/orders" && request.method == "POST") {
         runOrder(exchange);
     } else if (request.path == "/stock") {
-        replyJson(exchange, 200, {{"kettles", 7}});
+        ++lookups_;
+        replyJson(exchange, 200, {{"kettles", 7}}, rateLimitHeaders(rateLimit_));
     } else if (request.path == "/executions") {
         replyJson(exchange, 200, executions_);
     } else if (request.path == "/status") {
-        replyJson(exchange, 200, {{"incarnation", 1}, {"running", 0}, {"orders", orders_}});
+        replyJson(exchange, 200, {{"incarnation", 1}, {"running", 0}, {"orders", orders_}, {"lookups", lookups_}},
+                  rateLimitHeaders(rateLimit_));
     } else if (request.path == "/faults") {
         handleFaults(exchange);
     } else {
@@ -52,7 +54,9 @@
         exchange->abortStream();
         return;
     }
-    runLater(loop_, timers_, delay_, [exchange, number] { replyJson(exchange, 201, {{"order", number}}); });
+    runLater(loop_, timers_, delay_, [this, exchange, number] {
+        replyJson(exchange, 201, {{"order", number}}, rateLimitHeaders(rateLimit_));
+    });
 }
 
 void ServiceStandIn::handleFaults(const Exchange &exchange)
@@ -63,6 +67,7 @@
         return;
     }
     delay_ = std::chrono::milliseconds(faults.value("delayMilliseconds", 0));
+    rateLimit_ = rateLimitOf(faults);
     answersToDrop_ = faults.value("dropAnswers", 0U);
     replyText(exchange, 200, "ok");
 }
--- a/testing/standins/ServiceStandIn.h
+++ b/testing/standins/ServiceStandIn.h
@@ -11,7 +11,8 @@
     Small stand-in for an order service. It counts the executions of each order by the caller's key.
 
     POST /orders runs an order, GET /stock is repeatable, GET /executions shows the counts. PUT /faults:
-    {"delayMilliseconds": n, "dropAnswers": n}; with dropAnswers, the next n orders run and get no answer.
+    {"delayMilliseconds": n, "dropAnswers": n, "rateLimit": r}; with dropAnswers, the next n orders run and get no
+    answer; with rateLimit, answers name that many requests a second as the limit.
 */
 class ServiceStandIn final
 {
@@ -33,8 +34,10 @@
     std::map<std::string, std::uint64_t> executions_;
     std::vector<std::unique_ptr<Timer>> timers_;
     std::uint64_t orders_ = 0;
+    std::uint64_t lookups_ = 0;
     std::uint64_t answersToDrop_ = 0;
     Duration delay_{0};
+    std::optional<double> rateLimit_;
 };
 
 } // namespace hornbeamlane::testing
--- a/testing/standins/StandInSupport.cpp
+++ b/testing/standins/StandInSupport.cpp
@@ -11,9 +11,20 @@
     exchange->reply({.status = status, .contentType = "text/plain", .body = text});
 }
 
-void replyJson(const std::shared_ptr<HttpExchange> &exchange, int status, const nlohmann::json &json)
+void replyJson(const std::shared_ptr<HttpExchange> &exchange, int status, const nlohmann::json &json,
+               const HttpHeaders &headers)
 {
-    exchange->reply({.status = status, .contentType = "application/json", .body = json.dump()});
+    exchange->reply({.status = status, .contentType = "application/json", .headers = headers, .body = json.dump()});
+}
+
+HttpHeaders rateLimitHeaders(std::optional<double> perSecond)
+{
+    return perSecond ? HttpHeaders{{"X-Rate-Limit", std::to_string(*perSecond)}} : HttpHeaders();
+}
+
+std::optional<double> rateLimitOf(const nlohmann::json &faults)
+{
+    return faults.contains("rateLimit") ? std::optional(faults["rateLimit"].get<double>()) : std::nullopt;
 }
 
 void runLater(EventLoop &loop, std::vector<std::unique_ptr<Timer>> &timers, Duration delay, std::function<void()> task)
--- a/tests/admission/AdmissionControllerTest.cpp
+++ b/tests/admission/AdmissionControllerTest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+#include <vector>
+
 namespace hornbeamlane {
 namespace {
 
@@ -145,5 +148,41 @@
     EXPECT_EQ(report.engineIncarnation, Incarnation(7));
 }
 
+// Guards against an engine that names how many requests a second it takes and gets more, or that gets none at all;
+// against requests that wait although they cannot be in time; and against a limit that outlives the engine's need.
+TEST_F(AdmissionControllerTest, KeepsTheRateThatTheEngineNames)
+{
+    constexpr double perSecond = 2;
+    constexpr int steps = 100;
+    makeReady();
+    EXPECT_TRUE(controller_.engineAnswered(perSecond, now_, now_));
+    std::size_t started = 0;
+    std::vector<AttemptId> running;
+    for (std::uint64_t i = 1; i <= steps; ++i) {
+        now_ += 100ms;
+        const auto decision = submit(i);
+        if (const auto *refusal = std::get_if<Refusal>(&decision)) {
+            EXPECT_TRUE(refusal->retryAfter);
+        }
+        if (std::holds_alternative<AdmissionController::Admitted>(decision)) {
+            running.push_back(attempt(i));
+        }
+        const auto actions = controller_.takeActions(now_);
+        running.insert(running.end(), actions.start.begin(), actions.start.end());
+        started += running.size();
+        for (const auto &id : std::exchange(running, {})) {
+            controller_.finished(id, AdmissionController::Outcome::Succeeded, now_ + 10ms);
+        }
+    }
+    EXPECT_GE(started, static_cast<std::size_t>(perSecond * steps / 10 * 0.9));
+    EXPECT_LE(started, static_cast<std::size_t>(perSecond * steps / 10 + 2));
+    EXPECT_EQ(controller_.loadReport(now_).limit, 1U);
+    // An answer that was on its way when the limit was named does not lift it.
+    EXPECT_FALSE(controller_.engineAnswered(std::nullopt, start + 1s, now_));
+    EXPECT_TRUE(controller_.engineAnswered(std::nullopt, now_, now_));
+    EXPECT_EQ(controller_.loadReport(now_).limit, controller_.limit());
+    EXPECT_GT(controller_.limit(), 1U);
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/path/PathTest.cpp
+++ b/tests/path/PathTest.cpp
@@ -8,6 +8,7 @@
 
 using namespace std::chrono_literals;
 using nlohmann::json;
+using std::chrono::seconds;
 using testing::LocalPath;
 
 class PathTest : public ::testing::Test
@@ -46,6 +47,21 @@
         EXPECT_EQ(path_.callAt(address, "PUT", "/faults", {}, faults.dump()).response.status, 200);
     }
 
+    /** A count that a stand-in's status tells. */
+    std::uint64_t countAt(const std::string &address, const std::string &name)
+    {
+        const auto answer = path_.callAt(address, "GET", "/status?fresh=1", {}, "");
+        return json::parse(answer.response.body).value(name, std::uint64_t{0});
+    }
+
+    /** Sends one request after the other for that time. */
+    void keepCalling(const std::string &method, const std::string &target, const std::string &body, Duration time)
+    {
+        for (const auto end = path_.loop().now() + time; path_.loop().now() < end;) {
+            path_.call(method, target, LocalPath::teamHeaders(), body);
+        }
+    }
+
     LocalPath path_{{.engine = {.coldSteps = 20, .stepTime = 1ms}}};
 };
 
@@ -253,5 +269,41 @@
     EXPECT_EQ(send("a sound message", requests), "served");
 }
 
+// Guards against an engine that names how many requests a second it takes, and gets more from its agent.
+TEST_F(PathTest, KeepsALimitThatAnEngineNames)
+{
+    constexpr double limit = 10;
+    constexpr double tolerance = 1.5;
+    constexpr double slack = 5;
+    constexpr seconds time = 2s;
+    const auto chat = LocalPath::chatBody(1, true);
+    setFaults(path_.engineAddress(), {{"rateLimit", limit}});
+    path_.runUntil([] { return false; }, 100ms);
+    const auto before = countAt(path_.engineAddress(), "chats");
+    keepCalling("POST", "/v1/chat/completions", chat, time);
+    const auto limited = static_cast<double>(countAt(path_.engineAddress(), "chats") - before);
+    EXPECT_LE(limited, limit * tolerance * time.count() + slack);
+    EXPECT_GE(limited, limit * time.count() * 0.8);
+    setFaults(path_.engineAddress(), json::object());
+    path_.runUntil([] { return false; }, 100ms);
+    const auto lifted = countAt(path_.engineAddress(), "chats");
+    keepCalling("POST", "/v1/chat/completions", chat, 1s);
+    EXPECT_GE(static_cast<double>(countAt(path_.engineAddress(), "chats") - lifted), limit * 3);
+}
+
+// Guards against the same at a plain service, whose answers come in one piece.
+TEST_F(PathTest, KeepsALimitThatAServiceNames)
+{
+    constexpr double limit = 10;
+    constexpr seconds time = 2s;
+    setFaults(path_.serviceAddress(), {{"rateLimit", limit}});
+    path_.runUntil([] { return false; }, 100ms);
+    const auto before = countAt(path_.serviceAddress(), "lookups");
+    keepCalling("GET", "/services/orders/stock", "", time);
+    const auto limited = static_cast<double>(countAt(path_.serviceAddress(), "lookups") - before);
+    EXPECT_LE(limited, limit * 1.5 * time.count() + 5);
+    EXPECT_GE(limited, limit * time.count() * 0.8);
+}
+
 } // namespace
 } // namespace hornbeamlane
