Keep the waiting requests of a gateway in a class of their own

Change: ServiceQueues has them: the queues with their timers, the pace, the retry budgets, the times to come back. No decision changes.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -25,37 +25,9 @@
 /** Time before the end of the grace period at which what still runs is cut off in an orderly way. */
 constexpr milliseconds shutdownMargin{400};
 
-/** Times after which a refused caller should come back, drawn between two bounds so that callers return spread out. */
-struct RetryAfterRange
-{
-    milliseconds from;
-    milliseconds to;
-};
-
-constexpr RetryAfterRange afterOverload{.from = milliseconds(300), .to = milliseconds(1200)};
-
-/** A lost rank is seldom back within two seconds; callers wait a third of their time at most, here 2.7 s. */
-constexpr RetryAfterRange afterBrokenGroup{.from = milliseconds(2300), .to = milliseconds(2660)};
-
-constexpr milliseconds longestRetryAfter{3000};
-
-/** Requests that the limits of servers let through while one waits, for each one up to it, so that waiting makes sense.
- */
-constexpr double fairChance = 0.5;
-
-/** Part of the bound that late requests may fill: entries do not see each other's queues, but they see the load. */
-constexpr double lateShareOfLimit = 0.9;
-
-/** Requests that wait are started within this time at the present rate; further ones are refused. */
-constexpr milliseconds longestBacklog{1000};
-constexpr double minBacklog = 4;
-
 /** Callers' patience differs by some 15 %; one with less time than this share of the longest has come back. */
 constexpr double comeBackShare = 0.8;
 
-/** Entries assumed until the others have been heard. */
-constexpr std::uint32_t assumedEntries = 16;
-
 } // namespace
 
 Gateway::Gateway(EventLoop &loop, RandomSource &random, GatewaySettings settings, GatewayHooks hooks)
@@ -76,7 +48,7 @@
                       }
                       return load;
                   },
-              .bounds = [this] { return ownBounds(); },
+              .bounds = [this] { return queues_.bounds(); },
               .isMapHolder = std::move(hooks.isMapHolder),
               .tableVersions = std::move(hooks.tableVersions),
               .peerVersions = std::move(hooks.peerVersions),
@@ -85,7 +57,7 @@
               .peerCrashDigest = [this](const std::string &address,
                                         std::uint64_t digest) { crashes_.exchange().onPeerDigest(address, digest); },
               .rateLimits = [this](bool all) { return rateLimits_.reports(all); },
-              .demands = [this] { return ownDemands(); },
+              .demands = [this] { return queues_.demands(); },
               .peerRateLimits = [this](Incarnation sender,
                                        const auto &reports) { rateLimits_.onPeerReports(sender, reports); },
               .otherMessage = [this](std::string_view bytes) { return crashes_.exchange().onMessage(bytes); }})
@@ -102,7 +74,7 @@
            .sendTo = [this](const std::string &address, const std::string &bytes) { peers_.sendTo(address, bytes); },
            .writeRow = std::move(hooks.writeCrashRow)})
     , rateLimits_(loop, random, metrics_, settings_.headers,
-                  {.waiting = [this](const ServiceId &service) { return stateOf(service).queue.size(); },
+                  {.waiting = [this](const ServiceId &service) { return queues_.of(service).queue.size(); },
                    .demandOfPeers =
                        [this](const ServiceId &service) { return peers_.loads().demandFor(hashOfService(service)); },
                    .tellingTime = [this] { return peers_.tellingTime(); },
@@ -113,6 +85,7 @@
                                                / peers_.entryCount(loop_.now()));
                        },
                    .serverOf = [this](ServerStartHash server) { return serverOf(server); }})
+    , queues_(loop, random, settings_, backends_, rateLimits_)
     , callers_(loop,
                {.limits =
                     [this] {
@@ -130,9 +103,7 @@
     , status_(loop, {.limits = [] { return Http1Server::Limits{}; }},
               [this](const std::shared_ptr<Http1Exchange> &exchange) { handleStatusRequest(exchange); })
     , sweepTimer_(loop, [this] { sweep(); })
-    , waitTimer_(loop, [this] { expireWaiting(); })
     , heldTimer_(loop, [this] { crashesChanged(); })
-    , rateTimer_(loop, [this] { checkRateLimited(); })
     , drainTimer_(loop, [this] { checkDrained(); })
 {
 }
@@ -210,29 +181,11 @@
               {"services", std::to_string(table_->catalogue().services.size())}});
 }
 
-Gateway::ServiceState &Gateway::stateOf(const ServiceId &service)
-{
-    const auto found = services_.find(service);
-    if (found != services_.end()) {
-        return found->second;
-    }
-    return services_
-        .emplace(
-            service,
-            ServiceState{.queue = {},
-                         .waiting = {},
-                         .retries = RetryAllowance({.ratio = settings_.retryRatio,
-                                                    .allowance = settings_.retryAllowance,
-                                                    .window = settings_.retryWindow,
-                                                    .entryCount = entryCount_ == 0 ? assumedEntries : entryCount_})})
-        .first->second;
-}
-
 void Gateway::serversChanged()
 {
     for (const auto &[id, backend] : backends_.all()) {
         if (backend.spec.group && backend.spec.group->isOpen) {
-            noteGroupEpoch(backend.spec.service, *backend.spec.group);
+            queues_.noteGroupEpoch(backend.spec.service, *backend.spec.group);
         }
     }
     peerLoadsChanged();
@@ -243,42 +196,7 @@
     for (const auto &[id, backend] : backends_.all()) {
         backends_.setPeersInFlight(id, peers_.loads().sumFor(hashOfServer(id)));
     }
-    serveQueues();
-}
-
-void Gateway::serveQueues()
-{
-    for (auto &[service, state] : services_) {
-        serveQueue(service);
-    }
-}
-
-void Gateway::noteGroupEpoch(const ServiceId &service, const GroupPlace &place)
-{
-    const auto [known, isNew] = groupEpochs_.try_emplace(place.group, place.epoch);
-    if (!isNew && place.epoch <= known->second) {
-        return;
-    }
-    known->second = place.epoch;
-    stateOf(service).governor.restart(isNew ? ConcurrencyGovernor::RestartCause::FirstSight
-                                            : ConcurrencyGovernor::RestartCause::NewEngines);
-}
-
-bool Gateway::isAtLimit(const ServiceId &service, bool isLate)
-{
-    auto &governor = stateOf(service).governor;
-    const auto now = loop_.now();
-    const auto occupancy = backends_.occupancy(service, now);
-    governor.update(occupancy.inFlight, occupancy.places, now);
-    const double share = isLate ? lateShareOfLimit : 1.0;
-    return occupancy.inFlight >= share * governor.limit(occupancy.places);
-}
-
-bool Gateway::isBacklogTooLong(const ServiceId &service)
-{
-    auto &state = stateOf(service);
-    const auto startable = state.starts.perSecond(loop_.now()) * std::chrono::duration<double>(longestBacklog).count();
-    return static_cast<double>(state.queue.size()) >= std::max(startable, minBacklog);
+    queues_.serveAll();
 }
 
 bool Gateway::isShortened(const RouteSpec &route, milliseconds timeLeft)
@@ -288,52 +206,6 @@
     return timeLeft < longest * comeBackShare;
 }
 
-void Gateway::serveQueue(const ServiceId &service)
-{
-    auto &state = stateOf(service);
-    while (const auto ticket = state.queue.front()) {
-        const auto found = state.waiting.find(ticket->number);
-        const auto request = found == state.waiting.end() ? nullptr : found->second.lock();
-        if (request == nullptr) {
-            state.waiting.erase(ticket->number);
-            state.queue.remove(ticket->number);
-            continue;
-        }
-        if (!request->tryLeaveQueue()) {
-            return;
-        }
-    }
-}
-
-void Gateway::armWaitTimer()
-{
-    std::optional<TimePoint> next;
-    for (const auto &[service, state] : services_) {
-        if (const auto expiry = state.queue.nextExpiry(); expiry && (!next || *expiry < *next)) {
-            next = expiry;
-        }
-    }
-    if (next) {
-        waitTimer_.startOnce(std::max(Duration::zero(), *next - loop_.now()));
-    }
-}
-
-void Gateway::expireWaiting()
-{
-    const auto now = loop_.now();
-    for (auto &[service, state] : services_) {
-        for (const auto &ticket : state.queue.takeExpired(now)) {
-            const auto found = state.waiting.find(ticket.number);
-            const auto request = found == state.waiting.end() ? nullptr : found->second.lock();
-            state.waiting.erase(ticket.number);
-            if (request != nullptr) {
-                request->onWaitExpired();
-            }
-        }
-    }
-    armWaitTimer();
-}
-
 std::optional<ServerId> Gateway::serverOf(ServerStartHash start) const
 {
     for (const auto &[id, backend] : backends_.all()) {
@@ -344,30 +216,6 @@
     return std::nullopt;
 }
 
-std::vector<std::pair<ServiceHash, std::uint32_t>> Gateway::ownDemands() const
-{
-    std::vector<std::pair<ServiceHash, std::uint32_t>> demands;
-    if (!rateLimits_.isActive()) {
-        return demands;
-    }
-    for (const auto &[service, state] : services_) {
-        demands.emplace_back(hashOfService(service),
-                             static_cast<std::uint32_t>(rateLimits_.demand(service) * demandScale));
-    }
-    return demands;
-}
-
-std::vector<std::pair<ServiceHash, std::uint32_t>> Gateway::ownBounds() const
-{
-    std::vector<std::pair<ServiceHash, std::uint32_t>> bounds;
-    for (const auto &[service, state] : services_) {
-        if (const auto share = state.governor.measuredShare()) {
-            bounds.emplace_back(hashOfService(service), static_cast<std::uint32_t>(*share * boundScale));
-        }
-    }
-    return bounds;
-}
-
 void Gateway::sweep()
 {
     const auto now = loop_.now();
@@ -379,32 +227,12 @@
     crashes_.sweep();
     rateLimits_.sweep();
     setEntryCount(peers_.entryCount(now));
-    for (auto &[service, state] : services_) {
-        state.governor.onPeerShare(peers_.loads().boundFor(hashOfService(service)));
-    }
+    queues_.notePeerBounds(peers_.loads());
     if (now - stateLoggedAt_ >= stateLogInterval) {
         stateLoggedAt_ = now;
-        logServiceStates();
-    }
-    serveQueues();
-}
-
-void Gateway::logServiceStates()
-{
-    const auto now = loop_.now();
-    for (const auto &[service, state] : services_) {
-        const auto occupancy = backends_.occupancy(service, now);
-        logEvent(
-            LogLevel::Info, "service_state",
-            {{"service", service.name()},
-             {"places", std::to_string(occupancy.places)},
-             {"in_flight", std::to_string(occupancy.inFlight)},
-             {"limit", std::to_string(state.governor.limit(occupancy.places))},
-             {"pause_percent", std::to_string(static_cast<int>(state.governor.lastPressure() * 100))},
-             {"first_event_ms",
-              std::to_string(std::chrono::duration_cast<milliseconds>(state.governor.firstEventLatency()).count())},
-             {"waiting", std::to_string(state.queue.size())}});
+        queues_.logStates();
     }
+    queues_.serveAll();
 }
 
 void Gateway::setEntryCount(std::uint32_t count)
@@ -416,9 +244,7 @@
     }
     entryCount_ = safeCount;
     backends_.setEntryCount(safeCount);
-    for (auto &[service, state] : services_) {
-        state.retries.setEntryCount(safeCount);
-    }
+    queues_.setEntryCount(safeCount);
     logEvent(LogLevel::Info, "entry_count", {{"entries", std::to_string(safeCount)}});
 }
 
@@ -452,50 +278,6 @@
     }
 }
 
-Duration Gateway::drawRetryAfter(GatewayRefusal refusal, const ServiceId &service)
-{
-    const auto &range = refusal == GatewayRefusal::GroupBroken ? afterBrokenGroup : afterOverload;
-    const auto drawn =
-        range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
-    const auto rate = refusal == GatewayRefusal::RateLimited ? ownRate(service) : std::nullopt;
-    if (!rate || *rate <= 0) {
-        return drawn;
-    }
-    // Those that wait already take the next turns.
-    const std::chrono::duration<double> backlog(static_cast<double>(stateOf(service).queue.size()) / *rate);
-    return std::min<Duration>(drawn + std::chrono::duration_cast<milliseconds>(backlog), longestRetryAfter);
-}
-
-std::optional<double> Gateway::ownRate(const ServiceId &service) const
-{
-    return rateLimits_.isActive() ? rateLimits_.ownRate(service, backends_.usable(service, loop_.now())) : std::nullopt;
-}
-
-bool Gateway::isRateTooLow(const ServiceId &service, Duration wait)
-{
-    const auto rate = ownRate(service);
-    const auto position = static_cast<double>(stateOf(service).queue.size() + 1);
-    return rate && *rate * std::chrono::duration<double>(wait).count() < position * fairChance;
-}
-
-void Gateway::watchRateLimits()
-{
-    if (rateLimits_.isActive() && !std::exchange(isWatchingRateLimits_, true)) {
-        rateTimer_.startOnce(rateLimits_.checkInterval());
-    }
-}
-
-void Gateway::checkRateLimited()
-{
-    isWatchingRateLimits_ = false;
-    serveQueues();
-    const bool isAnyWaiting = std::any_of(services_.begin(), services_.end(),
-                                          [](const auto &entry) { return entry.second.queue.size() > 0; });
-    if (isAnyWaiting) {
-        watchRateLimits();
-    }
-}
-
 std::vector<CrashCandidate> Gateway::unansweredAt(const ServerId &server) const
 {
     std::vector<CrashCandidate> candidates;
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -5,6 +5,7 @@
 #include "hornbeamlane_membership/table/TableClient.h"
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -12,6 +13,9 @@
 
 namespace hornbeamlane {
 
+/** Entries assumed to share bounds until the others have been heard. */
+constexpr std::uint32_t assumedEntries = 16;
+
 /** Names of the headers that a gateway reads and writes. */
 struct GatewayHeaders
 {
--- /dev/null
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -0,0 +1,269 @@
+#include "hornbeamlane_gateway/queue/ServiceQueues.h"
+
+#include "hornbeamlane_gateway/request/ForwardedRequest.h"
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
+
+#include <algorithm>
+
+namespace hornbeamlane {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Times after which a refused caller should come back, drawn between two bounds so that callers return spread out. */
+struct RetryAfterRange
+{
+    milliseconds from;
+    milliseconds to;
+};
+
+constexpr RetryAfterRange afterOverload{.from = milliseconds(300), .to = milliseconds(1200)};
+
+/** A lost rank is seldom back within two seconds; callers wait a third of their time at most, here 2.7 s. */
+constexpr RetryAfterRange afterBrokenGroup{.from = milliseconds(2300), .to = milliseconds(2660)};
+
+constexpr milliseconds longestRetryAfter{3000};
+
+/** Requests that the limits of servers let through while one waits, for each one up to it, so that waiting makes sense.
+ */
+constexpr double fairChance = 0.5;
+
+/** Part of the bound that late requests may fill: entries do not see each other's queues, but they see the load. */
+constexpr double lateShareOfLimit = 0.9;
+
+/** Requests that wait are started within this time at the present rate; further ones are refused. */
+constexpr milliseconds longestBacklog{1000};
+constexpr double minBacklog = 4;
+
+} // namespace
+
+ServiceQueues::ServiceQueues(EventLoop &loop, RandomSource &random, const GatewaySettings &settings,
+                             const BackendBook &backends, const RateLimitGuard &rateLimits)
+    : loop_(loop)
+    , random_(random)
+    , settings_(settings)
+    , backends_(backends)
+    , rateLimits_(rateLimits)
+    , waitTimer_(loop, [this] { expireWaiting(); })
+    , rateTimer_(loop, [this] { checkRateLimited(); })
+{
+}
+
+ServiceQueues::State &ServiceQueues::of(const ServiceId &service)
+{
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        return found->second;
+    }
+    return services_
+        .emplace(service,
+                 State{.queue = {},
+                       .waiting = {},
+                       .retries = RetryAllowance({.ratio = settings_.retryRatio,
+                                                  .allowance = settings_.retryAllowance,
+                                                  .window = settings_.retryWindow,
+                                                  .entryCount = entryCount_})})
+        .first->second;
+}
+
+TicketNumber ServiceQueues::join(const ServiceId &service, std::uint32_t rank, TimePoint latestStart,
+                                 std::weak_ptr<ForwardedRequest> request)
+{
+    auto &state = of(service);
+    const auto ticket = state.queue.add(rank, latestStart);
+    state.waiting.emplace(ticket, std::move(request));
+    armWaitTimer();
+    watchRateLimits();
+    return ticket;
+}
+
+void ServiceQueues::leave(const ServiceId &service, TicketNumber ticket)
+{
+    auto &state = of(service);
+    state.queue.remove(ticket);
+    state.waiting.erase(ticket);
+}
+
+void ServiceQueues::serve(const ServiceId &service)
+{
+    auto &state = of(service);
+    while (const auto ticket = state.queue.front()) {
+        const auto found = state.waiting.find(ticket->number);
+        const auto request = found == state.waiting.end() ? nullptr : found->second.lock();
+        if (request == nullptr) {
+            leave(service, ticket->number);
+            continue;
+        }
+        if (!request->tryLeaveQueue()) {
+            return;
+        }
+    }
+}
+
+void ServiceQueues::serveAll()
+{
+    for (const auto &[service, state] : services_) {
+        serve(service);
+    }
+}
+
+void ServiceQueues::armWaitTimer()
+{
+    std::optional<TimePoint> next;
+    for (const auto &[service, state] : services_) {
+        if (const auto expiry = state.queue.nextExpiry(); expiry && (!next || *expiry < *next)) {
+            next = expiry;
+        }
+    }
+    if (next) {
+        waitTimer_.startOnce(std::max(Duration::zero(), *next - loop_.now()));
+    }
+}
+
+void ServiceQueues::expireWaiting()
+{
+    const auto now = loop_.now();
+    for (auto &[service, state] : services_) {
+        for (const auto &ticket : state.queue.takeExpired(now)) {
+            const auto found = state.waiting.find(ticket.number);
+            const auto request = found == state.waiting.end() ? nullptr : found->second.lock();
+            state.waiting.erase(ticket.number);
+            if (request != nullptr) {
+                request->onWaitExpired();
+            }
+        }
+    }
+    armWaitTimer();
+}
+
+bool ServiceQueues::isAtLimit(const ServiceId &service, bool isLate)
+{
+    auto &governor = of(service).governor;
+    const auto now = loop_.now();
+    const auto occupancy = backends_.occupancy(service, now);
+    governor.update(occupancy.inFlight, occupancy.places, now);
+    const double share = isLate ? lateShareOfLimit : 1.0;
+    return occupancy.inFlight >= share * governor.limit(occupancy.places);
+}
+
+bool ServiceQueues::isBacklogTooLong(const ServiceId &service)
+{
+    auto &state = of(service);
+    const auto startable = state.starts.perSecond(loop_.now()) * std::chrono::duration<double>(longestBacklog).count();
+    return static_cast<double>(state.queue.size()) >= std::max(startable, minBacklog);
+}
+
+std::optional<double> ServiceQueues::ownRate(const ServiceId &service) const
+{
+    return rateLimits_.isActive() ? rateLimits_.ownRate(service, backends_.usable(service, loop_.now())) : std::nullopt;
+}
+
+bool ServiceQueues::isRateTooLow(const ServiceId &service, Duration wait)
+{
+    const auto rate = ownRate(service);
+    const auto position = static_cast<double>(of(service).queue.size() + 1);
+    return rate && *rate * std::chrono::duration<double>(wait).count() < position * fairChance;
+}
+
+Duration ServiceQueues::drawRetryAfter(GatewayRefusal refusal, const ServiceId &service)
+{
+    const auto &range = refusal == GatewayRefusal::GroupBroken ? afterBrokenGroup : afterOverload;
+    const auto drawn =
+        range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
+    const auto rate = refusal == GatewayRefusal::RateLimited ? ownRate(service) : std::nullopt;
+    if (!rate || *rate <= 0) {
+        return drawn;
+    }
+    // Those that wait already take the next turns.
+    const std::chrono::duration<double> backlog(static_cast<double>(of(service).queue.size()) / *rate);
+    return std::min<Duration>(drawn + std::chrono::duration_cast<milliseconds>(backlog), longestRetryAfter);
+}
+
+void ServiceQueues::watchRateLimits()
+{
+    if (rateLimits_.isActive() && !std::exchange(isWatchingRateLimits_, true)) {
+        rateTimer_.startOnce(rateLimits_.checkInterval());
+    }
+}
+
+void ServiceQueues::checkRateLimited()
+{
+    isWatchingRateLimits_ = false;
+    serveAll();
+    const bool isAnyWaiting = std::any_of(services_.begin(), services_.end(),
+                                          [](const auto &entry) { return entry.second.queue.size() > 0; });
+    if (isAnyWaiting) {
+        watchRateLimits();
+    }
+}
+
+void ServiceQueues::noteGroupEpoch(const ServiceId &service, const GroupPlace &place)
+{
+    const auto [known, isNew] = groupEpochs_.try_emplace(place.group, place.epoch);
+    if (!isNew && place.epoch <= known->second) {
+        return;
+    }
+    known->second = place.epoch;
+    of(service).governor.restart(isNew ? ConcurrencyGovernor::RestartCause::FirstSight
+                                       : ConcurrencyGovernor::RestartCause::NewEngines);
+}
+
+void ServiceQueues::setEntryCount(std::uint32_t count)
+{
+    entryCount_ = count;
+    for (auto &[service, state] : services_) {
+        state.retries.setEntryCount(count);
+    }
+}
+
+void ServiceQueues::notePeerBounds(const PeerLoads &loads)
+{
+    for (auto &[service, state] : services_) {
+        state.governor.onPeerShare(loads.boundFor(hashOfService(service)));
+    }
+}
+
+std::vector<std::pair<ServiceHash, std::uint32_t>> ServiceQueues::bounds() const
+{
+    std::vector<std::pair<ServiceHash, std::uint32_t>> bounds;
+    for (const auto &[service, state] : services_) {
+        if (const auto share = state.governor.measuredShare()) {
+            bounds.emplace_back(hashOfService(service), static_cast<std::uint32_t>(*share * boundScale));
+        }
+    }
+    return bounds;
+}
+
+std::vector<std::pair<ServiceHash, std::uint32_t>> ServiceQueues::demands() const
+{
+    std::vector<std::pair<ServiceHash, std::uint32_t>> demands;
+    if (!rateLimits_.isActive()) {
+        return demands;
+    }
+    for (const auto &[service, state] : services_) {
+        demands.emplace_back(hashOfService(service),
+                             static_cast<std::uint32_t>(rateLimits_.demand(service) * demandScale));
+    }
+    return demands;
+}
+
+void ServiceQueues::logStates()
+{
+    const auto now = loop_.now();
+    for (const auto &[service, state] : services_) {
+        const auto occupancy = backends_.occupancy(service, now);
+        logEvent(
+            LogLevel::Info, "service_state",
+            {{"service", service.name()},
+             {"places", std::to_string(occupancy.places)},
+             {"in_flight", std::to_string(occupancy.inFlight)},
+             {"limit", std::to_string(state.governor.limit(occupancy.places))},
+             {"pause_percent", std::to_string(static_cast<int>(state.governor.lastPressure() * 100))},
+             {"first_event_ms",
+              std::to_string(std::chrono::duration_cast<milliseconds>(state.governor.firstEventLatency()).count())},
+             {"waiting", std::to_string(state.queue.size())}});
+    }
+}
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -78,7 +78,7 @@
         }
     });
     timer_.startOnce(deadline_ - arrivedAt_);
-    gateway_.stateOf(service_).retries.countRequest(arrivedAt_);
+    gateway_.queues_.of(service_).retries.countRequest(arrivedAt_);
     gateway_.rateLimits_.onRequest(service_);
     readTraits();
     dispatch(true);
@@ -192,14 +192,14 @@
         refuseAsQuarantined();
         return;
     }
-    auto &state = gateway_.stateOf(service_);
+    auto &state = gateway_.queues_.of(service_);
     const auto time = now();
     // Those that wait already come first, unless they have missed their target and this one has not.
     const auto first = state.queue.front();
     const bool isTrial = gateway_.crashes_.isTrial(number_);
     const bool isBehindOthers = mayQueue && !isTrial && first && first->priority <= queueRank();
     const bool isLimited =
-        mayQueue && !isTrial && route_->kind == RequestKind::Stream && gateway_.isAtLimit(service_, isLate_);
+        mayQueue && !isTrial && route_->kind == RequestKind::Stream && gateway_.queues_.isAtLimit(service_, isLate_);
     const auto server = chooseServer();
     if (!server && !isWorthWaiting(gateway_.backends_.lastFailure())) {
         refuse(refusalFor(gateway_.backends_.lastFailure()));
@@ -214,7 +214,7 @@
         return;
     }
     const auto wait = longestWait(time);
-    if (!isLate_ && wait > Duration::zero() && !gateway_.isRateTooLow(service_, wait)) {
+    if (!isLate_ && wait > Duration::zero() && !gateway_.queues_.isRateTooLow(service_, wait)) {
         joinQueue(time + wait);
         return;
     }
@@ -225,7 +225,7 @@
 
 void ForwardedRequest::refuseForLackOfPlace()
 {
-    refuse(gateway_.ownRate(service_) ? GatewayRefusal::RateLimited : GatewayRefusal::Overloaded);
+    refuse(gateway_.queues_.ownRate(service_) ? GatewayRefusal::RateLimited : GatewayRefusal::Overloaded);
 }
 
 std::optional<ServerId> ForwardedRequest::chooseServer()
@@ -248,18 +248,14 @@
 
 void ForwardedRequest::joinQueue(TimePoint latestStart)
 {
-    auto &state = gateway_.stateOf(service_);
-    ticket_ = state.queue.add(queueRank(), std::min(latestStart, deadline_));
-    state.waiting.emplace(*ticket_, weak_from_this());
-    gateway_.armWaitTimer();
-    gateway_.watchRateLimits();
+    ticket_ = gateway_.queues_.join(service_, queueRank(), std::min(latestStart, deadline_), weak_from_this());
 }
 
 bool ForwardedRequest::queueAsLate(TimePoint time)
 {
     const auto latest = arrivedAt_ + std::min<Duration>(lateWait, (deadline_ - arrivedAt_) / 3);
-    if (time >= latest || route_->kind != RequestKind::Stream || gateway_.isBacklogTooLong(service_)
-        || gateway_.isRateTooLow(service_, latest - time)) {
+    if (time >= latest || route_->kind != RequestKind::Stream || gateway_.queues_.isBacklogTooLong(service_)
+        || gateway_.queues_.isRateTooLow(service_, latest - time)) {
         return false;
     }
     isLate_ = true;
@@ -275,7 +271,7 @@
     // A request that cannot be on time any more leaves its place to one that can.
     const Duration target = route_->latencyTarget;
     const auto atServer =
-        route_->kind == RequestKind::Stream ? gateway_.stateOf(service_).governor.firstEventLatency() : target / 2;
+        route_->kind == RequestKind::Stream ? gateway_.queues_.of(service_).governor.firstEventLatency() : target / 2;
     return std::max<Duration>(target - atServer, target / 8) - (time - arrivedAt_);
 }
 
@@ -291,7 +287,7 @@
         return false;
     }
     if (server && route_->kind == RequestKind::Stream && !exchange_->isStreaming()
-        && gateway_.isAtLimit(service_, isLate_)) {
+        && gateway_.queues_.isAtLimit(service_, isLate_)) {
         return false;
     }
     leaveQueue();
@@ -314,13 +310,9 @@
 
 void ForwardedRequest::leaveQueue()
 {
-    if (!ticket_) {
-        return;
+    if (ticket_) {
+        gateway_.queues_.leave(service_, *std::exchange(ticket_, std::nullopt));
     }
-    auto &state = gateway_.stateOf(service_);
-    state.queue.remove(*ticket_);
-    state.waiting.erase(*ticket_);
-    ticket_.reset();
 }
 
 HttpHeaders ForwardedRequest::requestHeaders(const ServerId &server) const
@@ -354,7 +346,7 @@
     gateway_.crashes_.onSent(number_, server);
     gateway_.backends_.onSent(server);
     gateway_.rateLimits_.onSent(sending.start, sends_ > 1);
-    gateway_.stateOf(service_).starts.count(sending.startedAt);
+    gateway_.queues_.of(service_).starts.count(sending.startedAt);
     gateway_.peers_.markChanged();
     // The request outlives the connection, which it owns; the callbacks end with the connection. A reference held by
     // them would keep both for good when the gateway ends with requests running.
@@ -453,7 +445,7 @@
 void ForwardedRequest::notePace()
 {
     const auto time = now();
-    auto &governor = gateway_.stateOf(service_).governor;
+    auto &governor = gateway_.queues_.of(service_).governor;
     if (send_->lastEventAt == TimePoint{}) {
         governor.onFirstEvent(time - send_->startedAt);
         gateway_.crashes_.onAnswerBegun(number_, traits_);
@@ -638,7 +630,7 @@
 {
     const bool mayRunAgain = runs_ == 0 || (mayRepeat() && runs_ < route_->maxAttempts);
     const bool isWorthwhile = !hasCallerLeft_ && now() < deadline_ && sends_ < maxSends;
-    if (mayRunAgain && isWorthwhile && gateway_.stateOf(service_).retries.takeRetry(now())) {
+    if (mayRunAgain && isWorthwhile && gateway_.queues_.of(service_).retries.takeRetry(now())) {
         dispatch(false);
         return;
     }
@@ -662,7 +654,7 @@
     gateway_.peers_.markChanged();
     gateway_.pool_.release(sending.start.server, sending.start.address, std::move(sending.connection));
     // On the next turn, so that a chain of ends does not nest.
-    gateway_.loop_.post([&gateway = gateway_, service = service_] { gateway.serveQueue(service); });
+    gateway_.loop_.post([&gateway = gateway_, service = service_] { gateway.queues_.serve(service); });
 }
 
 void ForwardedRequest::refuse(GatewayRefusal refusal)
@@ -689,7 +681,7 @@
     const auto status = statusOf(refusal);
     if (status == statusUnavailable) {
         const auto wait = refusal == GatewayRefusal::Quarantined ? gateway_.crashes_.quarantineOf(traits_).left
-                                                                 : gateway_.drawRetryAfter(refusal, service_);
+                                                                 : gateway_.queues_.drawRetryAfter(refusal, service_);
         headers.emplace_back("Retry-After", formatSeconds(wait));
     }
     headers.emplace_back("Content-Type", "text/plain");
