Keep a server's limit while nothing is sent to it

Cause: a limit that no answer has confirmed for a minute was forgotten at all entries at once. After a minute without requests for the service, each entry would have sent its first ones as if there were no limit. Found by reading. Change: it is kept for ten minutes, since the next answer lifts it anyway; what other entries have sent is forgotten once they have been silent for so long that it no longer counts.

--- a/modules/hornbeamlane_dispatch/ratelimits/ServerRateLimits.cpp
+++ b/modules/hornbeamlane_dispatch/ratelimits/ServerRateLimits.cpp
@@ -138,7 +138,7 @@
     std::erase_if(records_, [this, now](const auto &entry) { return now - entry.second.shownAt > options_.memory; });
     for (auto &[server, record] : records_) {
         std::erase_if(record.senders,
-                      [this, now](const auto &entry) { return now - entry.second.heardAt > options_.memory; });
+                      [this, now](const auto &entry) { return now - entry.second.heardAt > options_.silence; });
     }
 }
 
--- a/modules/hornbeamlane_dispatch/ratelimits/ServerRateLimits.h
+++ b/modules/hornbeamlane_dispatch/ratelimits/ServerRateLimits.h
@@ -35,8 +35,8 @@
     struct Options
     {
         SharedRate::Options rate;
-        /** A limit that no answer has confirmed for this time is forgotten. */
-        std::chrono::seconds memory{60};
+        /** A limit that no answer has confirmed for this time is forgotten: the server may be gone. */
+        std::chrono::seconds memory{600};
         /** Servers remembered at most; the next answer of a further one is looked at anew. */
         std::size_t maxServers = 4096;
         /** What an entry has sent while it was not heard for this time is not counted when it is heard again. */
