Count only entries that may be running for the time until all have heard

Cause: the time after which all entries have heard of a sending was worked out from all addresses ever seen, so that replaced hosts would have made it grow for good, and with it the time between two looks at waiting requests. Found by reading. Change: entries heard within the last minute count, as for all other shares.

--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -70,7 +70,8 @@
 
 std::chrono::milliseconds PeerExchange::tellingTime() const
 {
-    const auto rounds = (peers_.size() + options_.fanOut - 1) / options_.fanOut;
+    const auto peers = entryCount(loop_.now()) - 1;
+    const auto rounds = (peers + options_.fanOut - 1) / options_.fanOut;
     return options_.interval * std::max<std::size_t>(rounds, 1);
 }
 
