Keep what answers tell of groups in a class of its own

Cause: BackendBook chooses servers and also weighs what rejections and events tell of groups before the entries of their ranks do. Change: GroupWatch has the latter. No decision changes. Result: tests of dispatch (51) and of the gateway (85) pass.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -23,6 +23,7 @@
 
 BackendBook::BackendBook(Options options)
     : options_(std::move(options))
+    , groups_(options_.groups)
 {
 }
 
@@ -81,17 +82,7 @@
 
 bool BackendBook::isGroupOpen(const Backend &backend, TimePoint now) const
 {
-    const auto &place = backend.spec.group;
-    if (!place) {
-        return true;
-    }
-    const auto found = stalledGroups_.find(place->group);
-    const bool isStalled =
-        found != stalledGroups_.end() && place->epoch <= found->second.epoch && now < found->second.until;
-    const auto evidence = stallEvidence_.find(place->group);
-    const bool isSuspected = evidence != stallEvidence_.end() && place->epoch <= evidence->second.epoch
-        && now < evidence->second.closedUntil;
-    return place->isOpen && !isStalled && !isSuspected;
+    return !backend.spec.group || groups_.isOpen(*backend.spec.group, now);
 }
 
 bool BackendBook::isFull(const Backend &backend) const
@@ -279,44 +270,23 @@
 
 void BackendBook::onRankLost(const ServerId &reporter, std::uint64_t epoch, TimePoint now)
 {
-    const auto found = backends_.find(reporter);
-    if (found == backends_.end() || !found->second.spec.group) {
-        return;
-    }
-    // A rejection may arrive after the group has formed again; the epoch tells which of the two it speaks of.
-    auto &stalled = stalledGroups_[found->second.spec.group->group];
-    if (epoch >= stalled.epoch) {
-        stalled = {.epoch = epoch, .until = now + options_.stalledGroupTime};
+    if (const auto *backend = find(reporter); backend != nullptr && backend->spec.group) {
+        groups_.onRankLost(backend->spec.group->group, epoch, now);
     }
 }
 
 void BackendBook::onRankTurnedAway(const ServerId &rank, std::uint64_t epoch, TimePoint now)
 {
-    const auto found = backends_.find(rank);
-    if (found == backends_.end() || !found->second.spec.group || found->second.inFlight() >= found->second.spec.slots) {
-        return;
-    }
-    auto &evidence = stallEvidence_[found->second.spec.group->group];
-    if (epoch < evidence.epoch) {
-        return;
-    }
-    if (epoch > evidence.epoch || now - evidence.lastAt > options_.stallEvidenceTime) {
-        evidence = {.epoch = epoch, .ranks = {}, .lastAt = {}, .closedUntil = {}};
-    }
-    evidence.ranks.insert(rank);
-    evidence.lastAt = now;
-    if (evidence.ranks.size() >= options_.ranksOfStall) {
-        evidence.closedUntil = now + options_.stallTime;
+    const auto *backend = find(rank);
+    if (backend != nullptr && backend->spec.group && backend->inFlight() < backend->spec.slots) {
+        groups_.onRankTurnedAway(backend->spec.group->group, rank, epoch, now);
     }
 }
 
 void BackendBook::onProgress(const ServerId &server)
 {
-    if (stallEvidence_.empty()) {
-        return;
-    }
-    if (const auto found = backends_.find(server); found != backends_.end() && found->second.spec.group) {
-        stallEvidence_.erase(found->second.spec.group->group);
+    if (const auto *backend = find(server); backend != nullptr && backend->spec.group) {
+        groups_.onProgress(*backend->spec.group);
     }
 }
 
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamlane_dispatch/catalogue/DispatchCatalogue.h"
+#include "hornbeamlane_dispatch/servers/GroupWatch.h"
 
 #include <cstdint>
 #include <functional>
@@ -12,19 +13,6 @@
 
 namespace hornbeamlane {
 
-/** Place of a server in a group whose ranks run a model together. */
-struct GroupPlace
-{
-    GroupId group;
-    std::uint64_t epoch = 0;
-    std::uint32_t rank = 0;
-    std::uint32_t size = 1;
-    /** A group with a lost rank serves nothing. */
-    bool isOpen = false;
-
-    bool operator==(const GroupPlace &) const = default;
-};
-
 /** What a backend server says of itself. */
 struct BackendSpec
 {
@@ -98,15 +86,7 @@
         double failurePenalty = 3.0;
         /** Load over slots that a server in another data centre costs. */
         double distancePenalty = 0.02;
-        /** Longest time for which a group stays closed after a rank's rejection; the group's entries follow by then. */
-        std::chrono::milliseconds stalledGroupTime{3000};
-        /** Ranks of a group that turn requests away, without any event of the group in between, before it counts as
-            stalled. */
-        std::size_t ranksOfStall = 2;
-        /** Time within which they do so. */
-        std::chrono::milliseconds stallEvidenceTime{1000};
-        /** Time after the last such rank for which nothing is sent to the group; the next request tries it again. */
-        std::chrono::milliseconds stallTime{400};
+        GroupWatch::Options groups;
         /** Time for which an entry may use its turn at a cold server; turns kept for longer could all be used at once.
          */
         std::chrono::milliseconds coldTurnTime{150};
@@ -210,22 +190,6 @@
         double requestsPerSecond = 0;
     };
 
-    /** A group that was heard to have lost a rank in an epoch, before its entries say so. */
-    struct StalledGroup
-    {
-        std::uint64_t epoch = 0;
-        TimePoint until;
-    };
-
-    /** Ranks of a group that turned requests away since its last event. */
-    struct StallEvidence
-    {
-        std::uint64_t epoch = 0;
-        std::set<ServerId> ranks;
-        TimePoint lastAt;
-        TimePoint closedUntil;
-    };
-
     bool isUsable(const Backend &backend, TimePoint now) const;
     bool isGroupOpen(const Backend &backend, TimePoint now) const;
     bool isFull(const Backend &backend) const;
@@ -239,8 +203,7 @@
     Options options_;
     std::map<ServerId, Backend> backends_;
     std::map<ServiceId, Warmup> warmups_;
-    std::map<GroupId, StalledGroup> stalledGroups_;
-    std::map<GroupId, StallEvidence> stallEvidence_;
+    GroupWatch groups_;
     std::set<DataCentreId> evacuated_;
     NoChoice lastFailure_ = NoChoice::NoServer;
 };
