Try a group that should have formed while its entries cannot be read

Cause: a group that is broken by its entries was opened by its entries only. The class of fault: a belief that a single source can change, kept while that source is silent. Change: 1.5 s after all ranks are listed again, one request of each entry every 0.5 s tries the group; an event from it opens it, and the bound on concurrency starts low as for any group that has formed. A rank that rejects because another is lost closes it again. group_has_formed is logged. Evidence: entries listed all ranks at 7.5 s, the store was silent from 8.0 to 14.0 s, the next server_entry lines with open groups came at 14.8 s, and all streams between were refused as overloaded. BackendBookTest.TriesAGroupThatShouldHaveFormed fails without the choice of a trial.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -142,7 +142,12 @@
     };
     std::vector<Candidate> candidates;
     std::vector<Candidate> avoided;
-    std::map<GroupId, std::uint32_t> ranksBack;
+    struct Listed
+    {
+        std::uint32_t ranks = 0;
+        std::uint64_t newestEpoch = 0;
+    };
+    std::map<GroupId, Listed> listed;
     bool anyUsable = false;
     bool anyForming = false;
     bool anyOpen = false;
@@ -157,12 +162,18 @@
         // A group that has lost a rank serves nothing before it has formed again, which changes its entry.
         if (!isGroupOpen(backend, now)) {
             const auto &place = *backend.spec.group;
-            anyForming = anyForming || (!place.isOpen && !backend.lapsesAt && ++ranksBack[place.group] == place.size);
+            if (!place.isOpen && !backend.lapsesAt) {
+                auto &group = listed[place.group];
+                group.newestEpoch = std::max(group.newestEpoch, place.epoch);
+                if (++group.ranks == place.size) {
+                    anyForming = true;
+                    groups_.onAllRanksListed(place.group, group.newestEpoch, now);
+                }
+            }
             continue;
         }
         anyOpen = true;
-        if (request.excluded != nullptr
-            && std::find(request.excluded->begin(), request.excluded->end(), id) != request.excluded->end()) {
+        if (isExcluded(request, id)) {
             continue;
         }
         anyNotExcluded = true;
@@ -179,6 +190,11 @@
     if (candidates.empty()) {
         candidates = std::move(avoided);
     }
+    if (candidates.empty() && anyForming) {
+        if (auto trial = chooseTrial(request, now, random)) {
+            return trial;
+        }
+    }
     if (candidates.empty()) {
         if (!anyUsable) {
             lastFailure_ = NoChoice::NoServer;
@@ -199,13 +215,32 @@
     return candidates[random.below(candidates.size())].backend->spec.id;
 }
 
+bool BackendBook::isExcluded(const Request &request, const ServerId &server) const
+{
+    return request.excluded != nullptr
+        && std::find(request.excluded->begin(), request.excluded->end(), server) != request.excluded->end();
+}
+
+std::optional<ServerId> BackendBook::chooseTrial(const Request &request, TimePoint now, RandomSource &random)
+{
+    std::vector<ServerId> ranks;
+    for (auto &[id, backend] : backends_) {
+        const bool isRank = backend.spec.service == request.service && backend.spec.group && isUsable(backend, now);
+        if (isRank && !isExcluded(request, id) && !isColdFull(backend, now, random) && !options_.isRateLimited(backend)
+            && groups_.mayTry(*backend.spec.group, now)) {
+            ranks.push_back(id);
+        }
+    }
+    return ranks.empty() ? std::nullopt : std::optional(ranks[random.below(ranks.size())]);
+}
+
 const Backend *BackendBook::find(const ServerId &server) const
 {
     const auto found = backends_.find(server);
     return found == backends_.end() ? nullptr : &found->second;
 }
 
-void BackendBook::onSent(const ServerId &server)
+void BackendBook::onSent(const ServerId &server, TimePoint now)
 {
     const auto found = backends_.find(server);
     if (found == backends_.end()) {
@@ -213,6 +248,9 @@
     }
     auto &backend = found->second;
     ++backend.ownInFlight;
+    if (backend.spec.group) {
+        groups_.onSent(*backend.spec.group, now);
+    }
     if (backend.coldSlotAt) {
         *backend.coldSlotAt += coldPeriod(backend);
     }
@@ -283,11 +321,10 @@
     }
 }
 
-void BackendBook::onProgress(const ServerId &server)
+bool BackendBook::onProgress(const ServerId &server)
 {
-    if (const auto *backend = find(server); backend != nullptr && backend->spec.group) {
-        groups_.onProgress(*backend->spec.group);
-    }
+    const auto *backend = find(server);
+    return backend != nullptr && backend->spec.group && groups_.onProgress(*backend->spec.group);
 }
 
 bool BackendBook::isInClosedGroup(const ServerId &server, TimePoint now) const
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -142,7 +142,7 @@
     /** Why and on what the last choice was made, for the log. */
     const Backend *find(const ServerId &server) const;
 
-    void onSent(const ServerId &server);
+    void onSent(const ServerId &server, TimePoint now);
     void onEnded(const ServerId &server, BackendOutcome outcome, TimePoint now);
 
     /** The server says that it is cold for this time. */
@@ -155,8 +155,9 @@
         with its whole group says the same as a full one. */
     void onRankTurnedAway(const ServerId &rank, std::uint64_t epoch, TimePoint now);
 
-    /** An event of a stream came from the server, so its group runs. */
-    void onProgress(const ServerId &server);
+    /** An event of a stream came from the server, so its group runs. Returns true if its entries still say that it has
+        lost a rank. */
+    bool onProgress(const ServerId &server);
 
     /** Whether the server is a rank of a group that is known to serve nothing now. */
     bool isInClosedGroup(const ServerId &server, TimePoint now) const;
@@ -193,6 +194,9 @@
     bool isUsable(const Backend &backend, TimePoint now) const;
     bool isGroupOpen(const Backend &backend, TimePoint now) const;
     bool isFull(const Backend &backend) const;
+    bool isExcluded(const Request &request, const ServerId &server) const;
+    /** A rank of a group that should have formed again; empty if there is none to try now. */
+    std::optional<ServerId> chooseTrial(const Request &request, TimePoint now, RandomSource &random);
     /** Time between two requests of this entry to a cold server; zero if its rate is not limited. */
     Duration coldPeriod(const Backend &backend) const;
     bool isColdFull(Backend &backend, TimePoint now, RandomSource &random) const;
--- a/modules/hornbeamlane_dispatch/servers/GroupWatch.cpp
+++ b/modules/hornbeamlane_dispatch/servers/GroupWatch.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamlane_dispatch/servers/GroupWatch.h"
 
+#include <utility>
+
 namespace hornbeamlane {
 
 GroupWatch::GroupWatch(Options options)
@@ -8,17 +10,54 @@
 }
 
 bool GroupWatch::isOpen(const GroupPlace &place, TimePoint now) const
+{
+    const auto *forming = formingOf(place);
+    const bool hasFormed = forming != nullptr && forming->hasFormed;
+    return (place.isOpen || hasFormed) && !isClosedByAnswers(place, now);
+}
+
+bool GroupWatch::isClosedByAnswers(const GroupPlace &place, TimePoint now) const
 {
     const auto lost = lostRanks_.find(place.group);
     const bool hasLostRank = lost != lostRanks_.end() && place.epoch <= lost->second.epoch && now < lost->second.until;
     const auto stall = stalls_.find(place.group);
     const bool isStalled =
         stall != stalls_.end() && place.epoch <= stall->second.epoch && now < stall->second.closedUntil;
-    return place.isOpen && !hasLostRank && !isStalled;
+    return hasLostRank || isStalled;
+}
+
+const GroupWatch::Forming *GroupWatch::formingOf(const GroupPlace &place) const
+{
+    const auto found = forming_.find(place.group);
+    // An entry of a later epoch is newer than what is known here.
+    return found != forming_.end() && place.epoch <= found->second.epoch ? &found->second : nullptr;
+}
+
+void GroupWatch::onAllRanksListed(const GroupId &group, std::uint64_t epoch, TimePoint now)
+{
+    const auto found = forming_.find(group);
+    if (found == forming_.end() || found->second.epoch < epoch) {
+        forming_[group] = {.epoch = epoch, .since = now, .triedAt = {}, .hasFormed = false};
+    }
+}
+
+bool GroupWatch::mayTry(const GroupPlace &place, TimePoint now) const
+{
+    const auto *forming = formingOf(place);
+    return forming != nullptr && now - forming->since >= options_.formingTime
+        && (!forming->triedAt || now - *forming->triedAt >= options_.trialInterval) && !isClosedByAnswers(place, now);
+}
+
+void GroupWatch::onSent(const GroupPlace &place, TimePoint now)
+{
+    if (formingOf(place) != nullptr) {
+        forming_[place.group].triedAt = now;
+    }
 }
 
 void GroupWatch::onRankLost(const GroupId &group, std::uint64_t epoch, TimePoint now)
 {
+    forming_.erase(group);
     // A rejection may arrive after the group has formed again; the epoch tells which of the two it speaks of.
     auto &lost = lostRanks_[group];
     if (epoch >= lost.epoch) {
@@ -42,9 +81,10 @@
     }
 }
 
-void GroupWatch::onProgress(const GroupPlace &place)
+bool GroupWatch::onProgress(const GroupPlace &place)
 {
     stalls_.erase(place.group);
+    return !place.isOpen && formingOf(place) != nullptr && !std::exchange(forming_[place.group].hasFormed, true);
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_dispatch/servers/GroupWatch.h
+++ b/modules/hornbeamlane_dispatch/servers/GroupWatch.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace hornbeamlane {
@@ -36,6 +37,11 @@
         std::chrono::milliseconds evidenceTime{1000};
         /** Time after the last such rank for which nothing is sent to the group; the next request tries it again. */
         std::chrono::milliseconds stallTime{400};
+        /** Time after which a broken group whose ranks are all listed again has formed, so that a request tries it: its
+            entries may not tell while the store is away. */
+        std::chrono::milliseconds formingTime{1500};
+        /** Time between two such requests of this entry. */
+        std::chrono::milliseconds trialInterval{500};
     };
 
     explicit GroupWatch(Options options);
@@ -49,8 +55,18 @@
     /** A rank with free places rejected a request that was sent in this epoch, or could not be reached. */
     void onRankTurnedAway(const GroupId &group, const ServerId &rank, std::uint64_t epoch, TimePoint now);
 
-    /** An event of a stream came from the group, so it runs. */
-    void onProgress(const GroupPlace &place);
+    /** An event of a stream came from the group, so it runs. Returns true if its entries still say that it is broken.
+     */
+    bool onProgress(const GroupPlace &place);
+
+    /** All ranks of a group that is broken by its entries are listed; the newest epoch that they tell. */
+    void onAllRanksListed(const GroupId &group, std::uint64_t epoch, TimePoint now);
+
+    /** Whether a request may try a group that is broken by its entries. */
+    bool mayTry(const GroupPlace &place, TimePoint now) const;
+
+    /** A request was sent to a rank. */
+    void onSent(const GroupPlace &place, TimePoint now);
 
 private:
     /** A group that was heard to have lost a rank in an epoch. */
@@ -69,7 +85,21 @@
         TimePoint closedUntil;
     };
 
+    /** A group that is broken by its entries and whose ranks are all listed. */
+    struct Forming
+    {
+        std::uint64_t epoch = 0;
+        TimePoint since;
+        std::optional<TimePoint> triedAt;
+        /** An event has come from it. */
+        bool hasFormed = false;
+    };
+
+    const Forming *formingOf(const GroupPlace &place) const;
+    bool isClosedByAnswers(const GroupPlace &place, TimePoint now) const;
+
     Options options_;
+    std::map<GroupId, Forming> forming_;
     std::map<GroupId, LostRank> lostRanks_;
     std::map<GroupId, StallEvidence> stalls_;
 };
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -206,6 +206,18 @@
     return timeLeft < longest * comeBackShare;
 }
 
+void Gateway::groupHasFormed(const ServerId &rank)
+{
+    const auto *backend = backends_.find(rank);
+    auto place = *backend->spec.group;
+    logEvent(LogLevel::Info, "group_has_formed",
+             {{"server", rank.name()}, {"group", place.group.name()}, {"entry_epoch", std::to_string(place.epoch)}});
+    // Engines form again in a later epoch, with the uniform map.
+    ++place.epoch;
+    queues_.noteGroupEpoch(backend->spec.service, place);
+    loop_.post([this] { queues_.serveAll(); });
+}
+
 std::optional<ServerId> Gateway::serverOf(ServerStartHash start) const
 {
     for (const auto &[id, backend] : backends_.all()) {
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -75,6 +75,8 @@
     void peerLoadsChanged();
     /** Whether the caller has less time than callers of the route usually have, because it comes back. */
     bool isShortened(const RouteSpec &route, std::chrono::milliseconds timeLeft);
+    /** A group has answered that is broken by the entries of its ranks, of which this is one. */
+    void groupHasFormed(const ServerId &rank);
     std::optional<ServerId> serverOf(ServerStartHash start) const;
     void sweep();
     void setEntryCount(std::uint32_t count);
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -344,7 +344,7 @@
     ++sends_;
     holdsUntil_.reset();
     gateway_.crashes_.onSent(number_, server);
-    gateway_.backends_.onSent(server);
+    gateway_.backends_.onSent(server, sending.startedAt);
     gateway_.rateLimits_.onSent(sending.start, sends_ > 1);
     gateway_.queues_.of(service_).starts.count(sending.startedAt);
     gateway_.peers_.markChanged();
@@ -429,7 +429,9 @@
         exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
     }
     notePace();
-    gateway_.backends_.onProgress(send_->start.server);
+    if (gateway_.backends_.onProgress(send_->start.server)) {
+        gateway_.groupHasFormed(send_->start.server);
+    }
     exchange_->sendPiece(whole);
     if (exchange_->bufferedBytes() > maxBufferedBytes) {
         send_->connection->pauseReading();
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -90,7 +90,7 @@
     for (int ms = 0; ms < 1000; ++ms) {
         const auto now = start + milliseconds(ms);
         if (choose(now)) {
-            book_.onSent(ServerId("a"));
+            book_.onSent(ServerId("a"), now);
             book_.onEnded(ServerId("a"), BackendOutcome::Served, now);
             ++sent;
         }
@@ -126,7 +126,7 @@
                 const auto now = start + milliseconds(ms);
                 const bool asks = isBusy || randoms[i].below(1000) == 0;
                 if (asks && books[i].choose({.service = pool, .dataCentre = here}, now, randoms[i])) {
-                    books[i].onSent(ServerId("a"));
+                    books[i].onSent(ServerId("a"), now);
                     books[i].onEnded(ServerId("a"), BackendOutcome::Served, now);
                     ++sentAt[static_cast<std::size_t>(ms)];
                 }
@@ -247,6 +247,35 @@
     EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupBroken);
 }
 
+// Guards against a group that serves again while its entries, which a silent store cannot tell anew, say that it has
+// lost a rank; against many requests for one that does not serve; and against holding on to it once it is lost again.
+TEST_F(BackendBookTest, TriesAGroupThatShouldHaveFormed)
+{
+    for (const std::uint32_t number : {0U, 1U}) {
+        auto rank = server(number == 0 ? "a" : "b");
+        rank.group = GroupPlace{.group = GroupId("g"), .epoch = 4, .rank = number, .size = 2, .isOpen = false};
+        book_.update(rank, start);
+    }
+    EXPECT_FALSE(choose());
+    EXPECT_FALSE(choose(start + milliseconds(1400)));
+    auto now = start + milliseconds(1600);
+    const auto tried = choose(now);
+    ASSERT_TRUE(tried);
+    book_.onSent(*tried, now);
+    EXPECT_FALSE(choose(now + milliseconds(400)));
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::GroupForming);
+    EXPECT_TRUE(choose(now + milliseconds(600)));
+    EXPECT_TRUE(book_.isInClosedGroup(*tried, now));
+    EXPECT_TRUE(book_.onProgress(*tried));
+    EXPECT_FALSE(book_.onProgress(*tried));
+    EXPECT_TRUE(choose(now));
+    now += seconds(10);
+    book_.onRankLost(*tried, 4, now);
+    EXPECT_FALSE(choose(now));
+    EXPECT_FALSE(choose(now + milliseconds(2900)));
+    EXPECT_TRUE(choose(now + milliseconds(4600)));
+}
+
 // Guards against a late rejection of the last epoch that closes the group which has formed since.
 TEST_F(BackendBookTest, DoesNotHoldALostRankAgainstTheNextEpoch)
 {
@@ -270,12 +299,12 @@
     for (int i = 0; i < 3; ++i) {
         const auto chosen = choose();
         ASSERT_EQ(chosen, ServerId("b"));
-        book_.onSent(*chosen);
+        book_.onSent(*chosen, start);
     }
-    book_.onSent(ServerId("a"));
-    book_.onSent(ServerId("b"));
-    book_.onSent(ServerId("a"));
-    book_.onSent(ServerId("b"));
+    book_.onSent(ServerId("a"), start);
+    book_.onSent(ServerId("b"), start);
+    book_.onSent(ServerId("a"), start);
+    book_.onSent(ServerId("b"), start);
     EXPECT_FALSE(choose());
     EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::AllFull);
 }
@@ -292,7 +321,7 @@
         ASSERT_TRUE(chosen);
         const bool isGrey = *chosen == ServerId("grey");
         toGrey += isGrey ? 1 : 0;
-        book_.onSent(*chosen);
+        book_.onSent(*chosen, now);
         book_.onEnded(*chosen, isGrey ? BackendOutcome::Failed : BackendOutcome::Served, now);
     }
     EXPECT_LT(toGrey, 40);
@@ -304,7 +333,7 @@
 {
     book_.update(server("a"), start);
     book_.update(server("b"), start);
-    book_.onSent(ServerId("a"));
+    book_.onSent(ServerId("a"), start);
     book_.onEnded(ServerId("a"), BackendOutcome::Unreachable, start);
     for (int i = 0; i < 10; ++i) {
         EXPECT_EQ(choose(start + milliseconds(100)), ServerId("b"));
