Count what floods leave at an entry, not what the server's host buffers

The test counted bytes that had left the stand-in server for the system's send buffer, which grows to 4 MiB a connection by itself where the reader is slow: 24 connections then hold up to 96 MiB outside the entry, more than the bound of 80 MiB. It passed on idle hosts only. Ruled out: memory of the entry. Change: the stand-in's send buffer is fixed, so that what an entry has not taken is seen as unsent.

--- a/testing/standins/ScriptedServer.cpp
+++ b/testing/standins/ScriptedServer.cpp
@@ -19,6 +19,18 @@
 
 class ScriptedConnection;
 
+namespace {
+
+/** What a test sends shows in unsentBytes() until its peer takes it: the system enlarges the buffer to several MiB by
+    itself, more on some hosts than on others. */
+void limitSendBuffer(evutil_socket_t socket)
+{
+    constexpr int sendBufferBytes = 64 * 1024;
+    setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &sendBufferBytes, sizeof(sendBufferBytes));
+}
+
+} // namespace
+
 struct ScriptedServer::Implementation
 {
     EventLoop &loop;
@@ -78,6 +90,11 @@
         }
     }
 
+    bool isOpen() const override
+    {
+        return stream_ != nullptr;
+    }
+
     std::size_t unsentBytes() const override
     {
         return stream_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(stream_));
@@ -156,6 +173,7 @@
         [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *context) {
             auto &self = *static_cast<Implementation *>(context);
             ++self.accepted;
+            limitSendBuffer(socket);
             self.connections.push_back(std::make_unique<ScriptedConnection>(
                 self.handler, self.requests, self.closedByPeer,
                 bufferevent_socket_new(self.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE)));
--- a/testing/standins/ScriptedServer.h
+++ b/testing/standins/ScriptedServer.h
@@ -25,7 +25,9 @@
         virtual void close() = 0;
         /** Ends the connection by a reset. */
         virtual void reset() = 0;
-        /** Bytes of send() that the peer has not taken yet. */
+        /** Neither side has ended it. */
+        virtual bool isOpen() const = 0;
+        /** Bytes of send() that have not left the server; the system's buffer holds little beside them. */
         virtual std::size_t unsentBytes() const = 0;
         /** Requests that have arrived on it, each up to the end of its headers. */
         virtual int requests() const = 0;
