--- a/tests/dispatch/RateSharingTest.cpp
+++ b/tests/dispatch/RateSharingTest.cpp
@@ -105,11 +105,12 @@
         std::vector<double> demands;
     };
 
-    struct Letter
+    /** One message of an entry to those others that it reaches. */
+    struct Message
     {
         TimePoint arrivesAt;
         std::uint32_t from = 0;
-        std::uint32_t to = 0;
+        std::vector<std::uint32_t> to;
         std::vector<RateLimitReport> reports;
         double demand = 0;
     };
@@ -183,35 +184,39 @@
             return;
         }
         entry.tellsAt = now_ + scene_.tellingTime;
+        auto &message = messages_.emplace_back(Message{
+            .arrivesAt = now_ + step, .from = index, .reports = entry.limits.reports(), .demand = demandOf(index)});
         for (std::uint32_t other = 0; other < scene_.entries; ++other) {
             if (other != index && mayHear(index, other) && random_.unit() >= scene_.loss) {
-                letters_.push_back({.arrivesAt = now_ + step,
-                                    .from = index,
-                                    .to = other,
-                                    .reports = entry.limits.reports(),
-                                    .demand = demandOf(index)});
+                message.to.push_back(other);
             }
         }
     }
 
     void deliver()
     {
-        while (!letters_.empty() && letters_.front().arrivesAt <= now_) {
-            const auto &letter = letters_.front();
-            auto &entry = entries_[letter.to];
-            entry.demands.resize(scene_.entries);
-            entry.demands[letter.from] = letter.demand;
-            for (const auto &report : letter.reports) {
-                entry.limits.onReport(entries_[letter.from].incarnation, report, now_);
+        while (!messages_.empty() && messages_.front().arrivesAt <= now_) {
+            const auto &message = messages_.front();
+            for (const auto to : message.to) {
+                receive(entries_[to], message);
             }
-            letters_.pop_front();
+            messages_.pop_front();
+        }
+    }
+
+    void receive(Entry &entry, const Message &message) const
+    {
+        entry.demands.resize(scene_.entries);
+        entry.demands[message.from] = message.demand;
+        for (const auto &report : message.reports) {
+            entry.limits.onReport(entries_[message.from].incarnation, report, now_);
         }
     }
 
     Scene scene_;
     RandomSource random_;
     std::vector<Entry> entries_;
-    std::deque<Letter> letters_;
+    std::deque<Message> messages_;
     std::vector<TimePoint> sends_;
     std::size_t wanted_ = 0;
     TimePoint now_;
