Count failed answers that are kept as collected bytes

What callers saw: nothing yet; an entry could run out of memory. While a request runs once more after a server's 5xx, its answer of up to 8 MiB is kept in case no other server does better, and was counted as free: with servers that fail for many requests at a time nothing bounded the sum. Cause: what a request had collected was counted by additions while bytes came and taken off as a whole when a sending ended. By the same cause a long stream counted the incomplete end of each piece for ever, so that answers of others over 256 KiB would have been failed in time. Change: a request tells the gateway how much it holds now, failed answers included, whenever that changes. The gauge collected_bytes shows the sum. Evidence: GatewayTest.BoundsFailedAnswersThatAreKept fails without the change (48 MiB kept, 24 MiB allowed) and passes with it.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -338,6 +338,7 @@
 {
     metrics_.setGauge("requests_running", {}, static_cast<double>(requests_.size()));
     metrics_.setGauge("buffered_bytes", {}, static_cast<double>(bufferedBytes()));
+    metrics_.setGauge("collected_bytes", {}, static_cast<double>(collectedBytes_));
     metrics_.setGauge("connections_opened", {}, static_cast<double>(pool_.counters().opened));
     metrics_.setGauge("connections_reused", {}, static_cast<double>(pool_.counters().reused));
     metrics_.setGauge("crashes_known", {}, static_cast<double>(crashes_.crashCount()));
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -386,19 +386,26 @@
         return;
     }
     send_->body.append(bytes);
-    if (!mayCollect(send_->body.size(), bytes.size())) {
+    if (!mayCollect(send_->body.size())) {
         failAsTooLarge();
     }
 }
 
-bool ForwardedRequest::mayCollect(std::size_t collected, std::size_t added)
+bool ForwardedRequest::mayCollect(std::size_t collected)
 {
-    gateway_.collectedBytes_ += added;
-    countedBytes_ += added;
+    countCollected();
     const bool isShort = gateway_.collectedBytes_ > maxCollectedInSum;
     return collected <= (isShort ? maxCollectedWhenShort : maxCollectedBytes);
 }
 
+void ForwardedRequest::countCollected()
+{
+    const auto ofPresentAnswer = send_ ? send_->body.size() : 0;
+    const auto bytes = failedBody_.size() + ofPresentAnswer + events_.partialEvent().size();
+    gateway_.collectedBytes_ -= std::exchange(countedBytes_, bytes);
+    gateway_.collectedBytes_ += bytes;
+}
+
 void ForwardedRequest::failAsTooLarge()
 {
     logEvent(LogLevel::Warning, "answer_too_large",
@@ -407,17 +414,15 @@
               {"bytes", std::to_string(send_->body.size() + events_.partialEvent().size())},
               {"of_all_requests", std::to_string(gateway_.collectedBytes_)}});
     ++runs_;
-    endSend(BackendOutcome::Failed);
     events_.dropPartialEvent();
+    endSend(BackendOutcome::Failed);
     retryOrRefuse(GatewayRefusal::ServerFailed);
 }
 
 void ForwardedRequest::forwardEvents(std::string_view bytes)
 {
-    const auto before = events_.partialEvent().size();
     const auto whole = events_.push(bytes);
-    const auto partial = events_.partialEvent().size();
-    if (events_.isEventTooLong() || !mayCollect(partial, partial > before ? partial - before : 0)) {
+    if (events_.isEventTooLong() || !mayCollect(events_.partialEvent().size())) {
         failAsTooLarge();
         return;
     }
@@ -489,8 +494,8 @@
         return;
     case Http1CallEnd::BadResponse:
         ++runs_;
-        endSend(BackendOutcome::Failed);
         events_.dropPartialEvent();
+        endSend(BackendOutcome::Failed);
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
     }
@@ -502,8 +507,8 @@
     const auto start = send_->start;
     const auto candidate = unansweredAt(start.server);
     const bool wasStale = send_->wasStale(now());
-    endSend(BackendOutcome::Failed);
     events_.dropPartialEvent();
+    endSend(BackendOutcome::Failed);
     if (!candidate || wasStale) {
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
@@ -651,7 +656,7 @@
     }
     auto sending = std::move(*send_);
     send_.reset();
-    gateway_.collectedBytes_ -= std::exchange(countedBytes_, 0);
+    countCollected();
     gateway_.backends_.onEnded(sending.start.server, outcome, now());
     gateway_.peers_.markChanged();
     gateway_.pool_.release(sending.start.server, sending.start.address, std::move(sending.connection));
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -81,8 +81,10 @@
     Duration longestWait(TimePoint time);
     void notePace();
     void forwardEvents(std::string_view bytes);
-    /** Counts bytes that are collected; false if this request has too many then. */
-    bool mayCollect(std::size_t collected, std::size_t added);
+    /** Whether the present answer may have so many bytes collected. */
+    bool mayCollect(std::size_t collected);
+    /** Tells the gateway how many bytes of answers the request holds now. */
+    void countCollected();
     void failAsTooLarge();
     /** The server has ended the stream; whether it is whole remains to be seen. */
     void endStream();
@@ -127,7 +129,7 @@
     std::optional<Http1ResponseHead> failedHead_;
     std::string failedBody_;
     EventStreamFilter events_;
-    /** Its part of what all requests have collected of answers. */
+    /** Bytes of answers that it holds, as counted in Gateway::collectedBytes_. */
     std::size_t countedBytes_ = 0;
     TimePoint firstByteAt_;
     Duration longestPause_{};
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace hornbeamlane {
 namespace {
 
@@ -485,5 +487,49 @@
     runUntil([&] { return isDown; });
 }
 
+// Guards against memory of failed answers that are kept while their requests run once more: each may have 8 MiB, and
+// servers that fail do so for many requests at a time.
+TEST_F(GatewayTest, BoundsFailedAnswersThatAreKept)
+{
+    constexpr std::size_t requests = 24;
+    constexpr std::size_t failureBytes = 2 * 1024 * 1024;
+    constexpr std::size_t mostBytesKept = 24 * 1024 * 1024;
+    std::set<std::string> failed;
+    std::vector<Connection *> repeats;
+    const auto handler = [&](Connection &connection, const std::string &head, int) {
+        if (failed.insert(headerOf(head, "X-Attempt-Id")).second) {
+            connection.send(answer(head, 500, std::string(failureBytes, 'x')));
+        } else {
+            repeats.push_back(&connection);
+        }
+    };
+    ScriptedServer first(loop_, handler);
+    ScriptedServer second(loop_, handler);
+    ScriptedServer third(loop_, handler);
+    for (const auto &[server, id] : {std::pair(&first, "s1"), {&second, "s2"}, {&third, "s3"}}) {
+        gateway_->backends().update({.id = ServerId(id),
+                                     .service = ServiceId("desk"),
+                                     .address = server->address(),
+                                     .dataCentre = DataCentreId("here"),
+                                     .slots = 64},
+                                    loop_.now());
+    }
+    std::vector<std::shared_ptr<CallerAnswer>> results;
+    while (results.size() < requests) {
+        results.push_back(send("GET", "/look/"));
+        runUntil([&] { return repeats.size() == results.size(); });
+    }
+    for (auto *connection : repeats) {
+        connection->reset();
+    }
+    std::size_t kept = 0;
+    for (const auto &result : results) {
+        runUntil([&] { return result->end.has_value(); });
+        kept += result->head.status == 500 ? result->body.size() : 0;
+    }
+    EXPECT_GT(kept, 0U);
+    EXPECT_LE(kept, mostBytesKept);
+}
+
 } // namespace
 } // namespace hornbeamlane
