Hold crashes of servers against the team and route of requests without prompt parts

Cause: the evidence of crashes knew prompt parts and whole requests only. Lookups and orders carry no parts and no two of them are alike, so each crash was explained by a request that never came again. Change: a request without shared parts has an origin, its team and route. Two crashes with different requests of one origin are held against it, unless three answered requests for each crash outweigh them. It is refused for 5 s, doubled after each further crash up to 20 s, and then runs one request at a time. Entries exchange the answered requests with the evidence. On the product's own path the same holds for chats with a single message. Why it works: requests that crash servers about as often as not cannot be outweighed, and those of sound teams are answered hundreds of times between two crashes they happen to be at.

--- a/modules/hornbeamlane_gateway/crashes/CrashRow.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashRow.cpp
@@ -13,8 +13,10 @@
 std::size_t traitsIn(const ServerCrash &crash)
 {
     constexpr std::size_t ofRecord = 8;
-    constexpr std::size_t ofCandidate = 3;
+    constexpr std::size_t ofCandidate = 4;
+    constexpr std::size_t ofSoundRequest = 2;
     std::size_t sum = ofRecord + crash.cleared.size() + crash.begunBefore.size();
+    sum += ofSoundRequest * crash.soundSince.size();
     for (const auto &candidate : crash.candidates) {
         sum += ofCandidate + candidate.traits.parts.size();
     }
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -92,7 +92,8 @@
                         .method = request.method,
                         .path = request.target,
                         .body = request.body,
-                        .sharedParts = sharedPromptParts(request.headers, gateway_.settings_.headers.promptParts)});
+                        .sharedParts = sharedPromptParts(request.headers, gateway_.settings_.headers.promptParts),
+                        .route = route_->name.name()});
 }
 
 void ForwardedRequest::refuseAsQuarantined()
@@ -109,7 +110,7 @@
     if (!holdsUntil_) {
         holdsUntil_ = std::min(now() + suspectWait, deadline_);
         logEvent(LogLevel::Info, "request_held_as_suspect",
-                 {{"id", attemptId_}, {"parts", formatTraits(traits_.parts)}});
+                 {{"id", attemptId_}, {"parts", formatTraits(traits_.parts)}, {"origin", formatOrigin(traits_)}});
     }
     if (now() >= *holdsUntil_) {
         refuse(GatewayRefusal::Suspected);
@@ -473,7 +474,7 @@
                    .sinceSent = now() - send_->startedAt,
                    .inFlight = backend == nullptr ? std::nullopt : std::optional(backend->inFlight()),
                    .parts = exchange_->request().header(gateway_.settings_.headers.promptParts),
-                   .traits = traits_.parts});
+                   .traits = traits_});
     gateway_.metrics_.addToCounter("sends_failed_total", {{"reason", std::string(toString(end))}});
 }
 
--- a/modules/hornbeamlane_gateway/request/RequestLog.cpp
+++ b/modules/hornbeamlane_gateway/request/RequestLog.cpp
@@ -48,7 +48,8 @@
               {"sent_ms_ago", formatMilliseconds(report.sinceSent)},
               {"in_flight", report.inFlight ? std::to_string(*report.inFlight) : "-"},
               {"parts", report.parts == nullptr ? "-" : report.parts->substr(0, maxLoggedParts)},
-              {"traits", orDash(formatTraits(report.traits))}});
+              {"traits", orDash(formatTraits(report.traits.parts))},
+              {"origin", formatOrigin(report.traits)}});
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/request/RequestLog.h
+++ b/modules/hornbeamlane_gateway/request/RequestLog.h
@@ -42,8 +42,8 @@
     std::optional<std::uint32_t> inFlight;
     /** List of prompt parts as the caller sent it; null if it sent none. */
     const std::string *parts = nullptr;
-    /** The shared ones of these parts as they stand in the lines on crashes. */
-    std::vector<TraitHash> traits;
+    /** What it shares with others, as it stands in the lines on crashes. */
+    RequestTraits traits;
 };
 
 void logFailedSend(const detail::BackendSend &send, const FailedSendReport &report);
--- a/modules/hornbeamlane_messages/codec/FieldCodec.h
+++ b/modules/hornbeamlane_messages/codec/FieldCodec.h
@@ -200,13 +200,15 @@
     v.field("armed", m.armedMap); v.field("armedStep", m.armedStep); v.field("go", m.hasGo);
     v.field("engine", m.engine); v.field("joining", m.isJoining);
 }
-template <class V> void visitFields(V &v, RequestTraits &m) { v.field("w", m.whole); v.field("p", m.parts); }
+template <class V> void visitFields(V &v, RequestTraits &m)
+{ v.field("w", m.whole); v.field("p", m.parts); v.field("o", m.origin); }
+template <class V> void visitFields(V &v, SoundRequest &m) { v.field("o", m.origin); v.field("w", m.whole); }
 template <class V> void visitFields(V &v, CrashCandidate &m) { v.field("t", m.traits); v.field("h", m.hadHead); }
 template <class V> void visitFields(V &v, CrashRecord &m)
 {
     v.field("id", m.id); v.field("age", m.age); v.field("candidates", m.candidates); v.field("cleared", m.cleared);
     v.field("begun", m.begunBefore); v.field("confirmed", m.isConfirmed);
-    v.field("refuted", m.isRefuted);
+    v.field("refuted", m.isRefuted); v.field("sound", m.soundSince);
 }
 template <class V> void visitFields(V &v, CrashUpdate &m) { v.field("crashes", m.crashes); v.field("writtenAt", m.writtenAt); }
 template <class V> void visitFields(V &v, TrialClaim &m) { v.field("t", m.trait); v.field("r", m.isRunning); }
--- a/modules/hornbeamlane_messages/types/CrashMessages.h
+++ b/modules/hornbeamlane_messages/types/CrashMessages.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace hornbeamlane {
@@ -21,6 +22,8 @@
     TraitHash whole;
     /** The parts of its prompt that other requests may share. */
     std::vector<TraitHash> parts;
+    /** Its team and route; only for a request of a known team that shares no parts. */
+    std::optional<TraitHash> origin;
 };
 
 /** A request that was at a server when it crashed and had got nothing of its answer's body. */
@@ -31,6 +34,16 @@
     bool hadHead = false;
 };
 
+/** A request of an origin with which a server has begun an answer. */
+struct SoundRequest
+{
+    TraitHash origin;
+    TraitHash whole;
+
+    bool operator==(const SoundRequest &) const = default;
+    auto operator<=>(const SoundRequest &) const = default;
+};
+
 /** What an entry knows of one crash. */
 struct CrashRecord
 {
@@ -42,6 +55,8 @@
     std::vector<TraitHash> cleared;
     /** Parts of candidates with which servers had begun answers before. */
     std::vector<TraitHash> begunBefore;
+    /** Requests of the candidates' origins that have been answered since. */
+    std::vector<SoundRequest> soundSince;
     /** Another start of the server has been seen; before that it may only be cut off. */
     bool isConfirmed = false;
     /** The same start of the server has answered since, so it had not crashed. */
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -37,7 +37,7 @@
     return std::pair(!a.hadHead, a.traits.whole) < std::pair(!b.hadHead, b.traits.whole);
 }
 
-enum class FactKind : std::uint64_t { Candidate = 1, Head, Part, Cleared, BegunBefore, Confirmed };
+enum class FactKind : std::uint64_t { Candidate = 1, Head, Part, Cleared, BegunBefore, Confirmed, Sound };
 
 std::uint64_t hashOfFact(FactKind kind, CrashId crash, TraitHash trait, TraitHash more = TraitHash())
 {
@@ -63,6 +63,9 @@
     for (const auto trait : crash.begunBefore) {
         sum ^= hashOfFact(FactKind::BegunBefore, crash.id, trait);
     }
+    for (const auto &sound : crash.soundSince) {
+        sum ^= hashOfFact(FactKind::Sound, crash.id, sound.origin, sound.whole);
+    }
     return sum;
 }
 
@@ -138,6 +141,9 @@
     for (const auto trait : crash.begunBefore) {
         isNew = addTo(known.begunBefore, trait) || isNew;
     }
+    for (const auto &sound : crash.soundSince) {
+        isNew = known.addSound(sound) || isNew;
+    }
     isNew = (crash.isConfirmed && !std::exchange(known.isConfirmed, true)) || isNew;
     isNew = (crash.isRefuted && !std::exchange(known.isRefuted, true)) || isNew;
     isNew = markBegunBefore(known) || isNew;
@@ -157,6 +163,9 @@
         for (const auto &candidate : crash.candidates) {
             watched_.insert(candidate.traits.whole);
             watched_.insert(candidate.traits.parts.begin(), candidate.traits.parts.end());
+            if (candidate.traits.origin) {
+                watched_.insert(*candidate.traits.origin);
+            }
         }
     }
 }
@@ -244,8 +253,9 @@
     if (known != candidates.end()) {
         return merge(*known, candidate);
     }
-    const CrashCandidate kept{.traits = {.whole = candidate.traits.whole, .parts = partsToKeep(candidate)},
-                              .hadHead = candidate.hadHead};
+    const CrashCandidate kept{
+        .traits = {.whole = candidate.traits.whole, .parts = partsToKeep(candidate), .origin = candidate.traits.origin},
+        .hadHead = candidate.hadHead};
     if (candidates.size() < options_.maxCandidates) {
         candidates.push_back(kept);
         return true;
@@ -309,10 +319,32 @@
     for (const auto part : traits.parts) {
         rememberBegun(part);
     }
+    if (const auto outweighed = noteSound(traits)) {
+        cleared.push_back(*outweighed);
+    }
     noteChange(!cleared.empty());
     return !cleared.empty();
 }
 
+std::optional<CrashId> CrashEvidence::noteSound(const RequestTraits &traits)
+{
+    if (!traits.origin || !watched_.contains(*traits.origin)) {
+        return std::nullopt;
+    }
+    const auto origin = *traits.origin;
+    ServerCrash *oldest = nullptr;
+    for (auto &crash : crashes_) {
+        const bool isOpen = isOfCandidate(crash, origin) && !crash.isOutweighed(origin);
+        if (isOpen && (oldest == nullptr || std::pair(crash.at, crash.id) < std::pair(oldest->at, oldest->id))) {
+            oldest = &crash;
+        }
+    }
+    if (oldest == nullptr || !oldest->addSound({.origin = origin, .whole = traits.whole})) {
+        return std::nullopt;
+    }
+    return oldest->id;
+}
+
 bool CrashEvidence::hasBegun(TraitHash part) const
 {
     return begun_.contains(part) || begunEarlier_.contains(part);
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.h
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.h
@@ -90,6 +90,8 @@
     std::vector<TraitHash> partsToKeep(const CrashCandidate &candidate) const;
     /** Marks parts with which this entry has seen answers begin. */
     bool markBegunBefore(ServerCrash &crash) const;
+    /** Holds a request that was answered against a crash at which its origin was; empty if there is none. */
+    std::optional<CrashId> noteSound(const RequestTraits &traits);
     bool hasBegun(TraitHash part) const;
     void rememberBegun(TraitHash part);
     void makeRoom();
--- a/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
@@ -1,15 +1,19 @@
 #include "hornbeamlane_routing/crashes/CrashFindings.h"
 
+#include "hornbeamlane_routing/crashes/CrashGroups.h"
+#include "hornbeamlane_routing/crashes/OriginFindings.h"
+
 #include <algorithm>
 #include <map>
 #include <set>
-#include <utility>
 
 namespace hornbeamlane {
 
 namespace {
 
-using Crashes = std::set<const ServerCrash *>;
+using detail::Crashes;
+using detail::groupsOf;
+using detail::lastOf;
 using CrashesByTrait = std::map<TraitHash, Crashes>;
 using Traits = std::set<TraitHash>;
 
@@ -48,46 +52,11 @@
     return unproven.empty() ? traits : unproven;
 }
 
-TimePoint lastOf(const Crashes &crashes)
-{
-    TimePoint last;
-    for (const auto *crash : crashes) {
-        last = std::max(last, crash->at);
-    }
-    return last;
-}
-
-void noteChange(CrashFindings &findings, TimePoint at, TimePoint now)
-{
-    if (at > now && (!findings.changesAt || at < *findings.changesAt)) {
-        findings.changesAt = at;
-    }
-}
-
-/** Crashes in groups of those that are close to the first of their group. */
-std::vector<Crashes> groupsOf(const Crashes &crashes, const CrashRules &rules)
-{
-    std::vector<const ServerCrash *> sorted(crashes.begin(), crashes.end());
-    std::sort(sorted.begin(), sorted.end(), [](const ServerCrash *a, const ServerCrash *b) {
-        return std::pair(a->at, a->id) < std::pair(b->at, b->id);
-    });
-    std::vector<Crashes> groups;
-    TimePoint groupStart;
-    for (const auto *crash : sorted) {
-        if (groups.empty() || crash->at - groupStart > rules.together) {
-            groups.emplace_back();
-            groupStart = crash->at;
-        }
-        groups.back().insert(crash);
-    }
-    return groups;
-}
-
 /** Leaves out the crashes of many servers at the same moment, except those of a trait that was at most of them. */
 Crashes withoutCuts(const Crashes &crashes, const CrashRules &rules)
 {
     Crashes result;
-    for (const auto &group : groupsOf(crashes, rules)) {
+    for (const auto &group : groupsOf(crashes, rules.together)) {
         if (group.size() <= rules.mostTogether) {
             result.insert(group.begin(), group.end());
             continue;
@@ -107,7 +76,7 @@
     if (!hadBegunBefore(trait, crashes)) {
         return crashes.size();
     }
-    return groupsOf(crashes, rules).size();
+    return groupsOf(crashes, rules.together).size();
 }
 
 /** The crashes of the trait that most speaks against; of equals one with which no answer had begun before. */
@@ -152,7 +121,7 @@
     if (now < until) {
         findings.culprits.push_back(
             {.traits = {guilty.begin(), guilty.end()}, .until = until, .crashes = explained.size()});
-        noteChange(findings, until, now);
+        findings.noteChange(until);
     }
     for (const auto *crash : explained) {
         unexplained.erase(crash);
@@ -192,13 +161,13 @@
     if (!explanation.empty() && now < heldUntil) {
         findings.culprits.push_back(
             {.traits = {explanation.begin(), explanation.end()}, .until = heldUntil, .crashes = 1});
-        noteChange(findings, heldUntil, now);
+        findings.noteChange(heldUntil);
         return;
     }
     if (now >= suspectUntil) {
         return;
     }
-    noteChange(findings, suspectUntil, now);
+    findings.noteChange(suspectUntil);
     for (const auto &[trait, crashes] : crashesByTrait({&crash})) {
         findings.suspects.push_back(trait);
     }
@@ -206,6 +175,11 @@
 
 } // namespace
 
+void CrashFindings::noteChange(TimePoint at)
+{
+    changesAt = std::min(changesAt.value_or(at), at);
+}
+
 bool isLikely(const ServerCrash &crash)
 {
     return crash.isConfirmed || crash.hasHead();
@@ -230,6 +204,7 @@
     };
     explain(likely, rules.quarantine);
     explain(doubtful, rules.doubtfulHold);
+    findOrigins(crashes, rules, now, findings);
     // Of a culprit with several traits, a request that has only some of them can tell which one it is.
     for (const auto &culprit : findings.culprits) {
         if (culprit.traits.size() > 1) {
--- a/modules/hornbeamlane_routing/crashes/CrashFindings.h
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.h
@@ -24,6 +24,9 @@
     std::vector<TraitHash> suspects;
     /** When the findings change by themselves; empty if they do not. */
     std::optional<TimePoint> changesAt;
+
+    /** They change at this moment too. */
+    void noteChange(TimePoint at);
 };
 
 /** How long crashes count. */
@@ -45,6 +48,10 @@
     /** Crashes so close to each other count as one against a part with which answers had begun before: they may have a
        cause in common that is no request, and the part had no chance to be cleared in between. */
     std::chrono::milliseconds together{100};
+    /** Time after the second crash for which requests of an origin are refused that was at several; doubles with each
+        further one. */
+    std::chrono::milliseconds firstOriginHold{5000};
+    std::chrono::milliseconds longestOriginHold{20000};
     /** More crashes so close to each other than this count as a cut or a loss of power, unless one trait was at most of
         them. */
     std::size_t mostTogether = 3;
--- /dev/null
+++ b/modules/hornbeamlane_routing/crashes/CrashGroups.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "hornbeamlane_routing/crashes/ServerCrash.h"
+
+#include <set>
+#include <vector>
+
+namespace hornbeamlane::detail {
+
+using Crashes = std::set<const ServerCrash *>;
+
+/** The crashes by time, in groups of those that are within `together` of the first of their group. */
+std::vector<Crashes> groupsOf(const Crashes &crashes, std::chrono::milliseconds together);
+
+TimePoint lastOf(const Crashes &crashes);
+
+} // namespace hornbeamlane::detail
--- /dev/null
+++ b/modules/hornbeamlane_routing/crashes/OriginFindings.cpp
@@ -0,0 +1,116 @@
+#include "hornbeamlane_routing/crashes/OriginFindings.h"
+
+#include "hornbeamlane_routing/crashes/CrashGroups.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace hornbeamlane {
+
+namespace {
+
+using detail::Crashes;
+
+using CrashesByOrigin = std::map<TraitHash, Crashes>;
+
+/** Leaves out those of many servers at the same moment, which are a cut or a loss of power. */
+Crashes withoutCuts(const std::vector<ServerCrash> &crashes, const CrashRules &rules)
+{
+    Crashes all;
+    for (const auto &crash : crashes) {
+        if (!crash.isRefuted) {
+            all.insert(&crash);
+        }
+    }
+    Crashes result;
+    for (const auto &group : detail::groupsOf(all, rules.together)) {
+        if (group.size() <= rules.mostTogether) {
+            result.insert(group.begin(), group.end());
+        }
+    }
+    return result;
+}
+
+/** Requests that may have caused the crash, have an origin and have not been answered since. */
+std::vector<RequestTraits> openRequests(const ServerCrash &crash)
+{
+    std::vector<RequestTraits> requests;
+    for (const auto *candidate : crash.likelyCandidates()) {
+        const auto &traits = candidate->traits;
+        if (traits.origin && !crash.isCleared(traits.whole)) {
+            requests.push_back(traits);
+        }
+    }
+    return requests;
+}
+
+CrashesByOrigin crashesByOrigin(const Crashes &crashes)
+{
+    CrashesByOrigin result;
+    for (const auto *crash : crashes) {
+        for (const auto &request : openRequests(*crash)) {
+            result[*request.origin].insert(crash);
+        }
+    }
+    return result;
+}
+
+/** Different requests of the origin at the crashes. */
+std::size_t countRequests(TraitHash origin, const Crashes &crashes)
+{
+    std::set<TraitHash> requests;
+    for (const auto *crash : crashes) {
+        for (const auto &request : openRequests(*crash)) {
+            if (request.origin == origin) {
+                requests.insert(request.whole);
+            }
+        }
+    }
+    return requests.size();
+}
+
+std::chrono::milliseconds holdAfter(std::size_t crashes, const CrashRules &rules)
+{
+    auto hold = rules.firstOriginHold;
+    for (std::size_t i = rules.crashesToQuarantine; i < crashes && hold < rules.longestOriginHold; ++i) {
+        hold *= 2;
+    }
+    return std::min(hold, rules.longestOriginHold);
+}
+
+void judgeOrigin(TraitHash origin, const Crashes &crashes, const CrashRules &rules, TimePoint now,
+                 CrashFindings &findings)
+{
+    Crashes open;
+    std::copy_if(crashes.begin(), crashes.end(), std::inserter(open, open.end()),
+                 [origin](const ServerCrash *crash) { return !crash->isOutweighed(origin); });
+    const auto openGroups = detail::groupsOf(open, rules.together).size();
+    // A single request that comes again is refused as a whole.
+    if (std::min(openGroups, countRequests(origin, open)) < rules.crashesToQuarantine) {
+        return;
+    }
+    const auto likely =
+        std::count_if(open.begin(), open.end(), [](const ServerCrash *crash) { return isLikely(*crash); });
+    const bool isConfirmed = static_cast<std::size_t>(likely) >= rules.crashesToQuarantine;
+    const auto hold = holdAfter(detail::groupsOf(crashes, rules.together).size(), rules);
+    const auto until = detail::lastOf(open) + (isConfirmed ? hold : std::min(hold, rules.doubtfulHold));
+    if (now >= until) {
+        findings.suspects.push_back(origin);
+        return;
+    }
+    findings.culprits.push_back({.traits = {origin}, .until = until, .crashes = open.size()});
+    findings.noteChange(until);
+}
+
+} // namespace
+
+void findOrigins(const std::vector<ServerCrash> &crashes, const CrashRules &rules, TimePoint now,
+                 CrashFindings &findings)
+{
+    for (const auto &[origin, ofOrigin] : crashesByOrigin(withoutCuts(crashes, rules))) {
+        judgeOrigin(origin, ofOrigin, rules, now, findings);
+    }
+}
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_routing/crashes/RequestTraits.cpp
+++ b/modules/hornbeamlane_routing/crashes/RequestTraits.cpp
@@ -36,9 +36,14 @@
     return text;
 }
 
+std::string formatOrigin(const RequestTraits &traits)
+{
+    return traits.origin ? formatTraits({*traits.origin}) : "-";
+}
+
 bool hasTrait(const RequestTraits &traits, TraitHash trait)
 {
-    return traits.whole == trait || containsTrait(traits.parts, trait);
+    return traits.whole == trait || traits.origin == trait || containsTrait(traits.parts, trait);
 }
 
 RequestTraits traitsOf(const RequestIdentity &identity)
@@ -58,6 +63,13 @@
         append(text, part);
         traits.parts.emplace_back(hash64(text));
     }
+    if (traits.parts.empty() && !identity.team.name().empty()) {
+        text = "origin ";
+        append(text, identity.target);
+        append(text, identity.team.name());
+        append(text, identity.route);
+        traits.origin = TraitHash(hash64(text));
+    }
     return traits;
 }
 
--- a/modules/hornbeamlane_routing/crashes/RequestTraits.h
+++ b/modules/hornbeamlane_routing/crashes/RequestTraits.h
@@ -10,12 +10,15 @@
 
 bool containsTrait(const std::vector<TraitHash> &traits, TraitHash trait);
 
-/** Whether it is a part or the whole of the request. */
+/** Whether it is a part, the origin or the whole of the request. */
 bool hasTrait(const RequestTraits &traits, TraitHash trait);
 
 /** Hexadecimal, separated by commas, for log lines; at most this many. */
 std::string formatTraits(const std::vector<TraitHash> &traits, std::size_t most = 8);
 
+/** The origin in the same form; "-" if there is none. */
+std::string formatOrigin(const RequestTraits &traits);
+
 /** What the traits of a request are made of. */
 struct RequestIdentity
 {
@@ -27,6 +30,8 @@
     std::string_view body;
     /** Ids of the parts of the prompt that other requests may share. */
     std::vector<std::string> sharedParts;
+    /** Name of the route. */
+    std::string_view route;
 };
 
 RequestTraits traitsOf(const RequestIdentity &identity);
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamlane_routing/crashes/ServerCrash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hornbeamlane {
 
@@ -38,6 +39,34 @@
     return containsTrait(begunBefore, trait);
 }
 
+bool ServerCrash::isOutweighed(TraitHash origin) const
+{
+    const auto count = std::count_if(soundSince.begin(), soundSince.end(),
+                                     [origin](const SoundRequest &sound) { return sound.origin == origin; });
+    return static_cast<std::size_t>(count) >= soundRequestsToClear;
+}
+
+bool ServerCrash::addSound(const SoundRequest &request)
+{
+    if (std::find(soundSince.begin(), soundSince.end(), request) != soundSince.end()) {
+        return false;
+    }
+    if (!isOutweighed(request.origin)) {
+        soundSince.push_back(request);
+        return true;
+    }
+    // Entries see different requests at the same time: all keep the same ones, or they would never agree.
+    const auto isLess = [&request](const SoundRequest &a, const SoundRequest &b) {
+        return std::pair(a.origin == request.origin, a.whole) < std::pair(b.origin == request.origin, b.whole);
+    };
+    const auto last = std::max_element(soundSince.begin(), soundSince.end(), isLess);
+    if (*last < request) {
+        return false;
+    }
+    *last = request;
+    return true;
+}
+
 CrashRecord toRecord(const ServerCrash &crash, TimePoint now)
 {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
@@ -46,6 +75,7 @@
             .candidates = crash.candidates,
             .cleared = crash.cleared,
             .begunBefore = crash.begunBefore,
+            .soundSince = crash.soundSince,
             .isConfirmed = crash.isConfirmed,
             .isRefuted = crash.isRefuted};
 }
@@ -58,6 +88,7 @@
             .candidates = record.candidates,
             .cleared = record.cleared,
             .begunBefore = record.begunBefore,
+            .soundSince = record.soundSince,
             .isConfirmed = record.isConfirmed,
             .isRefuted = record.isRefuted};
 }
@@ -78,7 +109,8 @@
 bool isSettled(const ServerCrash &crash, const std::vector<ServerCrash> &all)
 {
     const auto isOpen = [&](const CrashCandidate *candidate) {
-        const auto &[whole, parts] = candidate->traits;
+        const auto whole = candidate->traits.whole;
+        const auto &parts = candidate->traits.parts;
         const bool hasOpenPart =
             std::any_of(parts.begin(), parts.end(), [&crash](TraitHash part) { return !crash.isCleared(part); });
         return hasOpenPart || (!crash.isCleared(whole) && (parts.empty() || wasAtAnotherCrash(whole, crash, all)));
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.h
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.h
@@ -20,6 +20,8 @@
     std::vector<TraitHash> cleared;
     /** Parts of candidates with which servers had begun answers before: seldom the cause. */
     std::vector<TraitHash> begunBefore;
+    /** Requests of the candidates' origins that have been answered since; at most soundRequestsToClear of each. */
+    std::vector<SoundRequest> soundSince;
     /** Another start of the server has been seen; before that it may only be cut off. */
     bool isConfirmed = false;
     /** The same start of the server has answered since, so it had not crashed. */
@@ -33,8 +35,17 @@
 
     bool isCleared(TraitHash trait) const;
     bool hadBegunBefore(TraitHash trait) const;
+
+    /** Whether requests of the origin have been answered since, enough to outweigh this crash. */
+    bool isOutweighed(TraitHash origin) const;
+
+    /** True if the request counts and was not known. */
+    bool addSound(const SoundRequest &request);
 };
 
+/** Sound requests of an origin that outweigh one crash. */
+constexpr std::size_t soundRequestsToClear = 3;
+
 /** The crash as it is told to others, and back. */
 CrashRecord toRecord(const ServerCrash &crash, TimePoint now);
 ServerCrash fromRecord(const CrashRecord &record, TimePoint now);
--- a/tests/gateway/CrashMessageTest.cpp
+++ b/tests/gateway/CrashMessageTest.cpp
@@ -14,9 +14,11 @@
 {
     return {.id = CrashId(0xfedcba9876543210ULL),
             .at = messageTime - milliseconds(250),
-            .candidates = {{.traits = {.whole = TraitHash(7), .parts = {TraitHash(1), TraitHash(2)}}, .hadHead = true}},
+            .candidates = {{.traits = {.whole = TraitHash(7), .parts = {TraitHash(1), TraitHash(2)}}, .hadHead = true},
+                           {.traits = {.whole = TraitHash(8), .origin = TraitHash(3)}, .hadHead = true}},
             .cleared = {TraitHash(1)},
-            .begunBefore = {TraitHash(2)}};
+            .begunBefore = {TraitHash(2)},
+            .soundSince = {{.origin = TraitHash(3), .whole = TraitHash(9)}}};
 }
 
 // Guards against news that arrive changed, and against ages that are taken for times of another process.
--- a/tests/gateway/CrashingPartTest.cpp
+++ b/tests/gateway/CrashingPartTest.cpp
@@ -184,5 +184,47 @@
     EXPECT_GE(servedOf(sound), 28);
 }
 
+// Guards against requests without a prompt that crash server after server: no two of them are alike, and all they share
+// is the caller's team and the route. Requests of other teams are served meanwhile.
+TEST(CrashingPartTest, StopsLookupsOfOneTeamThatCrashServers)
+{
+    GatewayWorld world({.entries = 3, .servers = 4, .downTime = std::chrono::milliseconds(400)});
+    world.deadlyPath = "/look/dead";
+    world.runFor(std::chrono::milliseconds(100));
+    std::vector<std::shared_ptr<CallerAnswer>> sound;
+    constexpr int rounds = 60;
+    for (int round = 0; round < rounds; ++round) {
+        const auto number = std::to_string(round);
+        const auto entry = static_cast<std::size_t>(round);
+        // One in four lookups of the team is sound.
+        world.sendLookup(entry % 3, "glue", (round % 4 == 3 ? "/look/sound" : "/look/dead") + number);
+        sound.push_back(world.sendLookup((entry + 1) % 3, "zip", "/look/sound" + number));
+        world.runFor(std::chrono::milliseconds(50));
+    }
+    world.runFor(std::chrono::milliseconds(700));
+    EXPECT_LE(world.deadlyRequests(), crashesToLearn + requestsAfterwards);
+    EXPECT_GE(servedOf(sound), rounds * 9 / 10);
+}
+
+// Guards against a team that pays for crashes of servers which its requests happened to be at: it is served at once
+// when they are back.
+TEST(CrashingPartTest, ServesATeamAfterCrashesWithoutACause)
+{
+    GatewayWorld world({.entries = 3, .servers = 6});
+    world.runFor(std::chrono::milliseconds(100));
+    std::vector<std::shared_ptr<CallerAnswer>> sound;
+    constexpr int rounds = 90;
+    for (int round = 0; round < rounds; ++round) {
+        const auto entry = static_cast<std::size_t>(round);
+        sound.push_back(world.sendLookup(entry % 3, "glue", "/look/sound" + std::to_string(round)));
+        if (round % 5 == 0) {
+            world.crashServer(entry / 5 % 6);
+        }
+        world.runFor(std::chrono::milliseconds(20));
+    }
+    world.runFor(std::chrono::milliseconds(700));
+    EXPECT_GE(servedOf(sound), rounds * 9 / 10);
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/gateway/GatewayWorld.cpp
+++ b/tests/gateway/GatewayWorld.cpp
@@ -6,6 +6,12 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+const std::string lookupPrefix = "/look/";
+
+} // namespace
+
 GatewayWorld::GatewayWorld(Options options)
     : options_(options)
     , entries_(options.entries)
@@ -53,7 +59,17 @@
                          .services = {{.service = ServiceId("pool")}},
                          .timeout = milliseconds(2000),
                          .maxAttempts = 2,
-                         .isResumable = true}};
+                         .isResumable = true},
+                        {.name = RouteId("look"),
+                         .host = "h",
+                         .prefix = lookupPrefix,
+                         .kind = RequestKind::Idempotent,
+                         .services = {{.service = ServiceId("pool")}},
+                         .timeout = milliseconds(1000),
+                         .maxAttempts = 2}};
+    catalogue.routes.front().isPublic = true;
+    catalogue.teams = {{.name = TeamId("glue"), .keys = {"key-of-glue"}},
+                       {.name = TeamId("zip"), .keys = {"key-of-zip"}}};
     catalogue.services = {{.name = ServiceId("pool")}};
     entry->applyCatalogue(std::move(catalogue));
     entries_[index] = std::move(entry);
@@ -148,12 +164,16 @@
                                  const std::string &head)
 {
     server.arrivals.push_back(loop_.now());
+    if (head.starts_with("GET " + lookupPrefix)) {
+        answerLookup(server, connection, head);
+        return;
+    }
     if (isDeadly(headerOf(head, "X-Prompt-Parts"))) {
         ++deadlyRequests_;
         if (options_.sendsHeadBeforeCrash) {
             connection.send(streamHead(head));
         }
-        later(milliseconds(10), [this, &server] { crashServer(static_cast<std::size_t>(&server - servers_.data())); });
+        crashSoon(server);
         return;
     }
     if (silentParts.contains(headerOf(head, "X-Prompt-Parts"))) {
@@ -163,6 +183,22 @@
     connection.send(streamHead(head, limit) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
 }
 
+void GatewayWorld::answerLookup(Server &server, testing::ScriptedServer::Connection &connection,
+                                const std::string &head)
+{
+    if (!deadlyPath.empty() && head.starts_with("GET " + deadlyPath)) {
+        ++deadlyRequests_;
+        crashSoon(server);
+        return;
+    }
+    connection.send(answer(head, 200, "found"));
+}
+
+void GatewayWorld::crashSoon(Server &server)
+{
+    later(milliseconds(10), [this, &server] { crashServer(static_cast<std::size_t>(&server - servers_.data())); });
+}
+
 void GatewayWorld::crashServer(std::size_t index)
 {
     auto &server = servers_[index];
@@ -190,19 +226,14 @@
     timers_.back()->startOnce(delay);
 }
 
-std::shared_ptr<CallerAnswer> GatewayWorld::send(std::size_t entry, const std::string &parts)
+std::shared_ptr<CallerAnswer> GatewayWorld::call(std::size_t entry, Http1ClientConnection::Request request)
 {
+    request.headers.insert(request.headers.end(), {{"Host", "h"}, {"X-Attempt-Id", "a" + std::to_string(++attempts_)}});
     auto result = std::make_shared<CallerAnswer>();
     auto &connection = callers_.emplace_back(std::make_unique<Http1ClientConnection>(
         loop_,
         Http1ClientConnection::Options{.address = "127.0.0.1:" + std::to_string(entries_[entry]->callerPort())}));
-    connection->call({.method = "POST",
-                      .target = "/chat/",
-                      .headers = {{"Host", "h"},
-                                  {"X-Attempt-Id", "a" + std::to_string(++attempts_)},
-                                  {"X-Time-Left-Ms", "2000"},
-                                  {"X-Prompt-Parts", parts}},
-                      .body = parts},
+    connection->call(request,
                      {.head =
                           [result](const Http1ResponseHead &head) {
                               result->head = head;
@@ -213,6 +244,23 @@
     return result;
 }
 
+std::shared_ptr<CallerAnswer> GatewayWorld::send(std::size_t entry, const std::string &parts)
+{
+    return call(entry,
+                {.method = "POST",
+                 .target = "/chat/",
+                 .headers = {{"X-Time-Left-Ms", "2000"}, {"X-Prompt-Parts", parts}},
+                 .body = parts});
+}
+
+std::shared_ptr<CallerAnswer> GatewayWorld::sendLookup(std::size_t entry, const std::string &team,
+                                                       const std::string &path)
+{
+    return call(
+        entry,
+        {.method = "GET", .target = path, .headers = {{"X-Time-Left-Ms", "1000"}, {"X-Api-Key", "key-of-" + team}}});
+}
+
 void GatewayWorld::runFor(milliseconds time)
 {
     Timer end(loop_, [this] { loop_.stop(); });
--- a/tests/gateway/GatewayWorld.h
+++ b/tests/gateway/GatewayWorld.h
@@ -36,6 +36,9 @@
     /** Parts under which servers crash as they begin to answer. */
     std::set<std::string> deadlyParts;
 
+    /** Lookups whose path begins so crash their server; empty: none does. */
+    std::string deadlyPath;
+
     /** Lists of parts whose requests servers take and do not answer. */
     std::set<std::string> silentParts;
 
@@ -55,6 +58,9 @@
     /** Sends a stream request with these parts, such as "a:40,b:7,c:100", to an entry. */
     std::shared_ptr<CallerAnswer> send(std::size_t entry, const std::string &parts);
 
+    /** Sends a lookup, which carries no parts of a prompt, in the name of a team, "glue" or "zip". */
+    std::shared_ptr<CallerAnswer> sendLookup(std::size_t entry, const std::string &team, const std::string &path);
+
     void crashServer(std::size_t index);
 
     /** Requests a second that the server names in its answers from now on; empty: none. */
@@ -76,7 +82,7 @@
         return crashes_;
     }
 
-    /** Requests with a deadly part that have reached servers. */
+    /** Requests with a deadly part or path that have reached servers. */
     int deadlyRequests() const
     {
         return deadlyRequests_;
@@ -99,8 +105,11 @@
     void writeRow(const std::string &value, RowVersion expected, const TableClient::ReplyHandler &handler);
     void readRow();
     void listServer(Server &server);
+    void answerLookup(Server &server, testing::ScriptedServer::Connection &connection, const std::string &head);
+    void crashSoon(Server &server);
     void answerRequest(Server &server, testing::ScriptedServer::Connection &connection, const std::string &head);
     bool isDeadly(const std::string &parts) const;
+    std::shared_ptr<CallerAnswer> call(std::size_t entry, Http1ClientConnection::Request request);
     void later(std::chrono::milliseconds delay, std::function<void()> action);
 
     EventLoop loop_;
--- a/tests/path/PathTest.cpp
+++ b/tests/path/PathTest.cpp
@@ -269,6 +269,21 @@
     EXPECT_EQ(send("a sound message", requests), "served");
 }
 
+// Guards against chats of one team that crash engine after engine and share no message: all they share is the team.
+TEST_F(PathTest, QuarantinesATeamWhoseChatsCrashServers)
+{
+    constexpr int requests = 8;
+    std::string last;
+    for (int i = 0; i < requests; ++i) {
+        const auto body = LocalPath::chatBody(4, false, "crash-the-engine " + std::to_string(i));
+        const auto answer = path_.call("POST", "/v1/chat/completions", LocalPath::teamHeaders(), body);
+        path_.runUntil([] { return false; }, 100ms);
+        last = answer.response.status == 200 ? "served" : refusalOf(answer).first;
+    }
+    EXPECT_EQ(last, "quarantined");
+    EXPECT_LE(countAt(path_.engineAddress(), "falls"), 3);
+}
+
 // Guards against an engine that names how many requests a second it takes, and gets more from its agent.
 TEST_F(PathTest, KeepsALimitThatAnEngineNames)
 {
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -41,6 +41,24 @@
         return evidence_.judge(request(999, std::move(parts)), at);
     }
 
+    /** A request without parts of one team and route. */
+    static RequestTraits fromOrigin(std::uint64_t number)
+    {
+        auto traits = request(number, {});
+        traits.origin = TraitHash(77);
+        return traits;
+    }
+
+    /** A server crashes, and starts again, with this request alone at it. */
+    void crashUnder(std::uint64_t id, TimePoint at, const RequestTraits &traits)
+    {
+        auto found = crash(id, at, {{.traits = traits, .hadHead = false}});
+        found.isConfirmed = true;
+        evidence_.onCrash(found, at);
+    }
+
+    using seconds = std::chrono::seconds;
+
     CrashEvidence evidence_;
 };
 
@@ -248,6 +266,75 @@
     EXPECT_EQ(evidence_.judge(request(8, {}), start), Verdict::Allowed);
 }
 
+// Guards against requests without parts that crash server after server, no two of them alike: all they share is their
+// origin. They are refused for longer each time, and tried one at a time in between.
+TEST_F(CrashEvidenceTest, RefusesAnOriginWhoseRequestsCrashServers)
+{
+    crashUnder(1, start, fromOrigin(1));
+    EXPECT_EQ(evidence_.judge(fromOrigin(8), start), Verdict::Allowed);
+    crashUnder(2, start + seconds(1), fromOrigin(2));
+    EXPECT_EQ(evidence_.judge(fromOrigin(8), start + seconds(5)), Verdict::Quarantined);
+    EXPECT_EQ(evidence_.judge(request(9, {}), start + seconds(5)), Verdict::Allowed);
+    EXPECT_EQ(evidence_.judge(fromOrigin(8), start + seconds(7)), Verdict::Suspect);
+    crashUnder(3, start + seconds(7), fromOrigin(3));
+    EXPECT_EQ(evidence_.judge(fromOrigin(8), start + seconds(16)), Verdict::Quarantined);
+    EXPECT_EQ(evidence_.judge(fromOrigin(8), start + seconds(18)), Verdict::Suspect);
+}
+
+// Guards against sound requests of a caller that pay for a single one which comes again and again.
+TEST_F(CrashEvidenceTest, DoesNotBlameTheOriginOfARepeatedRequest)
+{
+    crashUnder(1, start, fromOrigin(1));
+    crashUnder(2, start + seconds(1), fromOrigin(1));
+    EXPECT_EQ(evidence_.judge(fromOrigin(1), start + seconds(1)), Verdict::Quarantined);
+    EXPECT_EQ(evidence_.judge(fromOrigin(2), start + seconds(1)), Verdict::Allowed);
+}
+
+// Guards against callers that pay for crashes with another cause: most of their requests are answered in between, and
+// one that was at a crash is answered when it comes again.
+TEST_F(CrashEvidenceTest, HoldsSoundRequestsAgainstTheCrashesOfTheirOrigin)
+{
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        const auto time = start + id * seconds(1);
+        crashUnder(id, time, fromOrigin(id));
+        EXPECT_EQ(evidence_.judge(fromOrigin(99), time), Verdict::Allowed) << id;
+        for (std::uint64_t sound = 0; sound < 3; ++sound) {
+            begin(fromOrigin(10 * id + sound));
+        }
+    }
+    crashUnder(5, start + seconds(5), fromOrigin(5));
+    begin(fromOrigin(5));
+    crashUnder(6, start + seconds(6), fromOrigin(6));
+    EXPECT_EQ(evidence_.judge(fromOrigin(99), start + seconds(6)), Verdict::Allowed);
+}
+
+// Guards against a caller whose requests crash servers as often as not and that is let off by each sound one.
+TEST_F(CrashEvidenceTest, RefusesAnOriginInSpiteOfSomeSoundRequests)
+{
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        crashUnder(id, start + id * seconds(1), fromOrigin(id));
+        begin(fromOrigin(10 + id));
+    }
+    EXPECT_EQ(evidence_.judge(fromOrigin(99), start + seconds(2)), Verdict::Quarantined);
+}
+
+// Guards against entries that never agree because each has seen other sound requests of an origin.
+TEST_F(CrashEvidenceTest, AgreesOnSoundRequestsOfAnOrigin)
+{
+    CrashEvidence peer;
+    crashUnder(1, start, fromOrigin(1));
+    peer.onCrash(evidence_.crashes().front(), start);
+    std::vector<CrashId> cleared;
+    for (std::uint64_t number = 10; number < 20; ++number) {
+        (number % 2 == 0 ? evidence_ : peer).onAnswerBegun(fromOrigin(number), cleared);
+    }
+    peer.onCrash(evidence_.crashes().front(), start);
+    evidence_.onCrash(peer.crashes().front(), start);
+    EXPECT_EQ(evidence_.digest(), peer.digest());
+    EXPECT_EQ(evidence_.crashes().front().soundSince.size(), soundRequestsToClear);
+    EXPECT_FALSE(evidence_.onCrash(peer.crashes().front(), start));
+}
+
 // Guards against a verdict for ever: evidence ends, and what is sound now is served again.
 TEST_F(CrashEvidenceTest, ForgetsCrashes)
 {
