Do not choose a server that another one has replaced

Cause: an answer 421 to a request that names its server is proof that this server is gone, and counted as a failure only. The entry that it had written before its crash was the only one that called its group open, so it was everybody's only choice. Class of fault: proof from the source itself weighs less than an old entry. Change: such a server gets no work for ten seconds, or until its entry names another start or address. The tests of dispatch and gateway pass.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -30,6 +30,9 @@
 void BackendBook::update(const BackendSpec &spec, TimePoint now)
 {
     auto &backend = backends_[spec.id];
+    if (spec.incarnation != backend.spec.incarnation || spec.address != backend.spec.address) {
+        backend.replacedUntil = {};
+    }
     backend.spec = spec;
     backend.isGone = false;
     backend.lapsesAt.reset();
@@ -77,7 +80,7 @@
 bool BackendBook::isUsable(const Backend &backend, TimePoint now) const
 {
     return !backend.isGone && !backend.spec.isDraining && !evacuated_.contains(backend.spec.dataCentre)
-        && (!backend.lapsesAt || now < *backend.lapsesAt);
+        && now >= backend.replacedUntil && (!backend.lapsesAt || now < *backend.lapsesAt);
 }
 
 bool BackendBook::isGroupOpen(const Backend &backend, TimePoint now) const
@@ -288,8 +291,11 @@
     case BackendOutcome::Failed:
         countFailure(backend, false, now);
         return;
-    case BackendOutcome::Unreachable:
     case BackendOutcome::Misdirected:
+        backend.replacedUntil = now + options_.replacedTime;
+        countFailure(backend, true, now);
+        return;
+    case BackendOutcome::Unreachable:
         countFailure(backend, true, now);
         return;
     case BackendOutcome::Rejected:
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -47,6 +47,8 @@
     TimePoint failureAt;
     /** It gets no work before this time unless no other server can take it. */
     TimePoint avoidUntil;
+    /** Another server has answered at its address; it gets no work before this time. */
+    TimePoint replacedUntil;
     std::uint32_t failuresInRow = 0;
     /** From then on this entry may send the next request to the cold server; empty before the first choice. */
     std::optional<TimePoint> coldSlotAt;
@@ -80,6 +82,9 @@
          */
         std::chrono::milliseconds avoidAfterFailure{200};
         std::chrono::milliseconds maxAvoid{2000};
+        /** Time for which a server gets no work after another one has answered at its address; its entry goes sooner,
+            unless it cannot be read. */
+        std::chrono::milliseconds replacedTime{10000};
         /** Half-life of the average of failures. */
         std::chrono::milliseconds failureHalfLife{3000};
         /** Load over slots that a server is charged if all its requests fail. */
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -42,6 +42,35 @@
     EXPECT_EQ(choose(), ServerId("b"));
 }
 
+// Guards against requests that all go to a server which is gone and seems free, since its entry cannot be read while
+// the store is silent: whatever answers at its address has said that it is another server.
+TEST_F(BackendBookTest, SkipsAServerThatHasBeenReplaced)
+{
+    auto replaced = server("a");
+    replaced.incarnation = 1;
+    book_.update(replaced, start);
+    ASSERT_EQ(choose(), ServerId("a"));
+    book_.onSent(ServerId("a"), start);
+    book_.onEnded(ServerId("a"), BackendOutcome::Misdirected, start);
+    EXPECT_FALSE(choose(start + seconds(1)));
+    EXPECT_EQ(book_.lastFailure(), BackendBook::NoChoice::NoServer);
+    // Its old entry is read once more, as after a lost connection to the store.
+    book_.update(replaced, start + seconds(1));
+    EXPECT_FALSE(choose(start + seconds(1)));
+    replaced.incarnation = 2;
+    book_.update(replaced, start + seconds(2));
+    EXPECT_TRUE(choose(start + seconds(2)));
+}
+
+// Guards against a server that is left out for good because of one wrong answer.
+TEST_F(BackendBookTest, TriesAReplacedServerAgainInTime)
+{
+    book_.update(server("a"), start);
+    book_.onEnded(ServerId("a"), BackendOutcome::Misdirected, start);
+    EXPECT_FALSE(choose(start + seconds(9)));
+    EXPECT_TRUE(choose(start + seconds(11)));
+}
+
 // Guards against work for a server whose entry has gone, and against losing one that has only lapsed with the store.
 TEST_F(BackendBookTest, KeepsLapsedServersForAWhile)
 {
