Judge a group by the newest entry of its ranks

Cause: each rank counted as open by its own entry. That of a lost rank was written before the loss, so it called the group open when all others called it broken; and after the group had formed, ranks were left out until each had said so itself. Class of fault: a belief about a whole taken from one of its parts, not the newest. Change: GroupStates takes the state of a group from the newest entry of its ranks: a later epoch wins, in one epoch the broken state. Requests note that epoch, so that a late rejection is held against the right one. Evidence: BackendBookTest.JudgesAGroupByTheNewestOfItsEntries fails without it.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -37,6 +37,23 @@
     backend.isGone = false;
     backend.lapsesAt.reset();
     backend.coldUntil = std::max(backend.coldUntil, now + spec.warmupLeft);
+    refreshGroups(now);
+}
+
+void BackendBook::refreshGroups(TimePoint now)
+{
+    std::vector<GroupPlace> places;
+    for (const auto &[id, backend] : backends_) {
+        if (backend.spec.group && !backend.isGone && now >= backend.replacedUntil) {
+            places.push_back(*backend.spec.group);
+        }
+    }
+    groupStates_.update(places, now);
+}
+
+GroupPlace BackendBook::placeOf(const Backend &rank) const
+{
+    return groupStates_.withState(*rank.spec.group);
 }
 
 void BackendBook::remove(const ServerId &server, std::optional<TimePoint> usableUntil)
@@ -85,7 +102,7 @@
 
 bool BackendBook::isGroupOpen(const Backend &backend, TimePoint now) const
 {
-    return !backend.spec.group || groups_.isOpen(*backend.spec.group, now);
+    return !backend.spec.group || groups_.isOpen(placeOf(backend), now);
 }
 
 bool BackendBook::isFull(const Backend &backend) const
@@ -145,12 +162,8 @@
     };
     std::vector<Candidate> candidates;
     std::vector<Candidate> avoided;
-    struct Listed
-    {
-        std::uint32_t ranks = 0;
-        std::uint64_t newestEpoch = 0;
-    };
-    std::map<GroupId, Listed> listed;
+    /** Ranks of broken groups whose entries say so. */
+    std::map<GroupId, std::uint32_t> listed;
     bool anyUsable = false;
     bool anyForming = false;
     bool anyOpen = false;
@@ -166,11 +179,9 @@
         if (!isGroupOpen(backend, now)) {
             const auto &place = *backend.spec.group;
             if (!place.isOpen && !backend.lapsesAt) {
-                auto &group = listed[place.group];
-                group.newestEpoch = std::max(group.newestEpoch, place.epoch);
-                if (++group.ranks == place.size) {
+                if (++listed[place.group] == place.size) {
                     anyForming = true;
-                    groups_.onAllRanksListed(place.group, group.newestEpoch, now);
+                    groups_.onAllRanksListed(place.group, placeOf(backend).epoch, now);
                 }
             }
             continue;
@@ -230,7 +241,7 @@
     for (auto &[id, backend] : backends_) {
         const bool isRank = backend.spec.service == request.service && backend.spec.group && isUsable(backend, now);
         if (isRank && !isExcluded(request, id) && !isColdFull(backend, now, random) && !options_.isRateLimited(backend)
-            && groups_.mayTry(*backend.spec.group, now)) {
+            && groups_.mayTry(placeOf(backend), now)) {
             ranks.push_back(id);
         }
     }
@@ -252,7 +263,7 @@
     auto &backend = found->second;
     ++backend.ownInFlight;
     if (backend.spec.group) {
-        groups_.onSent(*backend.spec.group, now);
+        groups_.onSent(placeOf(backend), now);
     }
     if (backend.coldSlotAt) {
         *backend.coldSlotAt += coldPeriod(backend);
@@ -294,6 +305,7 @@
     case BackendOutcome::Misdirected:
         backend.replacedUntil = now + options_.replacedTime;
         countFailure(backend, true, now);
+        refreshGroups(now);
         return;
     case BackendOutcome::Unreachable:
         countFailure(backend, true, now);
@@ -330,7 +342,13 @@
 bool BackendBook::onProgress(const ServerId &server)
 {
     const auto *backend = find(server);
-    return backend != nullptr && backend->spec.group && groups_.onProgress(*backend->spec.group);
+    return backend != nullptr && backend->spec.group && groups_.onProgress(placeOf(*backend));
+}
+
+std::uint64_t BackendBook::groupEpochOf(const ServerId &server) const
+{
+    const auto *backend = find(server);
+    return backend != nullptr && backend->spec.group ? placeOf(*backend).epoch : 0;
 }
 
 bool BackendBook::isInClosedGroup(const ServerId &server, TimePoint now) const
@@ -362,6 +380,7 @@
             ++it;
         }
     }
+    refreshGroups(now);
     return forgotten;
 }
 
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamlane_dispatch/catalogue/DispatchCatalogue.h"
+#include "hornbeamlane_dispatch/servers/GroupStates.h"
 #include "hornbeamlane_dispatch/servers/GroupWatch.h"
 
 #include <cstdint>
@@ -164,6 +165,9 @@
         lost a rank. */
     bool onProgress(const ServerId &server);
 
+    /** Epoch of the server's group, as the newest entry of its ranks tells it; 0 without a group. */
+    std::uint64_t groupEpochOf(const ServerId &server) const;
+
     /** Whether the server is a rank of a group that is known to serve nothing now. */
     bool isInClosedGroup(const ServerId &server, TimePoint now) const;
 
@@ -197,7 +201,11 @@
     };
 
     bool isUsable(const Backend &backend, TimePoint now) const;
+    /** Place of a rank in its group, with the group's state. */
+    GroupPlace placeOf(const Backend &rank) const;
     bool isGroupOpen(const Backend &backend, TimePoint now) const;
+    /** Takes the states of groups from the entries of their ranks. */
+    void refreshGroups(TimePoint now);
     bool isFull(const Backend &backend) const;
     bool isExcluded(const Request &request, const ServerId &server) const;
     /** A rank of a group that should have formed again; empty if there is none to try now. */
@@ -212,6 +220,7 @@
     Options options_;
     std::map<ServerId, Backend> backends_;
     std::map<ServiceId, Warmup> warmups_;
+    GroupStates groupStates_;
     GroupWatch groups_;
     std::set<DataCentreId> evacuated_;
     NoChoice lastFailure_ = NoChoice::NoServer;
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -210,6 +210,7 @@
 {
     const auto *backend = backends_.find(rank);
     auto place = *backend->spec.group;
+    place.epoch = backends_.groupEpochOf(rank);
     logEvent(LogLevel::Info, "group_has_formed",
              {{"server", rank.name()}, {"group", place.group.name()}, {"entry_epoch", std::to_string(place.epoch)}});
     // Engines form again in a later epoch, with the uniform map.
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -337,7 +337,7 @@
     const auto &request = exchange_->request();
     auto &sending = send_.emplace();
     sending.start = {.server = server, .incarnation = backend->spec.incarnation, .address = backend->spec.address};
-    sending.groupEpoch = backend->spec.group ? backend->spec.group->epoch : 0;
+    sending.groupEpoch = gateway_.backends_.groupEpochOf(server);
     sending.startedAt = now();
     sending.connection = gateway_.pool_.acquire(server, sending.start.address);
     sending.isKept = sending.connection->isReusable();
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -187,6 +187,32 @@
     EXPECT_TRUE(choose());
 }
 
+// Guards against requests that all go to a lost rank: its entry, written before it was lost, is the only one that calls
+// the group open. Of the others the first that says more is enough.
+TEST_F(BackendBookTest, JudgesAGroupByTheNewestOfItsEntries)
+{
+    const auto tell = [this](const char *name, std::uint32_t number, std::uint64_t epoch, bool isOpen) {
+        auto rank = server(name);
+        rank.group = GroupPlace{.group = GroupId("g"), .epoch = epoch, .rank = number, .size = 3, .isOpen = isOpen};
+        book_.update(rank, start);
+    };
+    tell("a", 0, 4, true);
+    tell("b", 1, 4, true);
+    tell("lost", 2, 4, true);
+    EXPECT_TRUE(choose());
+    tell("b", 1, 4, false);
+    EXPECT_FALSE(choose());
+    EXPECT_TRUE(book_.isInClosedGroup(ServerId("lost"), start));
+    tell("a", 0, 5, true);
+    EXPECT_TRUE(choose());
+    EXPECT_FALSE(book_.isInClosedGroup(ServerId("b"), start));
+    // A late rejection of the last epoch does not close it.
+    book_.onRankLost(ServerId("b"), 4, start);
+    EXPECT_TRUE(choose());
+    book_.onRankLost(ServerId("b"), book_.groupEpochOf(ServerId("b")), start);
+    EXPECT_FALSE(choose());
+}
+
 // Load pattern "a rank is lost under full load": the first rejection that names the lost rank keeps all further
 // requests from the other ranks, whose entries say only later that the group is broken. Each would stall and come back
 // in vain.
