Ask a rank of a group that stays broken by its entries

Cause: only entries in the store say that a group is open. The trial of a group whose ranks are all listed does not help here, as the entry of the rank that was lost has not come back. Why it works: the report is the engine's own word and costs no caller a stalled request, which a trial by request does.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -351,6 +351,35 @@
     return backend != nullptr && backend->spec.group ? placeOf(*backend).epoch : 0;
 }
 
+std::vector<GroupId> BackendBook::groupsBrokenSince(TimePoint time) const
+{
+    std::vector<GroupId> groups;
+    for (const auto &[group, state] : groupStates_.all()) {
+        const GroupPlace place{.group = group, .epoch = state.epoch, .isOpen = state.isOpen};
+        if (!state.isOpen && state.since <= time && !groups_.hasFormed(place)) {
+            groups.push_back(group);
+        }
+    }
+    return groups;
+}
+
+std::vector<const Backend *> BackendBook::ranksOf(const GroupId &group, TimePoint now) const
+{
+    std::vector<const Backend *> ranks;
+    for (const auto &[id, backend] : backends_) {
+        if (backend.spec.group && backend.spec.group->group == group && isUsable(backend, now)) {
+            ranks.push_back(&backend);
+        }
+    }
+    return ranks;
+}
+
+bool BackendBook::onGroupOpen(const ServerId &rank, std::uint64_t epoch, TimePoint now)
+{
+    const auto *backend = find(rank);
+    return backend != nullptr && backend->spec.group && groups_.onReportedOpen(placeOf(*backend), epoch, now);
+}
+
 bool BackendBook::isInClosedGroup(const ServerId &server, TimePoint now) const
 {
     const auto found = backends_.find(server);
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -168,6 +168,15 @@
     /** Epoch of the server's group, as the newest entry of its ranks tells it; 0 without a group. */
     std::uint64_t groupEpochOf(const ServerId &server) const;
 
+    /** Groups that their entries have called broken since then or longer, and that have not answered. */
+    std::vector<GroupId> groupsBrokenSince(TimePoint time) const;
+
+    /** Ranks of the group that may be asked. */
+    std::vector<const Backend *> ranksOf(const GroupId &group, TimePoint now) const;
+
+    /** A rank says that its group runs in this epoch. Returns true if its entries still say that it has lost a rank. */
+    bool onGroupOpen(const ServerId &rank, std::uint64_t epoch, TimePoint now);
+
     /** Whether the server is a rank of a group that is known to serve nothing now. */
     bool isInClosedGroup(const ServerId &server, TimePoint now) const;
 
--- a/modules/hornbeamlane_dispatch/servers/GroupWatch.cpp
+++ b/modules/hornbeamlane_dispatch/servers/GroupWatch.cpp
@@ -10,10 +10,14 @@
 }
 
 bool GroupWatch::isOpen(const GroupPlace &place, TimePoint now) const
+{
+    return (place.isOpen || hasFormed(place)) && !isClosedByAnswers(place, now);
+}
+
+bool GroupWatch::hasFormed(const GroupPlace &place) const
 {
     const auto *forming = formingOf(place);
-    const bool hasFormed = forming != nullptr && forming->hasFormed;
-    return (place.isOpen || hasFormed) && !isClosedByAnswers(place, now);
+    return forming != nullptr && forming->hasFormed;
 }
 
 bool GroupWatch::isClosedByAnswers(const GroupPlace &place, TimePoint now) const
@@ -33,6 +37,18 @@
     return found != forming_.end() && place.epoch <= found->second.epoch ? &found->second : nullptr;
 }
 
+bool GroupWatch::onReportedOpen(const GroupPlace &place, std::uint64_t epoch, TimePoint now)
+{
+    // A report may be older than the entries.
+    if (place.isOpen || epoch <= place.epoch || hasFormed(place)) {
+        return false;
+    }
+    lostRanks_.erase(place.group);
+    stalls_.erase(place.group);
+    forming_[place.group] = {.epoch = place.epoch, .since = now, .triedAt = {}, .hasFormed = true};
+    return true;
+}
+
 void GroupWatch::onAllRanksListed(const GroupId &group, std::uint64_t epoch, TimePoint now)
 {
     const auto found = forming_.find(group);
--- a/modules/hornbeamlane_dispatch/servers/GroupWatch.h
+++ b/modules/hornbeamlane_dispatch/servers/GroupWatch.h
@@ -59,6 +59,14 @@
      */
     bool onProgress(const GroupPlace &place);
 
+    /** A rank says that its group runs in this epoch. Returns true if that is news and its entries say that it is
+     * broken.
+     */
+    bool onReportedOpen(const GroupPlace &place, std::uint64_t epoch, TimePoint now);
+
+    /** Whether the group has answered or was reported open though its entries say that it is broken. */
+    bool hasFormed(const GroupPlace &place) const;
+
     /** All ranks of a group that is broken by its entries are listed; the newest epoch that they tell. */
     void onAllRanksListed(const GroupId &group, std::uint64_t epoch, TimePoint now);
 
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -86,6 +86,9 @@
                        },
                    .serverOf = [this](ServerStartHash server) { return serverOf(server); }})
     , queues_(loop, random, settings_, backends_, rateLimits_)
+    , groupProbe_(loop, random, backends_, {},
+                  {.readReport = std::move(hooks.readReport),
+                   .hasFormed = [this](const ServerId &rank) { groupHasFormed(rank); }})
     , callers_(loop,
                {.limits =
                     [this] {
@@ -239,6 +242,7 @@
     pool_.sweep(now);
     crashes_.sweep();
     rateLimits_.sweep();
+    groupProbe_.sweep(now);
     setEntryCount(peers_.entryCount(now));
     queues_.notePeerBounds(peers_.loads());
     if (now - stateLoggedAt_ >= stateLogInterval) {
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -7,6 +7,7 @@
 #include "hornbeamlane_gateway/queue/ServiceQueues.h"
 #include "hornbeamlane_gateway/ratelimits/RateLimitGuard.h"
 #include "hornbeamlane_gateway/request/ForwardedRequest.h"
+#include "hornbeamlane_gateway/state/GroupProbe.h"
 #include "hornbeamlane_network/http1/Http1Server.h"
 #include "hornbeamlane_network/loop/Timer.h"
 
@@ -75,7 +76,7 @@
     void peerLoadsChanged();
     /** Whether the caller has less time than callers of the route usually have, because it comes back. */
     bool isShortened(const RouteSpec &route, std::chrono::milliseconds timeLeft);
-    /** A group has answered that is broken by the entries of its ranks, of which this is one. */
+    /** A group runs that is broken by the entries of its ranks, of which this is one. */
     void groupHasFormed(const ServerId &rank);
     std::optional<ServerId> serverOf(ServerStartHash start) const;
     void sweep();
@@ -101,6 +102,7 @@
     CrashGuard crashes_;
     RateLimitGuard rateLimits_;
     ServiceQueues queues_;
+    GroupProbe groupProbe_;
     /** Shared with the requests that were admitted under it. */
     std::shared_ptr<const RouteTable> table_;
     /** Longest time that a caller of each route has stated. */
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_base/hornbeamlane_base.h"
 #include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+#include "hornbeamlane_gateway/maps/EngineApi.h"
 #include "hornbeamlane_membership/table/TableClient.h"
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
@@ -57,6 +58,7 @@
     /** Writes the row of known crashes if it has this version; version 0 means that there is none. */
     std::function<void(const std::string &value, RowVersion expected, TableClient::ReplyHandler)> writeCrashRow =
         [](const auto &, auto, const auto &reply) { reply({.status = TableStatus::Unavailable}); };
+    ReadRankReport readReport = [](const auto &, auto, const auto &reply) { reply(std::nullopt); };
 };
 
 /** Everything that a gateway has to know before it starts. */
--- a/modules/hornbeamlane_gateway/maps/EngineApi.h
+++ b/modules/hornbeamlane_gateway/maps/EngineApi.h
@@ -25,15 +25,17 @@
     std::vector<std::vector<ExpertIndex>> experts;
 };
 
+/** Reads the report of a rank at an address; empty if there is none or it is of another rank. */
+using ReadRankReport = std::function<void(const std::string &address, RankIndex,
+                                          std::function<void(const std::optional<EngineRankReport> &)>)>;
+
 /** Calls to the engines of a group. Replies come later, on the same thread, each exactly once. */
 struct EngineApi
 {
     std::function<void(const std::string &address, const EngineOrder &, FencingToken,
                        std::function<void(EngineOrderResult)>)>
         sendOrder;
-    std::function<void(const std::string &address, RankIndex,
-                       std::function<void(const std::optional<EngineRankReport> &)>)>
-        readReport;
+    ReadRankReport readReport;
     std::function<void(const std::string &address, std::function<void(const std::optional<ExpertCounts> &)>)>
         readCounts;
     std::function<void(const std::string &address, RankIndex,
