--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -3,6 +3,7 @@
 #include "hornbeamlane_gateway/Gateway.h"
 #include "hornbeamlane_gateway/request/RequestHeaders.h"
 #include "hornbeamlane_gateway/request/RequestLog.h"
+#include "hornbeamlane_gateway/request/RequestMatch.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,12 +14,6 @@
 
 using std::chrono::milliseconds;
 
-/** Longest wait of a request that has missed its target; callers give up two seconds after their request. */
-constexpr milliseconds lateWait{1400};
-
-/** Wait for a place for the rest of a stream that broke off; callers give up after a pause of about two seconds. */
-constexpr milliseconds resumeWait{1200};
-
 /** Longest wait of a suspect for another one to show whether it crashes servers; a sound one begins within this time.
  */
 constexpr milliseconds suspectWait{600};
@@ -26,18 +21,6 @@
 /** Sendings of one request in all, also those that servers rejected without running it. */
 constexpr std::uint32_t maxSends = 4;
 
-/** A caller that reads slowly stops the server once so many bytes wait for it. */
-constexpr std::size_t maxBufferedBytes = 256 * 1024;
-
-/** Answers that are not streams are collected up to this size; up to the second one, if all requests together have
-   collected too much. */
-constexpr std::size_t maxCollectedBytes = 8 * 1024 * 1024;
-constexpr std::size_t maxCollectedWhenShort = 256 * 1024;
-
-/** Bytes that all requests together may have collected of answers and of events; well below the memory of an entry
- * host. */
-constexpr std::size_t maxCollectedInSum = 24 * 1024 * 1024;
-
 /** Whether a place is expected soon, so that waiting for it makes sense. */
 bool isWorthWaiting(BackendBook::NoChoice failure)
 {
@@ -52,13 +35,11 @@
     , number_(number)
     , exchange_(std::move(exchange))
     , timer_(gateway.loop_, [this] { onTimeout(); })
+    , answers_(exchange_, gateway.collectedBytes_)
 {
 }
 
-ForwardedRequest::~ForwardedRequest()
-{
-    gateway_.collectedBytes_ -= countedBytes_;
-}
+ForwardedRequest::~ForwardedRequest() = default;
 
 TimePoint ForwardedRequest::now() const
 {
@@ -80,22 +61,9 @@
     timer_.startOnce(deadline_ - arrivedAt_);
     gateway_.queues_.of(service_).retries.countRequest(arrivedAt_);
     gateway_.rateLimits_.onRequest(service_);
-    readTraits();
     dispatch(true);
 }
 
-void ForwardedRequest::readTraits()
-{
-    const auto &request = exchange_->request();
-    traits_ = traitsOf({.target = service_.name(),
-                        .team = team_ == nullptr ? TeamId() : team_->name,
-                        .method = request.method,
-                        .path = request.target,
-                        .body = request.body,
-                        .sharedParts = sharedPromptParts(request.headers, gateway_.settings_.headers.promptParts),
-                        .route = route_->name.name()});
-}
-
 void ForwardedRequest::refuseAsQuarantined()
 {
     const auto quarantine = gateway_.crashes_.quarantineOf(traits_);
@@ -153,39 +121,37 @@
     if (const auto *id = request.header(names.attemptId)) {
         attemptId_ = *id;
     }
-    if (!table_) {
-        refuse(GatewayRefusal::NotReady);
-        return false;
-    }
-    const auto *host = request.header("Host");
-    if (host == nullptr || !request.target.starts_with('/')) {
-        refuse(GatewayRefusal::BadRequest);
-        return false;
-    }
-    route_ = table_->findRoute(*host, request.path());
-    if (route_ == nullptr || route_->services.empty()) {
-        refuse(GatewayRefusal::NoRoute);
+    auto reason = GatewayRefusal::NotReady;
+    const auto match = matchRequest(request, table_.get(), names, reason);
+    if (!match) {
+        refuse(reason);
         return false;
     }
-    if (table_->hasTeams()) {
-        const auto *key = request.header(names.key);
-        team_ = key == nullptr ? nullptr : table_->findTeam(*key);
-        if (team_ == nullptr && !route_->isPublic) {
-            refuse(GatewayRefusal::UnknownKey);
-            return false;
-        }
-    }
-    priority_ = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
+    route_ = match->route;
+    team_ = match->team;
     service_ = chooseService(*route_, gateway_.random_);
+    traits_ = traitsOfRequest(request, *match, service_, names);
     const auto stated = parseMilliseconds(request.header(names.timeLeft));
-    isLate_ = stated && gateway_.isShortened(*route_, *stated);
     deadline_ = arrivedAt_ + std::min(stated.value_or(route_->timeout), route_->timeout);
+    wait_.emplace(gateway_.queues_,
+                  PlaceWait::Options{.service = service_,
+                                     .kind = route_->kind,
+                                     .latencyTarget = route_->latencyTarget,
+                                     .priority = match->priority(),
+                                     .arrivedAt = arrivedAt_,
+                                     .deadline = deadline_,
+                                     .isLate = stated && gateway_.isShortened(*route_, *stated)});
     if (const auto *position = request.header(names.lastEventId)) {
-        events_.setLastEventId(*position);
+        answers_.events().setLastEventId(*position);
     }
     return true;
 }
 
+PlaceWait::Stage ForwardedRequest::stage() const
+{
+    return exchange_->isStreaming() ? PlaceWait::Stage::Streaming : PlaceWait::Stage::Unanswered;
+}
+
 void ForwardedRequest::dispatch(bool mayQueue)
 {
     const auto decision = gateway_.crashes_.decide(number_, traits_);
@@ -193,14 +159,11 @@
         refuseAsQuarantined();
         return;
     }
-    auto &state = gateway_.queues_.of(service_);
-    const auto time = now();
     // Those that wait already come first, unless they have missed their target and this one has not.
-    const auto first = state.queue.front();
     const bool isTrial = gateway_.crashes_.isTrial(number_);
-    const bool isBehindOthers = mayQueue && !isTrial && first && first->priority <= queueRank();
-    const bool isLimited =
-        mayQueue && !isTrial && route_->kind == RequestKind::Stream && gateway_.queues_.isAtLimit(service_, isLate_);
+    const bool isBehindOthers = mayQueue && !isTrial && wait_->isBehindOthers(stage());
+    const bool isLimited = mayQueue && !isTrial && route_->kind == RequestKind::Stream
+        && gateway_.queues_.isAtLimit(service_, wait_->isLate());
     const auto server = chooseServer();
     if (!server && !isWorthWaiting(gateway_.backends_.lastFailure())) {
         refuse(refusalFor(gateway_.backends_.lastFailure()));
@@ -214,12 +177,7 @@
         send(*server);
         return;
     }
-    const auto wait = longestWait(time);
-    if (!isLate_ && wait > Duration::zero() && !gateway_.queues_.isRateTooLow(service_, wait)) {
-        joinQueue(time + wait);
-        return;
-    }
-    if (!queueAsLate(time)) {
+    if (!wait_->join(stage(), now(), weak_from_this())) {
         refuseForLackOfPlace();
     }
 }
@@ -238,48 +196,10 @@
         gateway_.random_);
 }
 
-std::uint32_t ForwardedRequest::queueRank() const
-{
-    // A stream that has begun comes first: its caller has waited longest and its place was counted already.
-    if (exchange_->isStreaming()) {
-        return 0;
-    }
-    return 1 + priority_ * 2 + (isLate_ ? 1 : 0);
-}
-
-void ForwardedRequest::joinQueue(TimePoint latestStart)
-{
-    ticket_ = gateway_.queues_.join(service_, queueRank(), std::min(latestStart, deadline_), weak_from_this());
-}
-
-bool ForwardedRequest::queueAsLate(TimePoint time)
-{
-    const auto latest = arrivedAt_ + std::min<Duration>(lateWait, (deadline_ - arrivedAt_) / 3);
-    if (time >= latest || route_->kind != RequestKind::Stream || gateway_.queues_.isBacklogTooLong(service_)
-        || gateway_.queues_.isRateTooLow(service_, latest - time)) {
-        return false;
-    }
-    isLate_ = true;
-    joinQueue(latest);
-    return true;
-}
-
-Duration ForwardedRequest::longestWait(TimePoint time)
-{
-    if (exchange_->isStreaming()) {
-        return resumeWait;
-    }
-    // A request that cannot be on time any more leaves its place to one that can.
-    const Duration target = route_->latencyTarget;
-    const auto atServer =
-        route_->kind == RequestKind::Stream ? gateway_.queues_.of(service_).governor.firstEventLatency() : target / 2;
-    return std::max<Duration>(target - atServer, target / 8) - (time - arrivedAt_);
-}
-
 bool ForwardedRequest::tryLeaveQueue()
 {
     if (const auto decision = gateway_.crashes_.decide(number_, traits_); decision != CrashGuard::Decision::Send) {
-        leaveQueue();
+        wait_->leave();
         decision == CrashGuard::Decision::Refuse ? refuseAsQuarantined() : hold();
         return true;
     }
@@ -288,10 +208,10 @@
         return false;
     }
     if (server && route_->kind == RequestKind::Stream && !exchange_->isStreaming()
-        && gateway_.queues_.isAtLimit(service_, isLate_)) {
+        && gateway_.queues_.isAtLimit(service_, wait_->isLate())) {
         return false;
     }
-    leaveQueue();
+    wait_->leave();
     if (server) {
         send(*server);
     } else {
@@ -302,20 +222,13 @@
 
 void ForwardedRequest::onWaitExpired()
 {
-    leaveQueue();
-    if (!isLate_ && !exchange_->isStreaming() && queueAsLate(now())) {
+    wait_->leave();
+    if (!wait_->isLate() && !exchange_->isStreaming() && wait_->joinAsLate(stage(), now(), weak_from_this())) {
         return;
     }
     refuseForLackOfPlace();
 }
 
-void ForwardedRequest::leaveQueue()
-{
-    if (ticket_) {
-        gateway_.queues_.leave(service_, *std::exchange(ticket_, std::nullopt));
-    }
-}
-
 HttpHeaders ForwardedRequest::requestHeaders(const ServerId &server) const
 {
     const auto &names = gateway_.settings_.headers;
@@ -325,8 +238,8 @@
     if (team_ != nullptr) {
         headers.emplace_back(names.team, team_->name.name());
     }
-    if (events_.lastEventId()) {
-        headers.emplace_back(names.lastEventId, *events_.lastEventId());
+    if (const auto &position = answers_.events().lastEventId()) {
+        headers.emplace_back(names.lastEventId, *position);
     }
     return headers;
 }
@@ -382,72 +295,47 @@
 
 void ForwardedRequest::handleData(std::string_view bytes)
 {
-    if (send_->isStreamed) {
-        forwardEvents(bytes);
+    const auto progress = send_->isStreamed ? answers_.passEvents(*send_, bytes) : answers_.collect(*send_, bytes);
+    switch (progress) {
+    case AnswerRelay::Progress::None:
         return;
-    }
-    send_->body.append(bytes);
-    if (!mayCollect(send_->body.size())) {
+    case AnswerRelay::Progress::TooLarge:
         failAsTooLarge();
+        return;
+    case AnswerRelay::Progress::Passed:
+        noteEvents();
+        return;
     }
 }
 
-bool ForwardedRequest::mayCollect(std::size_t collected)
-{
-    countCollected();
-    const bool isShort = gateway_.collectedBytes_ > maxCollectedInSum;
-    return collected <= (isShort ? maxCollectedWhenShort : maxCollectedBytes);
-}
-
-void ForwardedRequest::countCollected()
-{
-    const auto ofPresentAnswer = send_ ? send_->body.size() : 0;
-    const auto bytes = failedBody_.size() + ofPresentAnswer + events_.partialEvent().size();
-    gateway_.collectedBytes_ -= std::exchange(countedBytes_, bytes);
-    gateway_.collectedBytes_ += bytes;
-}
-
 void ForwardedRequest::failAsTooLarge()
 {
     logEvent(LogLevel::Warning, "answer_too_large",
              {{"id", attemptId_},
               {"server", send_->start.server.name()},
-              {"bytes", std::to_string(send_->body.size() + events_.partialEvent().size())},
+              {"bytes", std::to_string(answers_.waitingBytes(*send_))},
               {"of_all_requests", std::to_string(gateway_.collectedBytes_)}});
     ++runs_;
-    events_.dropPartialEvent();
     endSend(BackendOutcome::Failed);
     retryOrRefuse(GatewayRefusal::ServerFailed);
 }
 
-void ForwardedRequest::forwardEvents(std::string_view bytes)
+void ForwardedRequest::noteEvents()
 {
-    const auto whole = events_.push(bytes);
-    if (events_.isEventTooLong() || !mayCollect(events_.partialEvent().size())) {
-        failAsTooLarge();
-        return;
-    }
-    if (whole.empty() || hasCallerLeft_) {
-        return;
-    }
-    // The answer starts with its first event: until then another server can still give all of it.
-    if (!exchange_->isStreaming()) {
-        exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
-    }
     notePace();
     if (gateway_.backends_.onProgress(send_->start.server)) {
         gateway_.groupHasFormed(send_->start.server);
     }
-    exchange_->sendPiece(whole);
-    if (exchange_->bufferedBytes() > maxBufferedBytes) {
-        send_->connection->pauseReading();
-        exchange_->onDrained([weak = weak_from_this()] {
-            const auto self = weak.lock();
-            if (self && self->send_) {
-                self->send_->connection->resumeReading();
-            }
-        });
+    if (!answers_.isCallerSlow()) {
+        return;
     }
+    send_->connection->pauseReading();
+    exchange_->onDrained([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->send_) {
+            self->send_->connection->resumeReading();
+        }
+    });
 }
 
 void ForwardedRequest::notePace()
@@ -470,7 +358,7 @@
     logFailedSend(*send_,
                   {.attemptId = attemptId_,
                    .end = end,
-                   .events = events_.completeEvents(),
+                   .events = answers_.events().completeEvents(),
                    .sinceSent = now() - send_->startedAt,
                    .inFlight = backend == nullptr ? std::nullopt : std::optional(backend->inFlight()),
                    .parts = exchange_->request().header(gateway_.settings_.headers.promptParts),
@@ -495,7 +383,6 @@
         return;
     case Http1CallEnd::BadResponse:
         ++runs_;
-        events_.dropPartialEvent();
         endSend(BackendOutcome::Failed);
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
@@ -508,7 +395,6 @@
     const auto start = send_->start;
     const auto candidate = unansweredAt(start.server);
     const bool wasStale = send_->wasStale(now());
-    events_.dropPartialEvent();
     endSend(BackendOutcome::Failed);
     if (!candidate || wasStale) {
         retryOrRefuse(GatewayRefusal::ServerFailed);
@@ -553,8 +439,7 @@
         return;
     }
     if (head.status >= 500) {
-        failedHead_ = std::move(send_->head);
-        failedBody_ = std::move(send_->body);
+        answers_.keepFailure(*send_);
         endSend(BackendOutcome::Failed);
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
@@ -594,12 +479,10 @@
 void ForwardedRequest::deliverAnswer()
 {
     const auto status = send_->head->status;
-    const auto headers = endToEndHeaders(send_->head->headers);
-    const auto body = std::move(send_->body);
-    endSend(BackendOutcome::Served);
     if (!hasCallerLeft_) {
-        exchange_->reply(status, headers, body);
+        answers_.deliver(*send_);
     }
+    endSend(BackendOutcome::Served);
     finish("answered_" + std::to_string(status));
 }
 
@@ -607,8 +490,9 @@
 {
     // The framing cannot be trusted: a server that fails may close its connection, or end its chunks, inside an event.
     // An answer whose only end is that of the connection has begun only with its first event.
-    const bool isEmpty = events_.completeEvents() == 0 && endsWithConnection(*send_->head);
-    if (!events_.partialEvent().empty() || isEmpty) {
+    const auto &events = answers_.events();
+    const bool isEmpty = events.completeEvents() == 0 && endsWithConnection(*send_->head);
+    if (!events.partialEvent().empty() || isEmpty) {
         reportFailedSend(Http1CallEnd::BrokenOff);
         handleBrokenOff();
         return;
@@ -619,13 +503,10 @@
 void ForwardedRequest::finishStream()
 {
     gateway_.crashes_.onAnswerBegun(number_, traits_);
-    if (!hasCallerLeft_ && !exchange_->isStreaming()) {
-        exchange_->startStream(send_->head->status, endToEndHeaders(send_->head->headers));
-    }
-    endSend(BackendOutcome::Served);
     if (!hasCallerLeft_) {
-        exchange_->finishStream();
+        answers_.finishStream(*send_);
     }
+    endSend(BackendOutcome::Served);
     finish("streamed");
 }
 
@@ -657,7 +538,7 @@
     }
     auto sending = std::move(*send_);
     send_.reset();
-    countCollected();
+    answers_.dropSend();
     gateway_.backends_.onEnded(sending.start.server, outcome, now());
     gateway_.peers_.markChanged();
     gateway_.pool_.release(sending.start.server, sending.start.address, std::move(sending.connection));
@@ -680,9 +561,8 @@
     if (runs_ > 0 && statusOf(refusal) == statusUnavailable) {
         refusal = GatewayRefusal::ServerFailed;
     }
-    if (failedHead_ && refusal == GatewayRefusal::ServerFailed) {
-        exchange_->reply(failedHead_->status, endToEndHeaders(failedHead_->headers), failedBody_);
-        finish("answered_" + std::to_string(failedHead_->status));
+    if (const auto status = refusal == GatewayRefusal::ServerFailed ? answers_.deliverFailure() : std::nullopt) {
+        finish("answered_" + std::to_string(*status));
         return;
     }
     HttpHeaders headers;
@@ -700,8 +580,8 @@
 void ForwardedRequest::onTimeout()
 {
     const auto self = shared_from_this();
-    if (ticket_ || isHeld_) {
-        leaveQueue();
+    if (wait_->isWaiting() || isHeld_) {
+        wait_->leave();
         refuse(runs_ > 0 ? GatewayRefusal::ServerFailed : GatewayRefusal::TimedOutWaiting);
         return;
     }
@@ -713,7 +593,7 @@
 {
     hasCallerLeft_ = true;
     const auto self = shared_from_this();
-    leaveQueue();
+    wait_->leave();
     // An order that a server has may be carried out to its end; all else is work that nobody waits for.
     if (send_ && route_->kind == RequestKind::NonIdempotent) {
         return;
@@ -730,6 +610,11 @@
     timer_.stop();
     isHeld_ = false;
     gateway_.crashes_.onRequestEnded(number_);
+    // The object lives on to the next turn, maybe longer than the gateway.
+    answers_.clear();
+    if (wait_) {
+        wait_->leave();
+    }
     const auto total = now() - arrivedAt_;
     gateway_.countOutcome(outcome, total);
     logRequestDone({.attemptId = attemptId_,
@@ -740,8 +625,8 @@
                     .server = tried_.empty() ? "" : tried_.back().name(),
                     .sends = sends_,
                     .timeLeft = deadline_ - arrivedAt_,
-                    .isLate = isLate_,
-                    .events = events_.completeEvents(),
+                    .isLate = wait_ && wait_->isLate(),
+                    .events = answers_.events().completeEvents(),
                     .firstByte = firstByteAt_ == TimePoint{} ? std::nullopt : std::optional(firstByteAt_ - arrivedAt_),
                     .longestPause = longestPause_,
                     .total = total,
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+#include "hornbeamlane_gateway/queue/PlaceWait.h"
+#include "hornbeamlane_gateway/request/AnswerRelay.h"
 #include "hornbeamlane_gateway/request/BackendSend.h"
 #include "hornbeamlane_gateway/request/GatewayRefusal.h"
 #include "hornbeamlane_network/http1/Http1Server.h"
@@ -56,7 +58,7 @@
 
 private:
     bool admit();
-    void readTraits();
+    PlaceWait::Stage stage() const;
     void dispatch(bool mayQueue);
     void refuseAsQuarantined();
     void hold();
@@ -77,14 +79,9 @@
     void retryOrRefuse(GatewayRefusal reason);
     bool mayRepeat() const;
     void deliverAnswer();
-    /** Longest time from now for which waiting for a place makes sense. */
-    Duration longestWait(TimePoint time);
     void notePace();
-    void forwardEvents(std::string_view bytes);
-    /** Whether the present answer may have so many bytes collected. */
-    bool mayCollect(std::size_t collected);
-    /** Tells the gateway how many bytes of answers the request holds now. */
-    void countCollected();
+    /** Events have been passed on to the caller. */
+    void noteEvents();
     void failAsTooLarge();
     /** The server has ended the stream; whether it is whole remains to be seen. */
     void endStream();
@@ -93,11 +90,6 @@
     void refuse(GatewayRefusal refusal);
     void onTimeout();
     void onCallerLeft();
-    void leaveQueue();
-    /** Joins the queue behind those that can still be on time; false if the backlog is too long for it. */
-    bool queueAsLate(TimePoint time);
-    void joinQueue(TimePoint latestStart);
-    std::uint32_t queueRank() const;
     void finish(std::string_view outcome);
     TimePoint now() const;
 
@@ -112,29 +104,22 @@
     std::string attemptId_;
     /** What it shares with other requests, some of which may have crashed servers. */
     RequestTraits traits_;
-    std::uint32_t priority_ = 0;
     TimePoint arrivedAt_;
     TimePoint deadline_;
     Timer timer_;
+    /** Empty before the request is admitted. */
+    std::optional<PlaceWait> wait_;
+    AnswerRelay answers_;
     std::optional<detail::BackendSend> send_;
     std::vector<ServerId> tried_;
     /** Servers that may have run the request. */
     std::uint32_t runs_ = 0;
     std::uint32_t sends_ = 0;
-    std::optional<TicketNumber> ticket_;
     bool isHeld_ = false;
     /** Until when it waits as a suspect, from its first such wait on. */
     std::optional<TimePoint> holdsUntil_;
-    /** Answer of a server that failed, kept in case no other server does better. */
-    std::optional<Http1ResponseHead> failedHead_;
-    std::string failedBody_;
-    EventStreamFilter events_;
-    /** Bytes of answers that it holds, as counted in Gateway::collectedBytes_. */
-    std::size_t countedBytes_ = 0;
     TimePoint firstByteAt_;
     Duration longestPause_{};
-    /** Its latency target is missed already, because the caller came back or because it has waited. */
-    bool isLate_ = false;
     bool hasCallerLeft_ = false;
     bool isFinished_ = false;
 };
