Log what is learned, left out, cleared and forgotten of crashes

Change: server_crashed names the crash, the start of the server, what was new and the requests; new lines crash_told, crash_forgotten and request_cleared; counters crashes_seen_total, crashes_told_total, crashes_forgotten_total and crash_clearances_total. CrashEvidence::learn tells why a crash is left out.

--- a/modules/hornbeamlane_gateway/crashes/CrashExchange.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashExchange.cpp
@@ -95,7 +95,9 @@
     const auto now = loop_.now();
     bool hasChanged = false;
     for (const auto &crash : crashesOf(*update, now)) {
-        hasChanged = evidence_.onCrash(crash, now) || hasChanged;
+        const auto news = evidence_.learn(crash, now);
+        hooks_.told(crash, news);
+        hasChanged = hasChanged || news == CrashNews::New || news == CrashNews::More;
     }
     if (hasChanged) {
         hooks_.changed();
--- a/modules/hornbeamlane_gateway/crashes/CrashExchange.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashExchange.h
@@ -41,6 +41,8 @@
         std::function<void(const std::string &address, const std::string &bytes)> sendTo;
         /** Evidence or claims of others have changed what is known here. */
         std::function<void()> changed;
+        /** Another entry has told of a crash. */
+        std::function<void(const ServerCrash &, CrashNews)> told;
     };
 
     CrashExchange(EventLoop &loop, CrashEvidence &evidence, SuspectTrials &trials, Options options, Hooks hooks);
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
@@ -10,18 +10,17 @@
 
 namespace {
 
-/** Lines on culprits between two sweeps; a cut may look like many crashes for a moment. */
-constexpr std::size_t maxCulpritLines = 6;
-
 /** A server that answers sooner than this after its crash has not crashed; later it may be another start of it. */
 constexpr std::chrono::milliseconds shortestDownTime{1500};
 
 } // namespace
 
-CrashGuard::CrashGuard(EventLoop &loop, RandomSource &random, const BackendBook &servers, Options options, Hooks hooks)
+CrashGuard::CrashGuard(EventLoop &loop, RandomSource &random, MetricsRegistry &metrics, const BackendBook &servers,
+                       Options options, Hooks hooks)
     : loop_(loop)
     , servers_(servers)
     , hooks_(std::move(hooks))
+    , log_(metrics)
     , evidence_(options.evidence)
     , trials_(options.incarnation, options.trials)
     , detector_(loop, servers, {},
@@ -30,12 +29,17 @@
                      [this](const ServerStart &start, CrashSign sign, std::vector<CrashCandidate> candidates) {
                          handleCrash(start, sign, std::move(candidates));
                      }})
-    , exchange_(loop, evidence_, trials_, {.incarnation = options.incarnation},
-                {.sendToAll = hooks_.sendToAll, .sendTo = hooks_.sendTo, .changed = [this] { handleChange(); }})
+    , exchange_(
+          loop, evidence_, trials_, {.incarnation = options.incarnation},
+          {.sendToAll = hooks_.sendToAll,
+           .sendTo = hooks_.sendTo,
+           .changed = [this] { handleChange(); },
+           .told = [this](const ServerCrash &crash, CrashNews news) { log_.told("entry", crash, news, loop_.now()); }})
     , row_(loop, random, evidence_, {},
            {.write = hooks_.writeRow,
             .timeOfDay = [] { return std::chrono::system_clock::now(); },
-            .changed = [this] { handleChange(); }})
+            .changed = [this] { handleChange(); },
+            .told = [this](const ServerCrash &crash, CrashNews news) { log_.told("row", crash, news, loop_.now()); }})
 {
 }
 
@@ -115,10 +119,11 @@
     handleChange();
 }
 
-void CrashGuard::onAnswerBegun(RequestNumber request, const RequestTraits &traits)
+void CrashGuard::onAnswerBegun(RequestNumber request, const std::string &attemptId, const RequestTraits &traits)
 {
     std::vector<CrashId> cleared;
     if (evidence_.onAnswerBegun(traits, cleared)) {
+        log_.cleared(attemptId, traits, cleared);
         exchange_.tellCrashes(cleared);
         handleChange();
     }
@@ -145,13 +150,9 @@
                             .at = loop_.now(),
                             .candidates = std::move(candidates),
                             .isConfirmed = sign != CrashSign::ConnectionRefused};
-    logEvent(LogLevel::Warning, "server_crashed",
-             {{"server", start.server.name()},
-              {"address", start.address},
-              {"sign", std::string(toString(sign))},
-              {"unanswered", std::to_string(crash.candidates.size())},
-              {"answer_begun", crash.hasHead() ? "yes" : "no"}});
-    if (evidence_.onCrash(crash, loop_.now())) {
+    const auto news = evidence_.learn(crash, loop_.now());
+    log_.seen(start, sign, crash, news);
+    if (news == CrashNews::New || news == CrashNews::More) {
         exchange_.tellCrashes({crash.id});
         handleChange();
     }
@@ -167,31 +168,7 @@
 void CrashGuard::logCulprits()
 {
     const auto now = loop_.now();
-    const auto &culprits = evidence_.findings(now).culprits;
-    std::map<std::vector<TraitHash>, std::size_t> current;
-    for (const auto &culprit : culprits) {
-        current[culprit.traits] = culprit.crashes;
-        const auto known = loggedCulprits_.find(culprit.traits);
-        if (known == loggedCulprits_.end() || known->second != culprit.crashes) {
-            logCulprit("requests_quarantined", culprit, now);
-        }
-    }
-    for (const auto &[traits, crashes] : loggedCulprits_) {
-        if (!current.contains(traits)) {
-            logCulprit("quarantine_ended", {.traits = traits, .until = now, .crashes = crashes}, now);
-        }
-    }
-    loggedCulprits_ = std::move(current);
-}
-
-void CrashGuard::logCulprit(const std::string &event, const Culprit &culprit, TimePoint now)
-{
-    if (++culpritLines_ <= maxCulpritLines) {
-        logEvent(LogLevel::Warning, event,
-                 {{"traits", formatTraits(culprit.traits)},
-                  {"crashes", std::to_string(culprit.crashes)},
-                  {"for_s", formatSeconds(culprit.until - now)}});
-    }
+    log_.culprits(evidence_.findings(now).culprits, now);
 }
 
 std::size_t CrashGuard::culpritCount()
@@ -202,15 +179,13 @@
 void CrashGuard::sweep()
 {
     const auto now = loop_.now();
-    evidence_.expire(now);
+    for (const auto &crash : evidence_.expire(now)) {
+        log_.forgotten(crash, now);
+    }
     evidence_.setServerCount(servers_.all().size());
     detector_.sweep(now);
     exchange_.sweep(now);
-    if (culpritLines_ > maxCulpritLines) {
-        logEvent(LogLevel::Warning, "culprit_lines_left_out",
-                 {{"lines", std::to_string(culpritLines_ - maxCulpritLines)}});
-    }
-    culpritLines_ = 0;
+    log_.sweep();
     logCulprits();
     row_.check();
 }
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_gateway/crashes/CrashDetector.h"
 #include "hornbeamlane_gateway/crashes/CrashExchange.h"
+#include "hornbeamlane_gateway/crashes/CrashLog.h"
 #include "hornbeamlane_gateway/crashes/CrashRow.h"
 
 #include <functional>
@@ -41,7 +42,8 @@
         std::function<void(const std::string &value, RowVersion expected, TableClient::ReplyHandler)> writeRow;
     };
 
-    CrashGuard(EventLoop &loop, RandomSource &random, const BackendBook &servers, Options options, Hooks hooks);
+    CrashGuard(EventLoop &loop, RandomSource &random, MetricsRegistry &metrics, const BackendBook &servers,
+               Options options, Hooks hooks);
 
     Decision decide(RequestNumber request, const RequestTraits &traits);
 
@@ -72,7 +74,7 @@
     void onServerAnswered(const ServerStart &start, TimePoint sentAt, bool isMisdirected);
 
     /** A server has begun to answer the request and lives. */
-    void onAnswerBegun(RequestNumber request, const RequestTraits &traits);
+    void onAnswerBegun(RequestNumber request, const std::string &attemptId, const RequestTraits &traits);
 
     /** The request is over, whatever has become of it. */
     void onRequestEnded(RequestNumber request);
@@ -111,23 +113,18 @@
     void handleCrash(const ServerStart &start, CrashSign sign, std::vector<CrashCandidate> candidates);
     void endTrial(RequestNumber request);
     void handleChange();
-    /** One line for each culprit that is new, has gone or has crashed another server, up to a bound. */
     void logCulprits();
-    void logCulprit(const std::string &event, const Culprit &culprit, TimePoint now);
 
     EventLoop &loop_;
     const BackendBook &servers_;
     Hooks hooks_;
+    CrashLog log_;
     CrashEvidence evidence_;
     SuspectTrials trials_;
     CrashDetector detector_;
     CrashExchange exchange_;
     CrashRow row_;
     std::map<RequestNumber, ServerId> running_;
-    /** Culprits as last logged: their traits and crashes. */
-    std::map<std::vector<TraitHash>, std::size_t> loggedCulprits_;
-    /** Lines on culprits since the last sweep. */
-    std::size_t culpritLines_ = 0;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/crashes/CrashRow.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashRow.cpp
@@ -53,7 +53,9 @@
     rowDigest_ = digestOf(*crashes);
     bool hasChanged = false;
     for (const auto &crash : *crashes) {
-        hasChanged = evidence_.onCrash(crash, now) || hasChanged;
+        const auto news = evidence_.learn(crash, now);
+        hooks_.told(crash, news);
+        hasChanged = hasChanged || news == CrashNews::New || news == CrashNews::More;
     }
     if (hasChanged) {
         hooks_.changed();
--- a/modules/hornbeamlane_gateway/crashes/CrashRow.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashRow.h
@@ -40,6 +40,8 @@
         std::function<std::chrono::system_clock::time_point()> timeOfDay;
         /** The row has changed what is known here. */
         std::function<void()> changed;
+        /** The row tells of a crash. */
+        std::function<void(const ServerCrash &, CrashNews)> told;
     };
 
     CrashRow(EventLoop &loop, RandomSource &random, CrashEvidence &evidence, Options options, Hooks hooks);
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -344,7 +344,7 @@
     auto &governor = gateway_.queues_.of(service_).governor;
     if (send_->lastEventAt == TimePoint{}) {
         governor.onFirstEvent(time - send_->startedAt);
-        gateway_.crashes_.onAnswerBegun(number_, traits_);
+        gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
     } else {
         longestPause_ = std::max(longestPause_, time - send_->lastEventAt);
         governor.onPause(time - send_->lastEventAt, route_->pauseTarget, time);
@@ -431,7 +431,7 @@
         return;
     }
     ++runs_;
-    gateway_.crashes_.onAnswerBegun(number_, traits_);
+    gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
     const bool isSuccess = head.status / 100 == 2;
     if ((isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
         endSend(BackendOutcome::Failed);
@@ -502,7 +502,7 @@
 
 void ForwardedRequest::finishStream()
 {
-    gateway_.crashes_.onAnswerBegun(number_, traits_);
+    gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
     if (!hasCallerLeft_) {
         answers_.finishStream(*send_);
     }
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -71,6 +71,27 @@
 
 } // namespace
 
+std::string_view toString(CrashNews news)
+{
+    switch (news) {
+    case CrashNews::New:
+        return "new";
+    case CrashNews::More:
+        return "more";
+    case CrashNews::Known:
+        return "known";
+    case CrashNews::WithoutRequests:
+        return "without_requests";
+    case CrashNews::Settled:
+        return "settled";
+    case CrashNews::Expired:
+        return "expired";
+    case CrashNews::NoRoom:
+        return "no_room";
+    }
+    return "unknown";
+}
+
 CrashEvidence::CrashEvidence()
     : CrashEvidence(Options())
 {
@@ -122,12 +143,33 @@
     return findings_;
 }
 
+std::optional<CrashNews> CrashEvidence::reasonToLeaveOut(const ServerCrash &crash, TimePoint now) const
+{
+    if (crash.candidates.empty()) {
+        return CrashNews::WithoutRequests;
+    }
+    if (isSettled(crash, crashes_)) {
+        return CrashNews::Settled;
+    }
+    if (hasExpired(crash, now)) {
+        return CrashNews::Expired;
+    }
+    return isLeast(crash) ? std::optional(CrashNews::NoRoom) : std::nullopt;
+}
+
 bool CrashEvidence::onCrash(const ServerCrash &crash, TimePoint now)
+{
+    const auto news = learn(crash, now);
+    return news == CrashNews::New || news == CrashNews::More;
+}
+
+CrashNews CrashEvidence::learn(const ServerCrash &crash, TimePoint now)
 {
     const bool isKnown = find(crash.id) != nullptr;
-    if (!isKnown
-        && (crash.candidates.empty() || isSettled(crash, crashes_) || hasExpired(crash, now) || isLeast(crash))) {
-        return false;
+    if (!isKnown) {
+        if (const auto reason = reasonToLeaveOut(crash, now)) {
+            return *reason;
+        }
     }
     auto &known = findOrAdd(crash);
     known.at = std::min(known.at, crash.at);
@@ -148,7 +190,10 @@
     isNew = (crash.isRefuted && !std::exchange(known.isRefuted, true)) || isNew;
     isNew = markBegunBefore(known) || isNew;
     noteChange(isNew);
-    return isNew;
+    if (!isKnown) {
+        return CrashNews::New;
+    }
+    return isNew ? CrashNews::More : CrashNews::Known;
 }
 
 void CrashEvidence::noteChange(bool hasChanged)
@@ -358,10 +403,18 @@
     begunEarlier_ = std::exchange(begun_, {});
 }
 
-void CrashEvidence::expire(TimePoint now)
+std::vector<ServerCrash> CrashEvidence::expire(TimePoint now)
 {
-    const auto old = std::erase_if(crashes_, [this, now](const ServerCrash &crash) { return hasExpired(crash, now); });
-    noteChange(old > 0);
+    std::vector<ServerCrash> kept;
+    std::vector<ServerCrash> expired;
+    for (const auto &crash : crashes_) {
+        (hasExpired(crash, now) ? expired : kept).push_back(crash);
+    }
+    if (!expired.empty()) {
+        crashes_ = std::move(kept);
+        noteChange(true);
+    }
+    return expired;
 }
 
 bool CrashEvidence::hasExpired(const ServerCrash &crash, TimePoint now) const
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.h
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.h
@@ -4,11 +4,25 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <unordered_set>
 #include <vector>
 
 namespace hornbeamlane {
 
+/** What becomes of a crash that is told. */
+enum class CrashNews {
+    New,
+    More, ///< It was known, but not all of this.
+    Known,
+    WithoutRequests, ///< Left out: no request was at the server.
+    Settled, ///< Left out: it proves nothing.
+    Expired, ///< Left out: it is too old.
+    NoRoom, ///< Left out: enough newer ones are known.
+};
+
+std::string_view toString(CrashNews news);
+
 /**
     Remembers what was at servers when they crashed and judges requests by it.
 
@@ -50,7 +64,10 @@
     /** Those because of which the request is quarantined. */
     std::vector<Culprit> culpritsOf(const RequestTraits &traits, TimePoint now);
 
-    /** A server has ended without having announced it; true if that tells something new. */
+    /** A server has ended without having announced it. */
+    CrashNews learn(const ServerCrash &crash, TimePoint now);
+
+    /** The same; true if that tells something new. */
     bool onCrash(const ServerCrash &crash, TimePoint now);
 
     /** A server has begun an answer to a request and lives; true if that clears something of these crashes. */
@@ -68,8 +85,8 @@
     /** Servers that there are, of which a few may crash at the same moment by requests. */
     void setServerCount(std::size_t servers);
 
-    /** Forgets what is too old. */
-    void expire(TimePoint now);
+    /** Forgets what is too old; returns the crashes that it forgot. */
+    std::vector<ServerCrash> expire(TimePoint now);
 
     const std::vector<ServerCrash> &crashes() const
     {
@@ -82,6 +99,8 @@
     std::uint64_t digest() const;
 
 private:
+    /** Why a crash that is not known is left out; empty if it is remembered. */
+    std::optional<CrashNews> reasonToLeaveOut(const ServerCrash &crash, TimePoint now) const;
     ServerCrash *find(CrashId id);
     const ServerCrash *find(CrashId id) const;
     ServerCrash &findOrAdd(const ServerCrash &crash);
--- a/tests/gateway/CrashRowTest.cpp
+++ b/tests/gateway/CrashRowTest.cpp
@@ -22,7 +22,8 @@
                   {.write = [&test](const std::string &value, RowVersion expected,
                                     const TableClient::ReplyHandler &handler) { test.write(value, expected, handler); },
                    .timeOfDay = [] { return std::chrono::system_clock::now(); },
-                   .changed = [] {}})
+                   .changed = [] {},
+                   .told = [](const ServerCrash &, CrashNews) {}})
         {
         }
 
