Let an entry that starts learn crashes that prove something only together

Cause: a crash that proves nothing by itself was not learned. One crash whose shared parts have been cleared is held against a whole request only if that request was at another crash too, and of two such crashes each was left out because the other was not known yet. The order in which they come does not matter. Why it works: an entry now comes to the same crashes as those that told it, as the equal digests in the test show. Result: RepeatedRequestTest.StaysKnownWhileEntriesRestartInTurn failed before (6 requests later than 3 s after the third crash, 3 allowed; 10 in all) and passes; CrashEvidenceTest.LearnsCrashesThatProveSomethingOnlyTogether failed before and passes.

--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -143,15 +143,16 @@
     return findings_;
 }
 
-std::optional<CrashNews> CrashEvidence::reasonToLeaveOut(const ServerCrash &crash, TimePoint now) const
+std::optional<CrashNews> CrashEvidence::reasonToLeaveOut(const ServerCrash &crash, const std::vector<ServerCrash> &all,
+                                                         TimePoint now) const
 {
     if (crash.candidates.empty()) {
         return CrashNews::WithoutRequests;
     }
-    if (isSettled(crash, crashes_)) {
+    if (isSettled(crash, all)) {
         return CrashNews::Settled;
     }
-    if (hasExpired(crash, now)) {
+    if (hasExpired(crash, all, now)) {
         return CrashNews::Expired;
     }
     return isLeast(crash) ? std::optional(CrashNews::NoRoom) : std::nullopt;
@@ -165,15 +166,40 @@
 
 CrashNews CrashEvidence::learn(const ServerCrash &crash, TimePoint now)
 {
-    const bool isKnown = find(crash.id) != nullptr;
-    if (!isKnown) {
-        if (const auto reason = reasonToLeaveOut(crash, now)) {
-            return *reason;
+    if (find(crash.id) != nullptr) {
+        return add(crash) ? CrashNews::More : CrashNews::Known;
+    }
+    auto all = crashes_;
+    all.insert(all.end(), setAside_.begin(), setAside_.end());
+    if (const auto reason = reasonToLeaveOut(crash, all, now)) {
+        if ((reason == CrashNews::Settled || reason == CrashNews::Expired) && setAside_.size() < options_.maxCrashes) {
+            setAside_.push_back(crash);
+        }
+        return *reason;
+    }
+    add(crash);
+    takeUpSetAside(now);
+    return CrashNews::New;
+}
+
+void CrashEvidence::takeUpSetAside(TimePoint now)
+{
+    auto all = crashes_;
+    all.insert(all.end(), setAside_.begin(), setAside_.end());
+    for (const auto &crash : std::exchange(setAside_, {})) {
+        if (reasonToLeaveOut(crash, all, now)) {
+            setAside_.push_back(crash);
+        } else {
+            add(crash);
         }
     }
+}
+
+bool CrashEvidence::add(const ServerCrash &crash)
+{
+    bool isNew = find(crash.id) == nullptr;
     auto &known = findOrAdd(crash);
     known.at = std::min(known.at, crash.at);
-    bool isNew = !isKnown;
     for (const auto &candidate : crash.candidates) {
         isNew = addCandidate(known, candidate) || isNew;
     }
@@ -190,10 +216,7 @@
     isNew = (crash.isRefuted && !std::exchange(known.isRefuted, true)) || isNew;
     isNew = markBegunBefore(known) || isNew;
     noteChange(isNew);
-    if (!isKnown) {
-        return CrashNews::New;
-    }
-    return isNew ? CrashNews::More : CrashNews::Known;
+    return isNew;
 }
 
 void CrashEvidence::noteChange(bool hasChanged)
@@ -405,10 +428,11 @@
 
 std::vector<ServerCrash> CrashEvidence::expire(TimePoint now)
 {
+    setAside_.clear();
     std::vector<ServerCrash> kept;
     std::vector<ServerCrash> expired;
     for (const auto &crash : crashes_) {
-        (hasExpired(crash, now) ? expired : kept).push_back(crash);
+        (hasExpired(crash, crashes_, now) ? expired : kept).push_back(crash);
     }
     if (!expired.empty()) {
         crashes_ = std::move(kept);
@@ -417,13 +441,13 @@
     return expired;
 }
 
-bool CrashEvidence::hasExpired(const ServerCrash &crash, TimePoint now) const
+bool CrashEvidence::hasExpired(const ServerCrash &crash, const std::vector<ServerCrash> &all, TimePoint now) const
 {
     const auto age = now - crash.at;
     const bool isDoubtful = !isLikely(crash) && age >= 2 * options_.rules.doubt;
     // A settled crash may still tell of a request that is repeated as a whole.
     const auto settledBound = std::max(options_.settledTime, options_.rules.suspicion);
-    return age >= options_.rules.quarantine || isDoubtful || (age >= settledBound && isSettled(crash, crashes_));
+    return age >= options_.rules.quarantine || isDoubtful || (age >= settledBound && isSettled(crash, all));
 }
 
 std::uint64_t CrashEvidence::digest() const
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.h
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.h
@@ -99,8 +99,12 @@
     std::uint64_t digest() const;
 
 private:
-    /** Why a crash that is not known is left out; empty if it is remembered. */
-    std::optional<CrashNews> reasonToLeaveOut(const ServerCrash &crash, TimePoint now) const;
+    /** Why a crash that is not known is left out, seen beside these others; empty if it is remembered. */
+    std::optional<CrashNews> reasonToLeaveOut(const ServerCrash &crash, const std::vector<ServerCrash> &all,
+                                              TimePoint now) const;
+    /** Remembers what has been set aside and means something now. */
+    void takeUpSetAside(TimePoint now);
+    bool add(const ServerCrash &crash);
     ServerCrash *find(CrashId id);
     const ServerCrash *find(CrashId id) const;
     ServerCrash &findOrAdd(const ServerCrash &crash);
@@ -118,12 +122,15 @@
     bool isLess(const ServerCrash &a, const ServerCrash &b) const;
     /** Whether the crash would be the first to be forgotten because there are too many. */
     bool isLeast(const ServerCrash &crash) const;
-    bool hasExpired(const ServerCrash &crash, TimePoint now) const;
+    /** Whether the crash is too old, seen beside these others. */
+    bool hasExpired(const ServerCrash &crash, const std::vector<ServerCrash> &all, TimePoint now) const;
     /** The crashes have changed, so what was concluded from them is outdated. */
     void noteChange(bool hasChanged);
 
     Options options_;
     std::vector<ServerCrash> crashes_;
+    /** Left out since the last expire(), as they mean nothing by themselves; another crash may give them a meaning. */
+    std::vector<ServerCrash> setAside_;
     CrashFindings findings_;
     bool isOutdated_ = false;
     /** Empty after a change; each message to and from a peer asks for it. */
--- a/tests/gateway/GatewayWorld.cpp
+++ b/tests/gateway/GatewayWorld.cpp
@@ -1,6 +1,8 @@
 #include "gateway/GatewayWorld.h"
 
+#include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace hornbeamlane {
 
@@ -9,6 +11,10 @@
 namespace {
 
 const std::string lookupPrefix = "/look/";
+const std::string orderPrefix = "/order/";
+
+/** Time from the arrival of a deadly request to the crash. */
+constexpr milliseconds crashDelay{10};
 
 } // namespace
 
@@ -66,7 +72,13 @@
                          .kind = RequestKind::Idempotent,
                          .services = {{.service = ServiceId("pool")}},
                          .timeout = milliseconds(1000),
-                         .maxAttempts = 2}};
+                         .maxAttempts = 2},
+                        {.name = RouteId("order"),
+                         .host = "h",
+                         .prefix = orderPrefix,
+                         .kind = RequestKind::NonIdempotent,
+                         .services = {{.service = ServiceId("pool")}},
+                         .timeout = milliseconds(1000)}};
     catalogue.routes.front().isPublic = true;
     catalogue.teams = {{.name = TeamId("glue"), .keys = {"key-of-glue"}},
                        {.name = TeamId("zip"), .keys = {"key-of-zip"}}};
@@ -142,7 +154,8 @@
 void GatewayWorld::listServer(Server &server)
 {
     const ServerId old(server.id);
-    server.id = server.process->address() + "/" + std::to_string(++server.lifetimes);
+    ++server.lifetimes;
+    server.id = server.process->address() + "/" + std::to_string(options_.keepsIds ? 1 : server.lifetimes);
     for (const auto &entry : entries_) {
         entry->backends().remove(old, std::nullopt);
         listServerAt(*entry, server);
@@ -164,16 +177,15 @@
                                  const std::string &head)
 {
     server.arrivals.push_back(loop_.now());
-    if (head.starts_with("GET " + lookupPrefix)) {
+    if (isLookup(head)) {
         answerLookup(server, connection, head);
         return;
     }
     if (isDeadly(headerOf(head, "X-Prompt-Parts"))) {
-        ++deadlyRequests_;
         if (options_.sendsHeadBeforeCrash) {
             connection.send(streamHead(head));
         }
-        crashSoon(server);
+        crashUnderRequest(server);
         return;
     }
     if (silentParts.contains(headerOf(head, "X-Prompt-Parts"))) {
@@ -186,26 +198,56 @@
 void GatewayWorld::answerLookup(Server &server, testing::ScriptedServer::Connection &connection,
                                 const std::string &head)
 {
-    if (!deadlyPath.empty() && head.starts_with("GET " + deadlyPath)) {
-        ++deadlyRequests_;
-        crashSoon(server);
+    if (!deadlyPath.empty() && head.find(" " + deadlyPath) != std::string::npos) {
+        crashUnderRequest(server);
         return;
     }
-    connection.send(answer(head, 200, "found"));
+    if (lookupTime == milliseconds(0)) {
+        connection.send(answer(head, 200, "found"));
+        return;
+    }
+    const auto number = server.lifetimes;
+    later(lookupTime, [&server, &connection, head, number] {
+        // The connection is gone with the server that has crashed meanwhile.
+        if (server.isUp && server.lifetimes == number) {
+            connection.send(answer(head, 200, "found"));
+        }
+    });
+}
+
+bool GatewayWorld::isLookup(const std::string &head) const
+{
+    return head.starts_with("GET " + lookupPrefix) || head.starts_with("POST " + orderPrefix);
+}
+
+int GatewayWorld::deadlyRequestsAfterThirdCrash(milliseconds time) const
+{
+    constexpr std::size_t crashes = 3;
+    if (deadlyArrivals_.size() < crashes) {
+        return 0;
+    }
+    const auto from = deadlyArrivals_[crashes - 1] + crashDelay + time;
+    return static_cast<int>(std::count_if(deadlyArrivals_.begin(), deadlyArrivals_.end(),
+                                          [from](TimePoint arrival) { return arrival > from; }));
 }
 
-void GatewayWorld::crashSoon(Server &server)
+void GatewayWorld::crashUnderRequest(Server &server)
 {
-    later(milliseconds(10), [this, &server] { crashServer(static_cast<std::size_t>(&server - servers_.data())); });
+    deadlyArrivals_.push_back(loop_.now());
+    later(crashDelay, [this, &server] { crashServer(static_cast<std::size_t>(&server - servers_.data())); });
 }
 
 void GatewayWorld::crashServer(std::size_t index)
 {
     auto &server = servers_[index];
+    if (!std::exchange(server.isUp, false)) {
+        return;
+    }
     server.process->crash();
     ++crashes_;
     later(options_.downTime, [this, &server] {
         server.process->restart();
+        server.isUp = true;
         listServer(server);
     });
 }
@@ -255,10 +297,22 @@
 
 std::shared_ptr<CallerAnswer> GatewayWorld::sendLookup(std::size_t entry, const std::string &team,
                                                        const std::string &path)
+{
+    return callForTeam(entry, team, "GET", path);
+}
+
+std::shared_ptr<CallerAnswer> GatewayWorld::sendOrder(std::size_t entry, const std::string &team,
+                                                      const std::string &path)
+{
+    return callForTeam(entry, team, "POST", path);
+}
+
+std::shared_ptr<CallerAnswer> GatewayWorld::callForTeam(std::size_t entry, const std::string &team,
+                                                        const std::string &method, const std::string &path)
 {
     return call(
         entry,
-        {.method = "GET", .target = path, .headers = {{"X-Time-Left-Ms", "1000"}, {"X-Api-Key", "key-of-" + team}}});
+        {.method = method, .target = path, .headers = {{"X-Time-Left-Ms", "1000"}, {"X-Api-Key", "key-of-" + team}}});
 }
 
 void GatewayWorld::runFor(milliseconds time)
--- a/tests/gateway/GatewayWorld.h
+++ b/tests/gateway/GatewayWorld.h
@@ -20,8 +20,10 @@
     {
         std::size_t entries = 3;
         std::size_t servers = 6;
-        /** Time after which a crashed server is back, under a new id. */
+        /** Time after which a crashed server is back. */
         std::chrono::milliseconds downTime{150};
+        /** Whether it comes back under the id that it had, and nothing tells its starts apart. */
+        bool keepsIds = false;
         /** Whether a server that crashes has sent the head of its answer before. */
         bool sendsHeadBeforeCrash = true;
         /** Whether the entries hear each other. */
@@ -36,9 +38,12 @@
     /** Parts under which servers crash as they begin to answer. */
     std::set<std::string> deadlyParts;
 
-    /** Lookups whose path begins so crash their server; empty: none does. */
+    /** Lookups and orders whose path begins so crash their server; empty: none does. */
     std::string deadlyPath;
 
+    /** Time that servers take for other lookups and orders. */
+    std::chrono::milliseconds lookupTime{0};
+
     /** Lists of parts whose requests servers take and do not answer. */
     std::set<std::string> silentParts;
 
@@ -61,6 +66,9 @@
     /** Sends a lookup, which carries no parts of a prompt, in the name of a team, "glue" or "zip". */
     std::shared_ptr<CallerAnswer> sendLookup(std::size_t entry, const std::string &team, const std::string &path);
 
+    /** Sends an order, which may run only once, in the name of a team. */
+    std::shared_ptr<CallerAnswer> sendOrder(std::size_t entry, const std::string &team, const std::string &path);
+
     void crashServer(std::size_t index);
 
     /** Requests a second that the server names in its answers from now on; empty: none. */
@@ -85,15 +93,19 @@
     /** Requests with a deadly part or path that have reached servers. */
     int deadlyRequests() const
     {
-        return deadlyRequests_;
+        return static_cast<int>(deadlyArrivals_.size());
     }
 
+    /** Those of them that came later than this after the third one had crashed its server. */
+    int deadlyRequestsAfterThirdCrash(std::chrono::milliseconds time) const;
+
 private:
     struct Server
     {
         std::unique_ptr<testing::ScriptedServer> process;
         std::string id;
         int lifetimes = 0;
+        bool isUp = true;
         std::optional<double> limit;
         std::vector<TimePoint> arrivals;
     };
@@ -106,9 +118,13 @@
     void readRow();
     void listServer(Server &server);
     void answerLookup(Server &server, testing::ScriptedServer::Connection &connection, const std::string &head);
-    void crashSoon(Server &server);
+    bool isLookup(const std::string &head) const;
+    /** The server crashes under the request that has just reached it. */
+    void crashUnderRequest(Server &server);
     void answerRequest(Server &server, testing::ScriptedServer::Connection &connection, const std::string &head);
     bool isDeadly(const std::string &parts) const;
+    std::shared_ptr<CallerAnswer> callForTeam(std::size_t entry, const std::string &team, const std::string &method,
+                                              const std::string &path);
     std::shared_ptr<CallerAnswer> call(std::size_t entry, Http1ClientConnection::Request request);
     void later(std::chrono::milliseconds delay, std::function<void()> action);
 
@@ -124,7 +140,7 @@
     bool isTableReachable_ = false;
     int attempts_ = 0;
     int crashes_ = 0;
-    int deadlyRequests_ = 0;
+    std::vector<TimePoint> deadlyArrivals_;
 };
 
 } // namespace hornbeamlane
--- /dev/null
+++ b/tests/gateway/RepeatedRequestTest.cpp
@@ -0,0 +1,131 @@
+#include "gateway/GatewayWorld.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace hornbeamlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** From the third crash on all entries have to know of it after this time, and so many may still be sent later. */
+constexpr milliseconds timeToLearn{3000};
+constexpr int sendingsAfterwards = 3;
+
+/** One request that comes again as it was, at all entries in turn, beside sound ones. */
+struct Repetition
+{
+    enum class Kind {
+        Lookup,
+        Order,
+        Stream,
+        StreamWithOnePart,
+    };
+
+    Kind kind = Kind::Lookup;
+    /** Time between two rounds, each with two sound requests; every other one with the deadly request. */
+    milliseconds pause{100};
+    int rounds = 130;
+    /** An entry is restarted each so many rounds, in turn; 0: none is. */
+    int roundsPerRestart = 0;
+};
+
+struct Served
+{
+    int sound = 0;
+    int ofSound = 0;
+};
+
+class RepeatedRequestTest : public ::testing::Test
+{
+protected:
+    static constexpr std::size_t entries = 3;
+
+    static std::shared_ptr<CallerAnswer> sendDeadly(GatewayWorld &world, std::size_t entry, Repetition::Kind kind)
+    {
+        switch (kind) {
+        case Repetition::Kind::Lookup:
+            return world.sendLookup(entry, "glue", "/look/dead");
+        case Repetition::Kind::Order:
+            return world.sendOrder(entry, "glue", "/order/dead");
+        case Repetition::Kind::Stream:
+            return world.send(entry, "a:40,dead:7");
+        case Repetition::Kind::StreamWithOnePart:
+            return world.send(entry, "dead:7");
+        }
+        return nullptr;
+    }
+
+    /** Two requests of which one is like the deadly one but for what makes it deadly. */
+    static std::vector<std::shared_ptr<CallerAnswer>> sendSound(GatewayWorld &world, std::size_t entry,
+                                                                Repetition::Kind kind, int number)
+    {
+        const auto name = std::to_string(number);
+        const auto one = (entry + 1) % entries;
+        const auto other = (entry + 2) % entries;
+        switch (kind) {
+        case Repetition::Kind::Lookup:
+            return {world.sendLookup(one, "glue", "/look/sound" + name),
+                    world.sendLookup(other, "zip", "/look/sound" + name)};
+        case Repetition::Kind::Order:
+            return {world.sendOrder(one, "glue", "/order/sound" + name),
+                    world.sendOrder(other, "zip", "/order/sound" + name)};
+        case Repetition::Kind::Stream:
+        case Repetition::Kind::StreamWithOnePart:
+            return {world.send(one, "a:40,f" + name + ":100"), world.send(other, "b:40,g" + name + ":100")};
+        }
+        return {};
+    }
+
+    static Served run(GatewayWorld &world, const Repetition &repetition)
+    {
+        world.deadlyPath =
+            repetition.kind == Repetition::Kind::Order ? std::string("/order/dead") : std::string("/look/dead");
+        world.deadlyParts = {"dead"};
+        world.runFor(milliseconds(100));
+        std::vector<std::shared_ptr<CallerAnswer>> sound;
+        for (int round = 0; round < repetition.rounds; ++round) {
+            const auto entry = static_cast<std::size_t>(round) % entries;
+            if (round % 2 == 0) {
+                sendDeadly(world, entry, repetition.kind);
+            }
+            for (auto &answer : sendSound(world, entry, repetition.kind, round)) {
+                sound.push_back(std::move(answer));
+            }
+            const int restart = repetition.roundsPerRestart;
+            if (restart > 0 && round % restart == restart - 1) {
+                world.restartEntry(static_cast<std::size_t>(round / restart) % entries);
+            }
+            world.runFor(repetition.pause);
+        }
+        world.runFor(milliseconds(1000));
+        const auto served = std::count_if(sound.begin(), sound.end(), [](const auto &answer) {
+            return answer->end == Http1CallEnd::Complete && answer->head.status == 200;
+        });
+        return {.sound = static_cast<int>(served), .ofSound = static_cast<int>(sound.size())};
+    }
+
+    static void expectKept(const GatewayWorld &world, const Served &served)
+    {
+        EXPECT_LE(world.deadlyRequestsAfterThirdCrash(timeToLearn), sendingsAfterwards)
+            << world.deadlyRequests() << " in all";
+        EXPECT_GE(served.sound, served.ofSound * 9 / 10) << "of " << served.ofSound;
+    }
+};
+
+// Guards against a restarted entry that does not take over what the others and the table tell, because each crash alone
+// proves nothing: one request crashes servers before they answer, and its shared part is sound.
+TEST_F(RepeatedRequestTest, StaysKnownWhileEntriesRestartInTurn)
+{
+    GatewayWorld world({.entries = entries,
+                        .servers = 5,
+                        .downTime = milliseconds(3000),
+                        .sendsHeadBeforeCrash = false,
+                        .hasTable = true});
+    const auto served = run(world, {.kind = Repetition::Kind::Stream, .roundsPerRestart = 15});
+    expectKept(world, served);
+}
+
+} // namespace
+} // namespace hornbeamlane
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -266,6 +266,29 @@
     EXPECT_EQ(evidence_.judge(request(8, {}), start), Verdict::Allowed);
 }
 
+// Guards against an entry that starts and does not learn from the others what only two crashes together prove, in
+// whatever order it hears of them.
+TEST_F(CrashEvidenceTest, LearnsCrashesThatProveSomethingOnlyTogether)
+{
+    const auto repeated = request(7, {firstPart});
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        auto found = crash(id, start, {{.traits = repeated, .hadHead = false}});
+        found.isConfirmed = true;
+        evidence_.onCrash(found, start);
+        begin(request(20 + id, {firstPart}));
+    }
+    EXPECT_EQ(evidence_.judge(repeated, start), Verdict::Quarantined);
+    for (const auto age : {seconds(1), seconds(240)}) {
+        CrashEvidence restarted;
+        for (const auto &known : evidence_.crashes()) {
+            restarted.onCrash(known, start + age);
+        }
+        restarted.expire(start + age);
+        EXPECT_EQ(restarted.judge(repeated, start + age), Verdict::Quarantined);
+        EXPECT_EQ(restarted.digest(), evidence_.digest());
+    }
+}
+
 // Guards against requests without parts that crash server after server, no two of them alike: all they share is their
 // origin. They are refused for longer each time, and tried one at a time in between.
 TEST_F(CrashEvidenceTest, RefusesAnOriginWhoseRequestsCrashServers)
