Name a crash by the crashes of its server before it, not by the start that ended

Cause: a crash was named by the server and its start as the table tells it. The second crash of the same start was taken for the first: it renewed nothing, was told to nobody, and the number of crashes known stayed at the number of servers. The class of fault: an identity that only an outside record can tell, used where that record may be missing. Change: entries count. A request that was sent after a crash of its server that is known, and is lost with the server, belongs to the next crash; one sent before belongs to that crash. No word of the server or the table is needed. What failed at a server keeps the time at which it was sent; a later start of the server confirms the last of its crashes only. Records of crashes carry the server and the number. Why it works: entries that hear each other count the same, as each names a crash after merging what it heard; one that has heard less names it as an earlier crash of the server, which counts too little once, and never too much.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -295,15 +295,15 @@
     }
 }
 
-std::vector<CrashCandidate> Gateway::unansweredAt(const ServerId &server) const
+std::vector<LostRequest> Gateway::unansweredAt(const ServerId &server) const
 {
-    std::vector<CrashCandidate> candidates;
+    std::vector<LostRequest> unanswered;
     for (const auto &[key, request] : requests_) {
-        if (auto candidate = request->unansweredAt(server)) {
-            candidates.push_back(std::move(*candidate));
+        if (auto lost = request->unansweredAt(server)) {
+            unanswered.push_back(std::move(*lost));
         }
     }
-    return candidates;
+    return unanswered;
 }
 
 void Gateway::crashesChanged()
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -82,7 +82,7 @@
     void sweep();
     void setEntryCount(std::uint32_t count);
     void checkDrained();
-    std::vector<CrashCandidate> unansweredAt(const ServerId &server) const;
+    std::vector<LostRequest> unansweredAt(const ServerId &server) const;
     /** What is known of crashes has changed, or held requests have waited for a while. */
     void crashesChanged();
     /** Looks at held requests again shortly. */
--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
@@ -37,9 +37,14 @@
     return "unknown";
 }
 
-CrashId ServerStart::id() const
+ServerKey ServerStart::serverKey() const
 {
-    return CrashId(hash64(server.name() + "/" + std::to_string(incarnation)));
+    return ServerKey(hash64(server.name()));
+}
+
+ServerStartKey ServerStart::key() const
+{
+    return ServerStartKey(hash64(server.name() + "/" + std::to_string(incarnation)));
 }
 
 CrashDetector::CrashDetector(EventLoop &loop, const BackendBook &servers, Options options, Hooks hooks)
@@ -56,28 +61,28 @@
     return backend != nullptr && backend->spec.isDraining;
 }
 
-void CrashDetector::onBrokenOff(const ServerStart &start, CrashCandidate candidate, std::function<void()> checked)
+void CrashDetector::onBrokenOff(const ServerStart &start, LostRequest request, std::function<void()> checked)
 {
     if (isLeaving(start.server)) {
         loop_.post(std::move(checked));
         return;
     }
-    onGivenUp(start, std::move(candidate));
+    onGivenUp(start, std::move(request));
     probe(start, std::move(checked));
 }
 
-void CrashDetector::onGivenUp(const ServerStart &start, CrashCandidate candidate)
+void CrashDetector::onGivenUp(const ServerStart &start, LostRequest request)
 {
     if (isLeaving(start.server)) {
         return;
     }
-    failed_.add(start.id(), std::move(candidate), loop_.now());
-    watched_.emplace(start.id(), start);
+    failed_.add(start.key(), std::move(request));
+    watched_.emplace(start.key(), start);
 }
 
 void CrashDetector::probe(const ServerStart &start, std::function<void()> checked)
 {
-    auto &probe = probes_[start.id()];
+    auto &probe = probes_[start.key()];
     if (!probe.connection && loop_.now() - probe.endedAt < options_.probePause) {
         loop_.post(std::move(checked));
         return;
@@ -89,12 +94,12 @@
     probe.start = start;
     probe.connection = std::make_unique<ConnectProbe>(
         loop_, start.address, options_.probeTimeout,
-        [this, id = start.id()](ConnectProbe::Result result) { finishProbe(id, result); });
+        [this, key = start.key()](ConnectProbe::Result result) { finishProbe(key, result); });
 }
 
-void CrashDetector::finishProbe(CrashId id, ConnectProbe::Result result)
+void CrashDetector::finishProbe(ServerStartKey key, ConnectProbe::Result result)
 {
-    auto &probe = probes_[id];
+    auto &probe = probes_[key];
     const auto start = probe.start;
     const auto checked = std::exchange(probe.checked, {});
     probe.endedAt = loop_.now();
@@ -103,11 +108,11 @@
     logEvent(LogLevel::Info, "server_probed",
              {{"server", start.server.name()}, {"address", start.address}, {"result", std::string(toString(result))}});
     if (result == ConnectProbe::Result::Refused) {
-        auto candidates = failed_.since(id, loop_.now() - options_.refusalReach);
-        for (auto &candidate : hooks_.unanswered(start.server)) {
-            candidates.push_back(std::move(candidate));
+        auto requests = failed_.since(key, loop_.now() - options_.refusalReach);
+        for (auto &request : hooks_.unanswered(start.server)) {
+            requests.push_back(std::move(request));
         }
-        hooks_.crashed(start, CrashSign::ConnectionRefused, std::move(candidates));
+        hooks_.crashed(start, CrashSign::ConnectionRefused, requests);
     }
     for (const auto &call : checked) {
         call();
@@ -141,10 +146,10 @@
     });
     // Reporting a crash ends the watch.
     const auto watched = watched_;
-    for (const auto &[id, start] : watched) {
+    for (const auto &[key, start] : watched) {
         if (const auto sign = endOf(start)) {
-            watched_.erase(id);
-            hooks_.crashed(start, *sign, failed_.take(id));
+            watched_.erase(key);
+            hooks_.crashed(start, *sign, failed_.take(key));
         }
     }
 }
--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.h
@@ -21,7 +21,8 @@
     std::uint64_t incarnation = 0;
     std::string address;
 
-    CrashId id() const;
+    ServerKey serverKey() const;
+    ServerStartKey key() const;
 };
 
 /** What shows that a server has crashed. */
@@ -55,18 +56,18 @@
     struct Hooks
     {
         /** Requests without an answer that are at the server now. */
-        std::function<std::vector<CrashCandidate>(const ServerId &)> unanswered;
-        /** The server has crashed with these requests. */
-        std::function<void(const ServerStart &, CrashSign, std::vector<CrashCandidate>)> crashed;
+        std::function<std::vector<LostRequest>(const ServerId &)> unanswered;
+        /** The server has crashed with these requests, or more than once if its starts could not be told apart. */
+        std::function<void(const ServerStart &, CrashSign, const std::vector<LostRequest> &)> crashed;
     };
 
     CrashDetector(EventLoop &loop, const BackendBook &servers, Options options, Hooks hooks);
 
     /** The connection broke before an answer; `checked` runs once it is known whether the server has crashed. */
-    void onBrokenOff(const ServerStart &start, CrashCandidate candidate, std::function<void()> checked);
+    void onBrokenOff(const ServerStart &start, LostRequest request, std::function<void()> checked);
 
     /** The request was given up without an answer, which says nothing if the server lives on. */
-    void onGivenUp(const ServerStart &start, CrashCandidate candidate);
+    void onGivenUp(const ServerStart &start, LostRequest request);
 
     /** Looks for the ends of servers in their entries. */
     void sweep(TimePoint now);
@@ -82,7 +83,7 @@
 
     bool isLeaving(const ServerId &server) const;
     void probe(const ServerStart &start, std::function<void()> checked);
-    void finishProbe(CrashId id, ConnectProbe::Result result);
+    void finishProbe(ServerStartKey key, ConnectProbe::Result result);
     /** What the entries of the servers say of the start; empty if it has not ended. */
     std::optional<CrashSign> endOf(const ServerStart &start) const;
 
@@ -92,8 +93,8 @@
     Hooks hooks_;
     FailedSends failed_;
     /** Starts at which requests failed, until these are forgotten. */
-    std::map<CrashId, ServerStart> watched_;
-    std::map<CrashId, Probe> probes_;
+    std::map<ServerStartKey, ServerStart> watched_;
+    std::map<ServerStartKey, Probe> probes_;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
@@ -25,10 +25,8 @@
     , trials_(options.incarnation, options.trials)
     , detector_(loop, servers, {},
                 {.unanswered = hooks_.unanswered,
-                 .crashed =
-                     [this](const ServerStart &start, CrashSign sign, std::vector<CrashCandidate> candidates) {
-                         handleCrash(start, sign, std::move(candidates));
-                     }})
+                 .crashed = [this](const ServerStart &start, CrashSign sign,
+                                   const std::vector<LostRequest> &requests) { handleCrash(start, sign, requests); }})
     , exchange_(
           loop, evidence_, trials_, {.incarnation = options.incarnation},
           {.sendToAll = hooks_.sendToAll,
@@ -103,19 +101,19 @@
 
 void CrashGuard::onServerAnswered(const ServerStart &start, TimePoint sentAt, bool isMisdirected)
 {
-    const auto crashedAt = evidence_.timeOf(start.id());
-    if (!crashedAt || sentAt <= *crashedAt) {
+    const auto *crash = evidence_.lastCrashOf(start.serverKey(), sentAt);
+    if (crash == nullptr) {
         return;
     }
-    const bool isStillDown = loop_.now() - *crashedAt < shortestDownTime;
-    const bool isNews =
-        isMisdirected ? evidence_.onConfirmed(start.id()) : isStillDown && evidence_.onRefuted(start.id());
+    const auto id = crash->id;
+    const bool isStillDown = loop_.now() - crash->at < shortestDownTime;
+    const bool isNews = isMisdirected ? evidence_.onConfirmed(id) : isStillDown && evidence_.onRefuted(id);
     if (!isNews) {
         return;
     }
     logEvent(LogLevel::Info, isMisdirected ? "crash_confirmed" : "crash_refuted",
              {{"server", start.server.name()}, {"address", start.address}});
-    exchange_.tellCrashes({start.id()});
+    exchange_.tellCrashes({id});
     handleChange();
 }
 
@@ -144,16 +142,42 @@
     }
 }
 
-void CrashGuard::handleCrash(const ServerStart &start, CrashSign sign, std::vector<CrashCandidate> candidates)
+std::vector<ServerCrash> CrashGuard::crashesOf(const ServerStart &start, const std::vector<LostRequest> &requests) const
 {
-    const ServerCrash crash{.id = start.id(),
-                            .at = loop_.now(),
-                            .candidates = std::move(candidates),
-                            .isConfirmed = sign != CrashSign::ConnectionRefused};
-    const auto news = evidence_.learn(crash, loop_.now());
-    log_.seen(start, sign, crash, news);
-    if (news == CrashNews::New || news == CrashNews::More) {
-        exchange_.tellCrashes({crash.id});
+    std::vector<ServerCrash> crashes;
+    for (const auto &request : requests) {
+        const auto name = evidence_.nameOf(start.serverKey(), request.sentAt);
+        auto found = std::find_if(crashes.begin(), crashes.end(),
+                                  [&name](const ServerCrash &crash) { return crash.id == name.id(); });
+        if (found == crashes.end()) {
+            found = crashes.insert(found, {.id = name.id(), .at = request.lostAt, .name = name});
+        }
+        found->at = std::max(found->at, request.lostAt);
+        found->candidates.push_back(request.candidate);
+    }
+    std::sort(crashes.begin(), crashes.end(),
+              [](const ServerCrash &a, const ServerCrash &b) { return a.name.number < b.name.number; });
+    return crashes;
+}
+
+void CrashGuard::handleCrash(const ServerStart &start, CrashSign sign, const std::vector<LostRequest> &requests)
+{
+    auto crashes = crashesOf(start, requests);
+    if (crashes.empty()) {
+        return;
+    }
+    // Another start of the server tells of the last of its ends only.
+    crashes.back().isConfirmed = sign != CrashSign::ConnectionRefused;
+    std::vector<CrashId> changed;
+    for (const auto &crash : crashes) {
+        const auto news = evidence_.learn(crash, loop_.now());
+        log_.seen(start, sign, crash, news);
+        if (news == CrashNews::New || news == CrashNews::More) {
+            changed.push_back(crash.id);
+        }
+    }
+    if (!changed.empty()) {
+        exchange_.tellCrashes(changed);
         handleChange();
     }
 }
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.h
@@ -33,7 +33,7 @@
     struct Hooks
     {
         /** Requests without an answer that are at the server now. */
-        std::function<std::vector<CrashCandidate>(const ServerId &)> unanswered;
+        std::function<std::vector<LostRequest>(const ServerId &)> unanswered;
         /** Decisions may be others now. */
         std::function<void()> changed;
         std::function<void(const std::string &bytes)> sendToAll;
@@ -110,7 +110,9 @@
     void sweep();
 
 private:
-    void handleCrash(const ServerStart &start, CrashSign sign, std::vector<CrashCandidate> candidates);
+    void handleCrash(const ServerStart &start, CrashSign sign, const std::vector<LostRequest> &requests);
+    /** What the requests that were lost at a server tell of its crashes, the last one at the end. */
+    std::vector<ServerCrash> crashesOf(const ServerStart &start, const std::vector<LostRequest> &requests) const;
     void endTrial(RequestNumber request);
     void handleChange();
     void logCulprits();
--- a/modules/hornbeamlane_gateway/crashes/CrashRow.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashRow.cpp
@@ -52,7 +52,11 @@
     }
     rowDigest_ = digestOf(*crashes);
     bool hasChanged = false;
-    for (const auto &crash : *crashes) {
+    for (auto crash : *crashes) {
+        // Times of day differ between hosts, so what an entry has told by message is closer.
+        if (const auto known = evidence_.timeOf(crash.id)) {
+            crash.at = std::max(crash.at, *known);
+        }
         const auto news = evidence_.learn(crash, now);
         hooks_.told(crash, news);
         hasChanged = hasChanged || news == CrashNews::New || news == CrashNews::More;
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -106,12 +106,14 @@
     }
 }
 
-std::optional<CrashCandidate> ForwardedRequest::unansweredAt(const ServerId &server) const
+std::optional<LostRequest> ForwardedRequest::unansweredAt(const ServerId &server) const
 {
     if (!send_ || send_->start.server != server || !send_->isUnanswered()) {
         return std::nullopt;
     }
-    return CrashCandidate{.traits = traits_, .hadHead = send_->head.has_value()};
+    return LostRequest{.candidate = {.traits = traits_, .hadHead = send_->head.has_value()},
+                       .sentAt = send_->startedAt,
+                       .lostAt = now()};
 }
 
 bool ForwardedRequest::admit()
@@ -393,15 +395,15 @@
 {
     ++runs_;
     const auto start = send_->start;
-    const auto candidate = unansweredAt(start.server);
+    const auto unanswered = unansweredAt(start.server);
     const bool wasStale = send_->wasStale(now());
     endSend(BackendOutcome::Failed);
-    if (!candidate || wasStale) {
+    if (!unanswered || wasStale) {
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
     }
     // Whether the server has crashed decides whether another one may be tried.
-    gateway_.crashes_.detector().onBrokenOff(start, *candidate, [weak = weak_from_this()] {
+    gateway_.crashes_.detector().onBrokenOff(start, *unanswered, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && !self->isFinished_) {
             self->retryOrRefuse(GatewayRefusal::ServerFailed);
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -48,7 +48,7 @@
     }
 
     /** What it would tell if its server crashed now; empty if it is at no server or has got something of an answer. */
-    std::optional<CrashCandidate> unansweredAt(const ServerId &server) const;
+    std::optional<LostRequest> unansweredAt(const ServerId &server) const;
 
     /** Bytes of the answer that wait for the caller to read them. */
     std::size_t bufferedBytes() const
--- a/modules/hornbeamlane_messages/codec/FieldCodec.h
+++ b/modules/hornbeamlane_messages/codec/FieldCodec.h
@@ -206,7 +206,7 @@
 template <class V> void visitFields(V &v, CrashCandidate &m) { v.field("t", m.traits); v.field("h", m.hadHead); }
 template <class V> void visitFields(V &v, CrashRecord &m)
 {
-    v.field("id", m.id); v.field("age", m.age); v.field("candidates", m.candidates); v.field("cleared", m.cleared);
+    v.field("id", m.id); v.field("server", m.server); v.field("number", m.number); v.field("age", m.age); v.field("candidates", m.candidates); v.field("cleared", m.cleared);
     v.field("begun", m.begunBefore); v.field("confirmed", m.isConfirmed);
     v.field("refuted", m.isRefuted); v.field("sound", m.soundSince);
 }
--- a/modules/hornbeamlane_messages/types/CrashMessages.h
+++ b/modules/hornbeamlane_messages/types/CrashMessages.h
@@ -12,9 +12,12 @@
 /** Hash of something that requests can have in common and that may crash a server; equal on all hosts. */
 using TraitHash = Number<struct TraitTag>;
 
-/** Names one crash: hash of the server and of the start of it that ended. */
+/** Names one crash. */
 using CrashId = Number<struct CrashTag>;
 
+/** Names a server on all hosts, whichever start of it. */
+using ServerKey = Number<struct ServerKeyTag>;
+
 /** What one request has in common with others. */
 struct RequestTraits
 {
@@ -48,6 +51,9 @@
 struct CrashRecord
 {
     CrashId id;
+    /** The server and how many crashes of it were known before; see CrashName. Not set for crashes named otherwise. */
+    ServerKey server;
+    std::uint32_t number = 0;
     /** Time since the crash as the message was sent. */
     std::chrono::milliseconds age{0};
     std::vector<CrashCandidate> candidates;
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -258,12 +258,39 @@
     options_.rules.mostTogether = most;
 }
 
+CrashName CrashEvidence::nameOf(ServerKey server, TimePoint sentAt) const
+{
+    const ServerCrash *first = nullptr;
+    CrashName next{.server = server};
+    for (const auto &crash : crashes_) {
+        if (crash.name.server != server) {
+            continue;
+        }
+        next.number = std::max(next.number, crash.name.number + 1);
+        if (crash.at >= sentAt && (first == nullptr || crash.at < first->at)) {
+            first = &crash;
+        }
+    }
+    return first == nullptr ? next : first->name;
+}
+
 std::optional<TimePoint> CrashEvidence::timeOf(CrashId id) const
 {
     const auto *crash = find(id);
     return crash == nullptr ? std::nullopt : std::optional(crash->at);
 }
 
+const ServerCrash *CrashEvidence::lastCrashOf(ServerKey server, TimePoint before) const
+{
+    const ServerCrash *last = nullptr;
+    for (const auto &crash : crashes_) {
+        if (crash.name.server == server && crash.at < before && (last == nullptr || crash.at > last->at)) {
+            last = &crash;
+        }
+    }
+    return last;
+}
+
 bool CrashEvidence::onConfirmed(CrashId id)
 {
     auto *crash = find(id);
@@ -286,7 +313,7 @@
         return *known;
     }
     makeRoom();
-    return crashes_.emplace_back(ServerCrash{.id = crash.id, .at = crash.at});
+    return crashes_.emplace_back(ServerCrash{.id = crash.id, .at = crash.at, .name = crash.name});
 }
 
 bool CrashEvidence::isLess(const ServerCrash &a, const ServerCrash &b) const
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.h
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.h
@@ -79,9 +79,17 @@
     /** Another start of the server has been seen; true if that is news. */
     bool onConfirmed(CrashId id);
 
-    /** When the server is thought to have crashed; empty if nothing is known of that. */
+    /** The crash with which a request was lost that had been sent to the server then: the first one known after that
+        moment, or the next one, of which nothing is known yet. */
+    CrashName nameOf(ServerKey server, TimePoint sentAt) const;
+
+    /** When the server is thought to have crashed; empty if the crash is not known. */
     std::optional<TimePoint> timeOf(CrashId id) const;
 
+    /** The last crash of the server that is known before that moment; null if there is none. Valid until the next
+        change. */
+    const ServerCrash *lastCrashOf(ServerKey server, TimePoint before) const;
+
     /** Servers that there are, of which a few may crash at the same moment by requests. */
     void setServerCount(std::size_t servers);
 
--- a/modules/hornbeamlane_routing/crashes/FailedSends.cpp
+++ b/modules/hornbeamlane_routing/crashes/FailedSends.cpp
@@ -1,5 +1,7 @@
 #include "hornbeamlane_routing/crashes/FailedSends.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hornbeamlane {
@@ -14,46 +16,44 @@
 {
 }
 
-void FailedSends::add(CrashId server, CrashCandidate candidate, TimePoint now)
+void FailedSends::add(ServerStartKey server, LostRequest request)
 {
-    auto &sends = servers_[server];
-    if (sends.size() >= options_.maxPerServer) {
-        sends.erase(sends.begin());
+    auto &requests = servers_[server];
+    if (requests.size() >= options_.maxPerServer) {
+        requests.erase(requests.begin());
     }
-    sends.push_back({.candidate = std::move(candidate), .at = now});
+    requests.push_back(std::move(request));
 }
 
-std::vector<CrashCandidate> FailedSends::take(CrashId server)
+std::vector<LostRequest> FailedSends::take(ServerStartKey server)
 {
-    auto candidates = since(server, TimePoint());
+    auto requests = since(server, TimePoint());
     servers_.erase(server);
-    return candidates;
+    return requests;
 }
 
-std::vector<CrashCandidate> FailedSends::since(CrashId server, TimePoint start) const
+std::vector<LostRequest> FailedSends::since(ServerStartKey server, TimePoint start) const
 {
-    std::vector<CrashCandidate> candidates;
+    std::vector<LostRequest> requests;
     const auto found = servers_.find(server);
     if (found == servers_.end()) {
-        return candidates;
+        return requests;
     }
-    for (const auto &send : found->second) {
-        if (send.at >= start) {
-            candidates.push_back(send.candidate);
-        }
-    }
-    return candidates;
+    std::copy_if(found->second.begin(), found->second.end(), std::back_inserter(requests),
+                 [start](const LostRequest &request) { return request.lostAt >= start; });
+    return requests;
 }
 
-bool FailedSends::hasAny(CrashId server) const
+bool FailedSends::hasAny(ServerStartKey server) const
 {
     return servers_.contains(server);
 }
 
 void FailedSends::expire(TimePoint now)
 {
-    for (auto &[server, sends] : servers_) {
-        std::erase_if(sends, [this, now](const FailedSend &send) { return now - send.at >= options_.memory; });
+    for (auto &[server, requests] : servers_) {
+        std::erase_if(requests,
+                      [this, now](const LostRequest &request) { return now - request.lostAt >= options_.memory; });
     }
     std::erase_if(servers_, [](const auto &entry) { return entry.second.empty(); });
 }
--- a/modules/hornbeamlane_routing/crashes/FailedSends.h
+++ b/modules/hornbeamlane_routing/crashes/FailedSends.h
@@ -7,6 +7,17 @@
 
 namespace hornbeamlane {
 
+/** Names one start of a server as far as it can be told from others. */
+using ServerStartKey = Number<struct ServerStartTag>;
+
+/** A request that was sent to a server and got no answer there. */
+struct LostRequest
+{
+    CrashCandidate candidate;
+    TimePoint sentAt;
+    TimePoint lostAt;
+};
+
 /** Requests whose sending ended without an answer, by server, until it is known whether the server has crashed. */
 class FailedSends final
 {
@@ -21,28 +32,22 @@
     FailedSends();
     explicit FailedSends(Options options);
 
-    void add(CrashId server, CrashCandidate candidate, TimePoint now);
+    void add(ServerStartKey server, LostRequest request);
 
     /** Takes out what failed at the server. */
-    std::vector<CrashCandidate> take(CrashId server);
+    std::vector<LostRequest> take(ServerStartKey server);
 
     /** What failed at the server since then, which may be the cause of an end that was noticed now. */
-    std::vector<CrashCandidate> since(CrashId server, TimePoint start) const;
+    std::vector<LostRequest> since(ServerStartKey server, TimePoint start) const;
 
-    bool hasAny(CrashId server) const;
+    bool hasAny(ServerStartKey server) const;
 
     /** Forgets what is too old. */
     void expire(TimePoint now);
 
 private:
-    struct FailedSend
-    {
-        CrashCandidate candidate;
-        TimePoint at;
-    };
-
     Options options_;
-    std::unordered_map<CrashId, std::vector<FailedSend>> servers_;
+    std::unordered_map<ServerStartKey, std::vector<LostRequest>> servers_;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamlane_routing/crashes/ServerCrash.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace hornbeamlane {
@@ -12,6 +13,11 @@
 
 } // namespace
 
+CrashId CrashName::id() const
+{
+    return CrashId(hash64(std::to_string(server.value()) + "/" + std::to_string(number)));
+}
+
 bool ServerCrash::hasHead() const
 {
     return std::any_of(candidates.begin(), candidates.end(), [](const CrashCandidate &one) { return one.hadHead; });
@@ -71,6 +77,8 @@
 {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at);
     return {.id = crash.id,
+            .server = crash.name.server,
+            .number = crash.name.number,
             .age = std::max(age, std::chrono::milliseconds(0)),
             .candidates = crash.candidates,
             .cleared = crash.cleared,
@@ -85,6 +93,7 @@
     const auto age = std::clamp<std::chrono::milliseconds>(record.age, std::chrono::milliseconds(0), longestAge);
     return {.id = record.id,
             .at = now - age,
+            .name = {.server = record.server, .number = record.number},
             .candidates = record.candidates,
             .cleared = record.cleared,
             .begunBefore = record.begunBefore,
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.h
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.h
@@ -6,6 +6,20 @@
 
 namespace hornbeamlane {
 
+/**
+    Names a crash by how many crashes of its server are known before it.
+
+    Nothing that the server or the table says of its starts is needed: a request that was sent after one crash and is
+    lost with its server belongs to the next.
+*/
+struct CrashName
+{
+    ServerKey server;
+    std::uint32_t number = 0;
+
+    CrashId id() const;
+};
+
 /**
     What is known of the end of one server process.
 
@@ -15,6 +29,7 @@
 {
     CrashId id;
     TimePoint at;
+    CrashName name;
     std::vector<CrashCandidate> candidates;
     /** Traits of candidates with which a server has begun an answer since: they did not cause this crash. */
     std::vector<TraitHash> cleared;
--- a/tests/gateway/CrashDetectorTest.cpp
+++ b/tests/gateway/CrashDetectorTest.cpp
@@ -32,24 +32,30 @@
     /** A connection to the server breaks; waits until it is known whether the server has crashed. */
     void breakOff(const std::string &id)
     {
-        detector_.onBrokenOff(startOf(id), candidate_, [this] { loop_.stop(); });
+        detector_.onBrokenOff(startOf(id), lost(), [this] { loop_.stop(); });
         loop_.run();
     }
 
+    LostRequest lost() const
+    {
+        return {.candidate = {.traits = {.whole = TraitHash(7)}, .hadHead = true},
+                .sentAt = loop_.now(),
+                .lostAt = loop_.now()};
+    }
+
     EventLoop loop_;
     BackendBook book_;
-    const CrashCandidate candidate_{.traits = {.whole = TraitHash(7)}, .hadHead = true};
     std::vector<std::string> crashed_;
     std::size_t candidates_ = 0;
     CrashDetector detector_{
         loop_,
         book_,
         {},
-        {.unanswered = [](const ServerId &) { return std::vector<CrashCandidate>(); },
+        {.unanswered = [](const ServerId &) { return std::vector<LostRequest>(); },
          .crashed =
-             [this](const ServerStart &start, CrashSign sign, const std::vector<CrashCandidate> &candidates) {
+             [this](const ServerStart &start, CrashSign sign, const std::vector<LostRequest> &requests) {
                  crashed_.push_back(start.server.name() + " " + std::string(toString(sign)));
-                 candidates_ += candidates.size();
+                 candidates_ += requests.size();
              }}};
 };
 
@@ -81,7 +87,7 @@
 TEST_F(CrashDetectorTest, DoesNotTakeALostEntryForACrash)
 {
     list("s1", "127.0.0.1:9", 1);
-    detector_.onGivenUp(startOf("s1"), candidate_);
+    detector_.onGivenUp(startOf("s1"), lost());
     book_.remove(ServerId("s1"), std::nullopt);
     detector_.sweep(loop_.now());
     book_.sweep(loop_.now());
@@ -96,11 +102,11 @@
 TEST_F(CrashDetectorTest, KnowsACrashByTheNextStart)
 {
     list("s1", "127.0.0.1:9", 1);
-    detector_.onGivenUp(startOf("s1"), candidate_);
+    detector_.onGivenUp(startOf("s1"), lost());
     list("s1", "127.0.0.1:9", 2);
     detector_.sweep(loop_.now());
     list("s2", "127.0.0.1:10", 1);
-    detector_.onGivenUp(startOf("s2"), candidate_);
+    detector_.onGivenUp(startOf("s2"), lost());
     book_.remove(ServerId("s2"), std::nullopt);
     list("s3", "127.0.0.1:10", 1);
     detector_.sweep(loop_.now());
--- a/tests/gateway/CrashMessageTest.cpp
+++ b/tests/gateway/CrashMessageTest.cpp
@@ -14,6 +14,7 @@
 {
     return {.id = CrashId(0xfedcba9876543210ULL),
             .at = messageTime - milliseconds(250),
+            .name = {.server = ServerKey(11), .number = 3},
             .candidates = {{.traits = {.whole = TraitHash(7), .parts = {TraitHash(1), TraitHash(2)}}, .hadHead = true},
                            {.traits = {.whole = TraitHash(8), .origin = TraitHash(3)}, .hadHead = true}},
             .cleared = {TraitHash(1)},
@@ -31,6 +32,8 @@
     const auto read = crashesOf(std::get<CrashUpdate>(*message), later);
     ASSERT_EQ(read.size(), 1U);
     EXPECT_EQ(read[0].at, later - milliseconds(250));
+    EXPECT_EQ(read[0].name.server, ServerKey(11));
+    EXPECT_EQ(read[0].name.number, 3U);
     EXPECT_EQ(digestOf(read), digestOf({knownCrash()}));
 }
 
--- a/tests/gateway/RepeatedRequestTest.cpp
+++ b/tests/gateway/RepeatedRequestTest.cpp
@@ -127,5 +127,14 @@
     expectKept(world, served);
 }
 
+// Guards against crashes of a server that pass for a single one because it comes back under the id that it had and
+// nothing tells its starts apart, as to an entry that the store turns away.
+TEST_F(RepeatedRequestTest, IsCountedAtServersThatKeepTheirIds)
+{
+    GatewayWorld world({.entries = entries, .servers = 3, .downTime = milliseconds(1700), .keepsIds = true});
+    const auto served = run(world, {.kind = Repetition::Kind::Lookup});
+    expectKept(world, served);
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -289,6 +289,31 @@
     }
 }
 
+// Guards against a second crash of a server that passes for the first one because nothing tells its starts apart.
+TEST_F(CrashEvidenceTest, NamesCrashesOfAServerByWhatWasSentInBetween)
+{
+    constexpr ServerKey server{5};
+    const auto first = evidence_.nameOf(server, start - seconds(1));
+    evidence_.onCrash(
+        {.id = first.id(), .at = start, .name = first, .candidates = {{.traits = request(7, {}), .hadHead = false}}},
+        start);
+    EXPECT_EQ(evidence_.nameOf(server, start - seconds(2)).id(), first.id());
+    const auto second = evidence_.nameOf(server, start + seconds(1));
+    EXPECT_NE(second.id(), first.id());
+    EXPECT_EQ(evidence_.nameOf(ServerKey(6), start + seconds(1)).number, 0U);
+    evidence_.onCrash({.id = second.id(),
+                       .at = start + seconds(2),
+                       .name = second,
+                       .candidates = {{.traits = request(7, {}), .hadHead = false}}},
+                      start + seconds(2));
+    EXPECT_EQ(evidence_.nameOf(server, start + seconds(1)).id(), second.id());
+    EXPECT_EQ(evidence_.nameOf(server, start + seconds(3)).number, 2U);
+    ASSERT_NE(evidence_.lastCrashOf(server, start + seconds(1)), nullptr);
+    EXPECT_EQ(evidence_.lastCrashOf(server, start + seconds(1))->id, first.id());
+    EXPECT_EQ(evidence_.lastCrashOf(server, start), nullptr);
+    EXPECT_EQ(evidence_.judge(request(7, {}), start + seconds(2)), Verdict::Quarantined);
+}
+
 // Guards against requests without parts that crash server after server, no two of them alike: all they share is their
 // origin. They are refused for longer each time, and tried one at a time in between.
 TEST_F(CrashEvidenceTest, RefusesAnOriginWhoseRequestsCrashServers)
