Refuse for long what comes again though nothing confirms its crashes

What servers saw: a request whose crashes only refused connections show was let through again 5 s after each pair of crashes, at all entries at once; servers went on ending for as long as it came (7 in 28 s of orders, 25 in 30 s of lookups). Cause: a crash that nothing confirms counted for 5 s and made no suspects once it was explained; it was forgotten after 30 s, and any crash 10 minutes after it happened, whatever came after it. The class of fault: evidence that fades by time alone, while what it is about goes on. Change: three doubtful crashes one after the other prove as much as confirmed ones against a whole request (five against a part, whose requests may each be lost once); after a quarantine of seconds what was at all of them is tried alone; a likely crash is explained together with doubtful ones; doubtful crashes stay while a trait of theirs was at another crash or a request without parts may come again, and every crash stays until ten minutes after the last one like it. Doubtful crashes make room before likely ones. Why it works: a sound request is answered in one of the trials in between, which clears it; a deadly one reaches three crashes within seconds and then nothing for ten minutes. Result: RepeatedRequestTest.IsRefusedForLongThoughNothingConfirmsItsCrashes failed before (4 later than 3 s after the third crash, 7 in all) and passes, as do CrashEvidenceTest.RefusesForLongWhatComesAgainThoughNothingConfirmsItsCrashes and TriesWhatTwoDoubtfulCrashesExplainAfterItsQuarantine, which failed too. Tests of routing (53), path (18), messages (7) and the 127 of the gateway pass.

--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace hornbeamlane {
@@ -152,7 +153,7 @@
     if (isSettled(crash, all)) {
         return CrashNews::Settled;
     }
-    if (hasExpired(crash, all, now)) {
+    if (hasExpired(crash, all, TraitHistory(all), now)) {
         return CrashNews::Expired;
     }
     return isLeast(crash) ? std::optional(CrashNews::NoRoom) : std::nullopt;
@@ -318,8 +319,9 @@
 
 bool CrashEvidence::isLess(const ServerCrash &a, const ServerCrash &b) const
 {
-    // A settled crash goes before an open one, an older one before a newer one.
-    return std::pair(!isSettled(a, crashes_), a.at) < std::pair(!isSettled(b, crashes_), b.at);
+    // A settled crash goes before an open one, a doubtful one before a likely one, an older one before a newer one.
+    return std::tuple(!isSettled(a, crashes_), isLikely(a), a.at)
+        < std::tuple(!isSettled(b, crashes_), isLikely(b), b.at);
 }
 
 bool CrashEvidence::isLeast(const ServerCrash &crash) const
@@ -456,10 +458,11 @@
 std::vector<ServerCrash> CrashEvidence::expire(TimePoint now)
 {
     setAside_.clear();
+    const TraitHistory history(crashes_);
     std::vector<ServerCrash> kept;
     std::vector<ServerCrash> expired;
     for (const auto &crash : crashes_) {
-        (hasExpired(crash, crashes_, now) ? expired : kept).push_back(crash);
+        (hasExpired(crash, crashes_, history, now) ? expired : kept).push_back(crash);
     }
     if (!expired.empty()) {
         crashes_ = std::move(kept);
@@ -468,13 +471,16 @@
     return expired;
 }
 
-bool CrashEvidence::hasExpired(const ServerCrash &crash, const std::vector<ServerCrash> &all, TimePoint now) const
+bool CrashEvidence::hasExpired(const ServerCrash &crash, const std::vector<ServerCrash> &all,
+                               const TraitHistory &history, TimePoint now) const
 {
     const auto age = now - crash.at;
-    const bool isDoubtful = !isLikely(crash) && age >= 2 * options_.rules.doubt;
+    // A request may come again so seldom that its doubtful crashes lie far apart.
+    const bool isDoubtful = !isLikely(crash) && age >= 2 * options_.rules.doubt && !history.mayComeAgain(crash);
     // A settled crash may still tell of a request that is repeated as a whole.
     const auto settledBound = std::max(options_.settledTime, options_.rules.suspicion);
-    return age >= options_.rules.quarantine || isDoubtful || (age >= settledBound && isSettled(crash, all));
+    const bool isPast = now - history.lastLike(crash) >= options_.rules.quarantine;
+    return isPast || isDoubtful || (age >= settledBound && isSettled(crash, all));
 }
 
 std::uint64_t CrashEvidence::digest() const
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.h
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.h
@@ -131,7 +131,8 @@
     /** Whether the crash would be the first to be forgotten because there are too many. */
     bool isLeast(const ServerCrash &crash) const;
     /** Whether the crash is too old, seen beside these others. */
-    bool hasExpired(const ServerCrash &crash, const std::vector<ServerCrash> &all, TimePoint now) const;
+    bool hasExpired(const ServerCrash &crash, const std::vector<ServerCrash> &all, const TraitHistory &history,
+                    TimePoint now) const;
     /** The crashes have changed, so what was concluded from them is outdated. */
     void noteChange(bool hasChanged);
 
--- a/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
@@ -101,9 +101,29 @@
     return result;
 }
 
+/** Whether one of the traits is a request as a whole. */
+bool hasWhole(const Traits &traits, const Crashes &crashes)
+{
+    return std::any_of(crashes.begin(), crashes.end(), [&traits](const ServerCrash *crash) {
+        return std::any_of(
+            crash->candidates.begin(), crash->candidates.end(),
+            [&traits](const CrashCandidate &candidate) { return traits.contains(candidate.traits.whole); });
+    });
+}
+
+/** How long after the last of the crashes requests are refused with traits that were at all of them. */
+std::chrono::milliseconds holdFor(const Traits &traits, const Crashes &crashes, const CrashRules &rules)
+{
+    const auto likely =
+        std::count_if(crashes.begin(), crashes.end(), [](const ServerCrash *crash) { return isLikely(*crash); });
+    const auto wanted = hasWhole(traits, crashes) ? rules.doubtfulToQuarantine : rules.doubtfulToQuarantinePart;
+    const bool isProven = static_cast<std::size_t>(likely) >= rules.crashesToQuarantine
+        || groupsOf(crashes, rules.together).size() >= wanted;
+    return isProven ? rules.quarantine : rules.doubtfulHold;
+}
+
 /** Takes out the crashes that one culprit explains; false if no trait was at enough of them. */
-bool takeCulprit(Crashes &unexplained, const CrashRules &rules, std::chrono::milliseconds time, TimePoint now,
-                 CrashFindings &findings)
+bool takeCulprit(Crashes &unexplained, const CrashRules &rules, TimePoint now, CrashFindings &findings)
 {
     const auto byTrait = crashesByTrait(unexplained);
     const auto [explained, weight] = heaviest(byTrait, rules);
@@ -117,11 +137,15 @@
         }
     }
     const auto guilty = leastProven(together, explained);
-    const auto until = lastOf(explained) + time;
+    const auto until = lastOf(explained) + holdFor(guilty, explained, rules);
+    const auto suspectUntil = lastOf(explained) + rules.doubt;
     if (now < until) {
         findings.culprits.push_back(
             {.traits = {guilty.begin(), guilty.end()}, .until = until, .crashes = explained.size()});
         findings.noteChange(until);
+    } else if (now < suspectUntil) {
+        findings.suspects.insert(findings.suspects.end(), guilty.begin(), guilty.end());
+        findings.noteChange(suspectUntil);
     }
     for (const auto *crash : explained) {
         unexplained.erase(crash);
@@ -195,15 +219,20 @@
             (isLikely(crash) ? likely : doubtful).insert(&crash);
         }
     }
-    const auto explain = [&](Crashes unexplained, std::chrono::milliseconds time) {
-        unexplained = withoutCuts(unexplained, rules);
-        while (takeCulprit(unexplained, rules, time, now, findings)) {}
-        for (const auto *crash : unexplained) {
+    likely = withoutCuts(likely, rules);
+    while (takeCulprit(likely, rules, now, findings)) {}
+    for (const auto *crash : likely) {
+        judgeSingle(*crash, rules, now, findings);
+    }
+    // What was at one likely crash may be explained by doubtful ones too.
+    auto unexplained = withoutCuts(doubtful, rules);
+    unexplained.insert(likely.begin(), likely.end());
+    while (takeCulprit(unexplained, rules, now, findings)) {}
+    for (const auto *crash : unexplained) {
+        if (!likely.contains(crash)) {
             judgeSingle(*crash, rules, now, findings);
         }
-    };
-    explain(likely, rules.quarantine);
-    explain(doubtful, rules.doubtfulHold);
+    }
     findOrigins(crashes, rules, now, findings);
     // Of a culprit with several traits, a request that has only some of them can tell which one it is.
     for (const auto &culprit : findings.culprits) {
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <unordered_set>
 #include <utility>
 
 namespace hornbeamlane {
@@ -128,4 +129,57 @@
     return crash.isRefuted || std::none_of(likely.begin(), likely.end(), isOpen);
 }
 
+namespace {
+
+/** Traits of the requests at a crash, each once, that have not been cleared of it. */
+std::unordered_set<TraitHash> openTraits(const ServerCrash &crash)
+{
+    std::unordered_set<TraitHash> traits;
+    for (const auto &candidate : crash.candidates) {
+        traits.insert(candidate.traits.whole);
+        traits.insert(candidate.traits.parts.begin(), candidate.traits.parts.end());
+    }
+    for (const auto trait : crash.cleared) {
+        traits.erase(trait);
+    }
+    return traits;
+}
+
+} // namespace
+
+TraitHistory::TraitHistory(const std::vector<ServerCrash> &crashes)
+{
+    for (const auto &crash : crashes) {
+        for (const auto trait : openTraits(crash)) {
+            auto &occurrences = traits_[trait];
+            ++occurrences.crashes;
+            occurrences.lastAt = std::max(occurrences.lastAt, crash.at);
+        }
+    }
+}
+
+bool TraitHistory::mayComeAgain(const ServerCrash &crash) const
+{
+    const auto traits = openTraits(crash);
+    const bool isRepeated = std::any_of(traits.begin(), traits.end(), [this](TraitHash trait) {
+        const auto found = traits_.find(trait);
+        return found != traits_.end() && found->second.crashes > 1;
+    });
+    return isRepeated
+        || std::any_of(crash.candidates.begin(), crash.candidates.end(), [&crash](const CrashCandidate &candidate) {
+               return candidate.traits.parts.empty() && !crash.isCleared(candidate.traits.whole);
+           });
+}
+
+TimePoint TraitHistory::lastLike(const ServerCrash &crash) const
+{
+    auto last = crash.at;
+    for (const auto trait : openTraits(crash)) {
+        if (const auto found = traits_.find(trait); found != traits_.end()) {
+            last = std::max(last, found->second.lastAt);
+        }
+    }
+    return last;
+}
+
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.h
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_routing/crashes/RequestTraits.h"
 
+#include <unordered_map>
 #include <vector>
 
 namespace hornbeamlane {
@@ -71,4 +72,27 @@
 */
 bool isSettled(const ServerCrash &crash, const std::vector<ServerCrash> &all);
 
+/** At how many crashes each trait was, and when last, unless it has been cleared of them. */
+class TraitHistory final
+{
+public:
+    explicit TraitHistory(const std::vector<ServerCrash> &crashes);
+
+    /** Whether a trait of the crash was at another one too, or a request without parts was, which is judged as a whole.
+     */
+    bool mayComeAgain(const ServerCrash &crash) const;
+
+    /** The last crash that has a trait in common with this one, which may be itself. */
+    TimePoint lastLike(const ServerCrash &crash) const;
+
+private:
+    struct Occurrences
+    {
+        std::size_t crashes = 0;
+        TimePoint lastAt;
+    };
+
+    std::unordered_map<TraitHash, Occurrences> traits_;
+};
+
 } // namespace hornbeamlane
--- a/tests/gateway/RepeatedRequestTest.cpp
+++ b/tests/gateway/RepeatedRequestTest.cpp
@@ -136,5 +136,14 @@
     expectKept(world, served);
 }
 
+// Guards against a quarantine of seconds that ends and begins again for ever, since nothing confirms the crashes.
+TEST_F(RepeatedRequestTest, IsRefusedForLongThoughNothingConfirmsItsCrashes)
+{
+    GatewayWorld world({.entries = entries, .servers = 5, .downTime = milliseconds(3000), .keepsIds = true});
+    const auto served = run(world, {.kind = Repetition::Kind::Order, .rounds = 280});
+    expectKept(world, served);
+    EXPECT_LE(world.deadlyRequests(), 4);
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -289,6 +289,38 @@
     }
 }
 
+// Guards against a request that is let through again each time its quarantine of seconds is over: nothing confirms its
+// crashes, and they may lie far apart.
+TEST_F(CrashEvidenceTest, RefusesForLongWhatComesAgainThoughNothingConfirmsItsCrashes)
+{
+    const auto repeated = request(7, {});
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        const auto time = start + id * seconds(60);
+        evidence_.expire(time);
+        EXPECT_NE(evidence_.judge(repeated, time), Verdict::Quarantined);
+        evidence_.onCrash(crash(id, time, {{.traits = repeated, .hadHead = false}}), time);
+    }
+    const auto last = start + seconds(180);
+    evidence_.expire(last + seconds(500));
+    EXPECT_EQ(evidence_.judge(repeated, last + seconds(500)), Verdict::Quarantined);
+    EXPECT_EQ(evidence_.judge(request(8, {}), last), Verdict::Allowed);
+    evidence_.expire(last + seconds(601));
+    EXPECT_EQ(evidence_.judge(repeated, last + seconds(601)), Verdict::Allowed);
+}
+
+// Guards against a request that is sent to servers by all entries at once when a quarantine of seconds is over.
+TEST_F(CrashEvidenceTest, TriesWhatTwoDoubtfulCrashesExplainAfterItsQuarantine)
+{
+    const auto repeated = request(7, {firstPart});
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        evidence_.onCrash(crash(id, start + id * seconds(1), {{.traits = repeated, .hadHead = false}}), start);
+        begin(request(20 + id, {firstPart}));
+    }
+    EXPECT_EQ(evidence_.judge(repeated, start + seconds(6)), Verdict::Quarantined);
+    EXPECT_EQ(evidence_.judge(repeated, start + seconds(8)), Verdict::Suspect);
+    EXPECT_EQ(evidence_.judge(request(9, {firstPart}), start + seconds(8)), Verdict::Allowed);
+}
+
 // Guards against a second crash of a server that passes for the first one because nothing tells its starts apart.
 TEST_F(CrashEvidenceTest, NamesCrashesOfAServerByWhatWasSentInBetween)
 {
