Hold crashes that a quick restart seems to refute against a request that comes again

What servers saw: a server that was back within 1.5 s under the id that it had ended 23 times in 13 s under one request. Cause: the first answer within 1.5 s after a crash was taken for proof that the server had not crashed, for ever and even after another start of it had been seen. The class of fault: one observation with two explanations, taken for the harmless one. Evidence: crash_refuted after each server_crashed in the run of the new test on the old code. Change: a refuted crash still counts against a whole request that was at several (RepeatedRequestFindings): it is so special that a coincidence does little harm, and a sound one is answered in the trial that follows. It goes on counting for nothing against parts and origins, as long as no other start of the server is seen. The digest of what an entry knows holds the refutation, so that entries agree. Suspects are looked up by the traits of a request, since whole requests make the list long.

--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -38,7 +38,7 @@
     return std::pair(!a.hadHead, a.traits.whole) < std::pair(!b.hadHead, b.traits.whole);
 }
 
-enum class FactKind : std::uint64_t { Candidate = 1, Head, Part, Cleared, BegunBefore, Confirmed, Sound };
+enum class FactKind : std::uint64_t { Candidate = 1, Head, Part, Cleared, BegunBefore, Confirmed, Sound, Refuted };
 
 std::uint64_t hashOfFact(FactKind kind, CrashId crash, TraitHash trait, TraitHash more = TraitHash())
 {
@@ -50,6 +50,7 @@
 std::uint64_t hashOfFacts(const ServerCrash &crash)
 {
     std::uint64_t sum = crash.isConfirmed ? hashOfFact(FactKind::Confirmed, crash.id, TraitHash()) : 0;
+    sum ^= crash.isRefuted ? hashOfFact(FactKind::Refuted, crash.id, TraitHash()) : 0;
     for (const auto &candidate : crash.candidates) {
         const auto whole = candidate.traits.whole;
         sum ^= hashOfFact(FactKind::Candidate, crash.id, whole);
@@ -116,11 +117,17 @@
 
 std::vector<TraitHash> CrashEvidence::suspectsAmong(const RequestTraits &traits, TimePoint now)
 {
+    const auto &suspects = findings(now).suspects;
     std::vector<TraitHash> found;
-    for (const auto suspect : findings(now).suspects) {
-        if (hasTrait(traits, suspect)) {
-            found.push_back(suspect);
+    const auto look = [&](TraitHash trait) {
+        if (std::binary_search(suspects.begin(), suspects.end(), trait)) {
+            found.push_back(trait);
         }
+    };
+    look(traits.whole);
+    std::for_each(traits.parts.begin(), traits.parts.end(), look);
+    if (traits.origin) {
+        look(*traits.origin);
     }
     return found;
 }
--- a/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_routing/crashes/CrashGroups.h"
 #include "hornbeamlane_routing/crashes/OriginFindings.h"
+#include "hornbeamlane_routing/crashes/RepeatedRequestFindings.h"
 
 #include <algorithm>
 #include <map>
@@ -206,7 +207,7 @@
 
 bool isLikely(const ServerCrash &crash)
 {
-    return crash.isConfirmed || crash.hasHead();
+    return crash.isConfirmed || (crash.hasHead() && !crash.isVoid());
 }
 
 CrashFindings findCulprits(const std::vector<ServerCrash> &crashes, const CrashRules &rules, TimePoint now)
@@ -215,7 +216,7 @@
     Crashes likely;
     Crashes doubtful;
     for (const auto &crash : crashes) {
-        if (!crash.isRefuted) {
+        if (!crash.isVoid()) {
             (isLikely(crash) ? likely : doubtful).insert(&crash);
         }
     }
@@ -233,6 +234,7 @@
             judgeSingle(*crash, rules, now, findings);
         }
     }
+    findRepeatedRequests(crashes, rules, now, findings);
     findOrigins(crashes, rules, now, findings);
     // Of a culprit with several traits, a request that has only some of them can tell which one it is.
     for (const auto &culprit : findings.culprits) {
--- a/modules/hornbeamlane_routing/crashes/CrashFindings.h
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.h
@@ -20,7 +20,7 @@
 struct CrashFindings
 {
     std::vector<Culprit> culprits;
-    /** Traits that may crash servers: a request with one of them runs alone, to find out. */
+    /** Traits that may crash servers, sorted: a request with one of them runs alone, to find out. */
     std::vector<TraitHash> suspects;
     /** When the findings change by themselves; empty if they do not. */
     std::optional<TimePoint> changesAt;
--- a/modules/hornbeamlane_routing/crashes/OriginFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/OriginFindings.cpp
@@ -19,7 +19,7 @@
 {
     Crashes all;
     for (const auto &crash : crashes) {
-        if (!crash.isRefuted) {
+        if (!crash.isVoid()) {
             all.insert(&crash);
         }
     }
--- /dev/null
+++ b/modules/hornbeamlane_routing/crashes/RepeatedRequestFindings.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "hornbeamlane_routing/crashes/CrashFindings.h"
+
+namespace hornbeamlane {
+
+/**
+    Finds requests that come again as they were and were at crash after crash.
+
+    A whole request is so special that also crashes count which prove nothing against a part or an origin: those of many
+    servers at once, and those that a server which has started again quickly seems to refute.
+*/
+void findRepeatedRequests(const std::vector<ServerCrash> &crashes, const CrashRules &rules, TimePoint now,
+                          CrashFindings &findings);
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
@@ -108,7 +108,7 @@
 bool wasAtAnotherCrash(TraitHash whole, const ServerCrash &crash, const std::vector<ServerCrash> &all)
 {
     return std::any_of(all.begin(), all.end(), [&](const ServerCrash &other) {
-        return other.id != crash.id
+        return other.id != crash.id && !other.isCleared(whole)
             && std::any_of(other.candidates.begin(), other.candidates.end(),
                            [whole](const CrashCandidate &one) { return one.traits.whole == whole; });
     });
@@ -121,12 +121,15 @@
     const auto isOpen = [&](const CrashCandidate *candidate) {
         const auto whole = candidate->traits.whole;
         const auto &parts = candidate->traits.parts;
+        const bool isCleared = crash.isCleared(whole);
+        const bool isRepeated = !isCleared && wasAtAnotherCrash(whole, crash, all);
         const bool hasOpenPart =
             std::any_of(parts.begin(), parts.end(), [&crash](TraitHash part) { return !crash.isCleared(part); });
-        return hasOpenPart || (!crash.isCleared(whole) && (parts.empty() || wasAtAnotherCrash(whole, crash, all)));
+        const bool mayBeCause = parts.empty() ? !isCleared : hasOpenPart;
+        return isRepeated || (mayBeCause && !crash.isVoid());
     };
     const auto likely = crash.likelyCandidates();
-    return crash.isRefuted || std::none_of(likely.begin(), likely.end(), isOpen);
+    return std::none_of(likely.begin(), likely.end(), isOpen);
 }
 
 namespace {
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.h
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.h
@@ -40,9 +40,15 @@
     std::vector<SoundRequest> soundSince;
     /** Another start of the server has been seen; before that it may only be cut off. */
     bool isConfirmed = false;
-    /** The same start of the server has answered since, so it had not crashed. */
+    /** What seems to be the same start of the server has answered soon after. */
     bool isRefuted = false;
 
+    /** Whether the server seems not to have crashed: it has answered since, and no other start of it has been seen. */
+    bool isVoid() const
+    {
+        return isRefuted && !isConfirmed;
+    }
+
     /** Whether the answer to a candidate had begun. */
     bool hasHead() const;
 
@@ -67,8 +73,8 @@
 ServerCrash fromRecord(const CrashRecord &record, TimePoint now);
 
 /**
-    Whether the crash proves nothing any more: it is refuted, or all parts of its likely candidates are cleared, and
-   none of these was at another crash as a whole. A candidate without parts is judged as a whole.
+    Whether the crash proves nothing any more: it is void, or all parts of its likely candidates are cleared, and in
+    both cases none of these was at another crash as a whole. A candidate without parts is judged as a whole.
 */
 bool isSettled(const ServerCrash &crash, const std::vector<ServerCrash> &all);
 
--- a/tests/gateway/RepeatedRequestTest.cpp
+++ b/tests/gateway/RepeatedRequestTest.cpp
@@ -145,5 +145,13 @@
     EXPECT_LE(world.deadlyRequests(), 4);
 }
 
+// Guards against a server that is back so soon that its first answer passes for proof that it has not crashed.
+TEST_F(RepeatedRequestTest, IsCountedAtServersThatAreBackAtOnce)
+{
+    GatewayWorld world({.entries = entries, .servers = 1, .downTime = milliseconds(250), .keepsIds = true});
+    const auto served = run(world, {.kind = Repetition::Kind::Lookup});
+    expectKept(world, served);
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -289,6 +289,28 @@
     }
 }
 
+// Guards against crashes that count for nothing because the server was back so soon that its answer seemed to refute
+// them: they still tell of a request that comes again, and of everything once another start of the server is seen.
+TEST_F(CrashEvidenceTest, HoldsRefutedCrashesAgainstARequestThatComesAgain)
+{
+    const auto repeated = request(7, {deadly});
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        evidence_.onCrash(crash(id, start + id * seconds(1), {{.traits = repeated, .hadHead = true}}), start);
+        evidence_.onRefuted(CrashId(id));
+    }
+    EXPECT_EQ(evidence_.judge(repeated, start + seconds(60)), Verdict::Quarantined);
+    EXPECT_EQ(judge({deadly}, start + seconds(4)), Verdict::Allowed);
+    CrashEvidence peer;
+    for (const auto &known : evidence_.crashes()) {
+        peer.onCrash(known, start + seconds(4));
+    }
+    EXPECT_EQ(peer.digest(), evidence_.digest());
+    EXPECT_EQ(peer.judge(repeated, start + seconds(60)), Verdict::Quarantined);
+    evidence_.onConfirmed(CrashId(1));
+    EXPECT_NE(peer.digest(), evidence_.digest());
+    EXPECT_EQ(judge({deadly}, start + seconds(4)), Verdict::Quarantined);
+}
+
 // Guards against a request that is let through again each time its quarantine of seconds is over: nothing confirms its
 // crashes, and they may lie far apart.
 TEST_F(CrashEvidenceTest, RefusesForLongWhatComesAgainThoughNothingConfirmsItsCrashes)
