Hold a request that comes again against crashes at which other answers had begun

What servers and callers saw: a request that crashes servers before they answer it was not held against a crash if the answer to any other request had begun there and not gone on. That other request was blamed and others with its parts were refused for two minutes. Cause: only requests whose answer had begun were taken for possible causes, if there were any. That is right for parts, of which a crash always has many, but a whole request that was at several crashes says more than a begun answer. Evidence: read first, then shown by the new test on the old code. Change: as a whole, all requests at a crash count; a crash that one of them explains is not held against the others. Result: CrashEvidenceTest.BlamesARequestThatComesAgainBesideBegunAnswers failed before and passes.

--- a/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
@@ -18,7 +18,7 @@
 using CrashesByTrait = std::map<TraitHash, Crashes>;
 using Traits = std::set<TraitHash>;
 
-/** Open traits of the likely candidates of each crash. */
+/** Open traits of the likely candidates of each crash, and all requests at it as a whole. */
 CrashesByTrait crashesByTrait(const Crashes &crashes)
 {
     CrashesByTrait result;
@@ -30,8 +30,10 @@
                     result[part].insert(crash);
                 }
             }
-            if (!crash->isCleared(traits.whole)) {
-                result[traits.whole].insert(crash);
+        }
+        for (const auto &candidate : crash->candidates) {
+            if (!crash->isCleared(candidate.traits.whole)) {
+                result[candidate.traits.whole].insert(crash);
             }
         }
     }
--- a/modules/hornbeamlane_routing/crashes/RepeatedRequestFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/RepeatedRequestFindings.cpp
@@ -16,9 +16,9 @@
 {
     std::map<TraitHash, Crashes> result;
     for (const auto &crash : crashes) {
-        for (const auto *candidate : crash.likelyCandidates()) {
-            if (!crash.isCleared(candidate->traits.whole)) {
-                result[candidate->traits.whole].insert(&crash);
+        for (const auto &candidate : crash.candidates) {
+            if (!crash.isCleared(candidate.traits.whole)) {
+                result[candidate.traits.whole].insert(&crash);
             }
         }
     }
--- a/modules/hornbeamlane_routing/crashes/RepeatedRequestFindings.h
+++ b/modules/hornbeamlane_routing/crashes/RepeatedRequestFindings.h
@@ -8,7 +8,8 @@
     Finds requests that come again as they were and were at crash after crash.
 
     A whole request is so special that also crashes count which prove nothing against a part or an origin: those of many
-    servers at once, and those that a server which has started again quickly seems to refute.
+    servers at once, those that a server which has started again quickly seems to refute, and those at which the answer
+    to another request had begun.
 */
 void findRepeatedRequests(const std::vector<ServerCrash> &crashes, const CrashRules &rules, TimePoint now,
                           CrashFindings &findings);
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.cpp
@@ -118,18 +118,19 @@
 
 bool isSettled(const ServerCrash &crash, const std::vector<ServerCrash> &all)
 {
-    const auto isOpen = [&](const CrashCandidate *candidate) {
-        const auto whole = candidate->traits.whole;
+    const auto isRepeated = [&](const CrashCandidate &candidate) {
+        const auto whole = candidate.traits.whole;
+        return !crash.isCleared(whole) && wasAtAnotherCrash(whole, crash, all);
+    };
+    const auto mayBeCause = [&crash](const CrashCandidate *candidate) {
         const auto &parts = candidate->traits.parts;
-        const bool isCleared = crash.isCleared(whole);
-        const bool isRepeated = !isCleared && wasAtAnotherCrash(whole, crash, all);
-        const bool hasOpenPart =
-            std::any_of(parts.begin(), parts.end(), [&crash](TraitHash part) { return !crash.isCleared(part); });
-        const bool mayBeCause = parts.empty() ? !isCleared : hasOpenPart;
-        return isRepeated || (mayBeCause && !crash.isVoid());
+        return parts.empty()
+            ? !crash.isCleared(candidate->traits.whole)
+            : std::any_of(parts.begin(), parts.end(), [&crash](TraitHash part) { return !crash.isCleared(part); });
     };
     const auto likely = crash.likelyCandidates();
-    return std::none_of(likely.begin(), likely.end(), isOpen);
+    const bool provesAlone = !crash.isVoid() && std::any_of(likely.begin(), likely.end(), mayBeCause);
+    return !provesAlone && std::none_of(crash.candidates.begin(), crash.candidates.end(), isRepeated);
 }
 
 namespace {
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.h
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.h
@@ -74,7 +74,7 @@
 
 /**
     Whether the crash proves nothing any more: it is void, or all parts of its likely candidates are cleared, and in
-    both cases none of these was at another crash as a whole. A candidate without parts is judged as a whole.
+    both cases no request at it was at another crash as a whole. A candidate without parts is judged as a whole.
 */
 bool isSettled(const ServerCrash &crash, const std::vector<ServerCrash> &all);
 
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -289,6 +289,25 @@
     }
 }
 
+// Guards against a request that crashes servers before they answer it and goes unnoticed, since answers to others had
+// begun there: these pay for it, though it alone was at all of the crashes.
+TEST_F(CrashEvidenceTest, BlamesARequestThatComesAgainBesideBegunAnswers)
+{
+    const auto repeated = request(7, {});
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        const auto time = start + id * seconds(1);
+        const std::vector<CrashCandidate> candidates = {
+            {.traits = repeated, .hadHead = false},
+            {.traits = request(20 + id, {firstPart, TraitHash(50 + id)}), .hadHead = true}};
+        evidence_.onCrash(crash(id, time, candidates), time);
+        begin(request(30 + id, {firstPart}));
+    }
+    const auto later = start + seconds(4);
+    EXPECT_EQ(evidence_.judge(repeated, later), Verdict::Quarantined);
+    EXPECT_EQ(judge({firstPart, TraitHash(51)}, later), Verdict::Allowed);
+    EXPECT_EQ(judge({firstPart, TraitHash(53)}, later), Verdict::Allowed);
+}
+
 // Guards against crashes that count for nothing because the server was back so soon that its answer seemed to refute
 // them: they still tell of a request that comes again, and of everything once another start of the server is seen.
 TEST_F(CrashEvidenceTest, HoldsRefutedCrashesAgainstARequestThatComesAgain)
