Draw anew at each crash which of too many requests are remembered

What servers would see: a request that is left out of every crash is never held against any; it goes on crashing busy servers. Cause: of more than 16 unanswered requests at a crash those with the lowest hashes were kept, the same ones each time. Change: the rank is drawn for each crash from its name and the request, alike on all entries; 24 requests are remembered. Result: CrashEvidenceTest.RemembersEachRequestOfSomeOfManyCrashes failed before and passes. Tests of routing (56) and of the gateway (128 without the long ones) pass.

--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -30,13 +30,32 @@
                        [trait](const CrashCandidate &candidate) { return hasTrait(candidate.traits, trait); });
 }
 
-/** Which of two candidates is remembered rather. All entries decide alike, or they would tell each other the same for
- * ever. */
-bool isWorthMore(const CrashCandidate &a, const CrashCandidate &b)
+/** Which of the requests at a crash are remembered rather. All entries decide alike, or they would tell each other the
+ * same for ever. */
+class CandidateRank final
 {
-    // One whose answer had begun says more than one that the server may not even have looked at.
-    return std::pair(!a.hadHead, a.traits.whole) < std::pair(!b.hadHead, b.traits.whole);
-}
+public:
+    explicit CandidateRank(CrashId crash)
+        : crash_(crash)
+    {
+    }
+
+    bool operator()(const CrashCandidate &a, const CrashCandidate &b) const
+    {
+        // One whose answer had begun says more than one that the server may not even have looked at.
+        return std::pair(!a.hadHead, drawn(a)) < std::pair(!b.hadHead, drawn(b));
+    }
+
+private:
+    /** Drawn anew for each crash: no request is left out of all of them. */
+    std::uint64_t drawn(const CrashCandidate &candidate) const
+    {
+        const std::array<std::uint64_t, 2> numbers{crash_.value(), candidate.traits.whole.value()};
+        return hash64({reinterpret_cast<const char *>(numbers.data()), sizeof(numbers)});
+    }
+
+    CrashId crash_;
+};
 
 enum class FactKind : std::uint64_t { Candidate = 1, Head, Part, Cleared, BegunBefore, Confirmed, Sound, Refuted };
 
@@ -364,6 +383,7 @@
         candidates.push_back(kept);
         return true;
     }
+    const CandidateRank isWorthMore(crash.id);
     const auto least = std::max_element(candidates.begin(), candidates.end(), isWorthMore);
     if (!isWorthMore(kept, *least)) {
         return false;
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.h
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.h
@@ -42,7 +42,8 @@
         CrashRules rules;
         /** Crashes remembered at most; those that prove nothing any more make room first, then the oldest. */
         std::size_t maxCrashes = 128;
-        std::size_t maxCandidates = 16;
+        /** Requests remembered of a crash; a server seldom has more without an answer. */
+        std::size_t maxCandidates = 24;
         /** Parts remembered of one candidate; those that are not proven come first. */
         std::size_t maxParts = 32;
         /** Parts remembered with which answers have begun. */
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -308,6 +308,25 @@
     EXPECT_EQ(judge({firstPart, TraitHash(53)}, later), Verdict::Allowed);
 }
 
+// Guards against a request that is never remembered, since each server that it crashes has more requests than are
+// remembered and it is always the same ones that are left out.
+TEST_F(CrashEvidenceTest, RemembersEachRequestOfSomeOfManyCrashes)
+{
+    const RequestTraits repeated{.whole = TraitHash(~std::uint64_t(0))};
+    auto time = start;
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        time += seconds(1);
+        std::vector<CrashCandidate> candidates;
+        for (std::uint64_t number = 0; number < 40; ++number) {
+            candidates.push_back({.traits = request(100 * id + number, {firstPart}), .hadHead = false});
+        }
+        candidates.push_back({.traits = repeated, .hadHead = false});
+        evidence_.onCrash(crash(id, time, candidates), time);
+        begin(request(9000 + id, {firstPart}));
+    }
+    EXPECT_EQ(evidence_.judge(repeated, time), Verdict::Quarantined);
+}
+
 // Guards against crashes that count for nothing because the server was back so soon that its answer seemed to refute
 // them: they still tell of a request that comes again, and of everything once another start of the server is seen.
 TEST_F(CrashEvidenceTest, HoldsRefutedCrashesAgainstARequestThatComesAgain)
