Do not clear a request by the error of a server

What servers saw: a request that crashes servers was let through again after a failing server had answered it with an error. Cause: any complete answer but a rejection cleared the request, its parts and its origin, an error too. A server that fails part of its requests answers without having run them. Change: an answer of 500 or more, and one that promises falsely not to have run, clears nothing.

--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -433,7 +433,6 @@
         return;
     }
     ++runs_;
-    gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
     const bool isSuccess = head.status / 100 == 2;
     if ((isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
         endSend(BackendOutcome::Failed);
@@ -441,11 +440,13 @@
         return;
     }
     if (head.status >= 500) {
+        // A server that fails may not have looked at the request, so that proves nothing for it.
         answers_.keepFailure(*send_);
         endSend(BackendOutcome::Failed);
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
     }
+    gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
     if (!exchange_->isStreaming()) {
         deliverAnswer();
         return;
--- a/tests/gateway/GatewayWorld.cpp
+++ b/tests/gateway/GatewayWorld.cpp
@@ -198,6 +198,10 @@
 void GatewayWorld::answerLookup(Server &server, testing::ScriptedServer::Connection &connection,
                                 const std::string &head)
 {
+    if (isFailing) {
+        connection.send(answer(head, 500, "failed"));
+        return;
+    }
     if (!deadlyPath.empty() && head.find(" " + deadlyPath) != std::string::npos) {
         crashUnderRequest(server);
         return;
--- a/tests/gateway/GatewayWorld.h
+++ b/tests/gateway/GatewayWorld.h
@@ -41,6 +41,9 @@
     /** Lookups and orders whose path begins so crash their server; empty: none does. */
     std::string deadlyPath;
 
+    /** Servers answer lookups and orders with an error and do not run them. */
+    bool isFailing = false;
+
     /** Time that servers take for other lookups and orders. */
     std::chrono::milliseconds lookupTime{0};
 
--- a/tests/gateway/RepeatedRequestTest.cpp
+++ b/tests/gateway/RepeatedRequestTest.cpp
@@ -153,5 +153,22 @@
     expectKept(world, served);
 }
 
+// Guards against an error that passes for proof that the request is sound: a server that fails has not run it.
+TEST_F(RepeatedRequestTest, IsNotClearedByAnErrorOfAServer)
+{
+    GatewayWorld world({.entries = entries, .servers = 3, .downTime = milliseconds(1000)});
+    world.deadlyPath = "/order/dead";
+    world.runFor(milliseconds(100));
+    std::vector<int> statuses;
+    for (int sending = 0; sending < 4; ++sending) {
+        world.isFailing = sending == 1;
+        const auto answer = world.sendOrder(0, "glue", "/order/dead");
+        world.runFor(milliseconds(400));
+        statuses.push_back(answer->head.status);
+    }
+    EXPECT_EQ(statuses, (std::vector<int>{502, 500, 502, 503}));
+    EXPECT_EQ(world.deadlyRequests(), 2);
+}
+
 } // namespace
 } // namespace hornbeamlane
