Let requests wait at an entry that has just started until it knows of crashes

What servers saw: each entry that started sent a request that all others refused, if it came before the entry had heard of it. Cause: an entry served as soon as it had the catalogue and the servers; the row of crashes is read beside them, and the others tell what they know a little later. The class of fault: an empty memory that passes for knowledge that there is nothing. Mostly the table is read before the first request, so none waits. Result: RepeatedRequestTest.IsNotSentByAnEntryThatHasJustStarted fails without the wait and passes with it; sound requests beside are served.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -62,7 +62,8 @@
                                        const auto &reports) { rateLimits_.onPeerReports(sender, reports); },
               .otherMessage = [this](std::string_view bytes) { return crashes_.exchange().onMessage(bytes); }})
     , crashes_(
-          loop, random, metrics_, backends_, {.incarnation = random.incarnation()},
+          loop, random, metrics_, backends_,
+          {.incarnation = random.incarnation(), .learningTime = settings_.crashLearningTime},
           {.unanswered = [this](const ServerId &server) { return unansweredAt(server); },
            .changed = [this] { heldTimer_.startOnce(Duration::zero()); },
            .sendToAll =
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -84,6 +84,9 @@
     /** A planned stop ends after this time at the latest. */
     std::chrono::milliseconds shutdownBound{8000};
     std::size_t maxConnections = 3000;
+    /** Longest time from the first request on for which requests wait for what the table and other entries know of
+        crashes. */
+    std::chrono::milliseconds crashLearningTime{0};
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/modules/hornbeamlane_gateway/crashes/CrashExchange.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashExchange.cpp
@@ -64,6 +64,9 @@
     const auto own = evidence_.digest();
     if (own == digest) {
         resends_.erase(address);
+        if (own != 0) {
+            hooks_.agreed();
+        }
         return;
     }
     const auto now = loop_.now();
--- a/modules/hornbeamlane_gateway/crashes/CrashExchange.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashExchange.h
@@ -43,6 +43,8 @@
         std::function<void()> changed;
         /** Another entry has told of a crash. */
         std::function<void(const ServerCrash &, CrashNews)> told;
+        /** Another entry knows the same of crashes as this one, and some. */
+        std::function<void()> agreed;
     };
 
     CrashExchange(EventLoop &loop, CrashEvidence &evidence, SuspectTrials &trials, Options options, Hooks hooks);
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
@@ -32,18 +32,24 @@
           {.sendToAll = hooks_.sendToAll,
            .sendTo = hooks_.sendTo,
            .changed = [this] { handleChange(); },
-           .told = [this](const ServerCrash &crash, CrashNews news) { log_.told("entry", crash, news, loop_.now()); }})
+           .told = [this](const ServerCrash &crash, CrashNews news) { log_.told("entry", crash, news, loop_.now()); },
+           .agreed = [this] { noteLearned("entry"); }})
     , row_(loop, random, evidence_, {},
            {.write = hooks_.writeRow,
             .timeOfDay = [] { return std::chrono::system_clock::now(); },
             .changed = [this] { handleChange(); },
-            .told = [this](const ServerCrash &crash, CrashNews news) { log_.told("row", crash, news, loop_.now()); }})
+            .told = [this](const ServerCrash &crash, CrashNews news) { log_.told("row", crash, news, loop_.now()); },
+            .read = [this] { noteLearned("row"); }})
+    , learningTime_(options.learningTime)
 {
 }
 
 CrashGuard::Decision CrashGuard::decide(RequestNumber request, const RequestTraits &traits)
 {
     const auto now = loop_.now();
+    if (mustLearn(now)) {
+        return Decision::Wait;
+    }
     switch (evidence_.judge(traits, now)) {
     case CrashEvidence::Verdict::Allowed:
         endTrial(request);
@@ -62,6 +68,30 @@
     return mayRun ? Decision::Send : Decision::Wait;
 }
 
+bool CrashGuard::mustLearn(TimePoint now)
+{
+    if (hasLearned_) {
+        return false;
+    }
+    if (!learnsUntil_) {
+        learnsUntil_ = now + learningTime_;
+    }
+    if (now >= *learnsUntil_) {
+        noteLearned("nobody");
+    }
+    return !hasLearned_;
+}
+
+void CrashGuard::noteLearned(std::string_view source)
+{
+    if (std::exchange(hasLearned_, true)) {
+        return;
+    }
+    logEvent(LogLevel::Info, "crashes_learned",
+             {{"source", std::string(source)}, {"crashes", std::to_string(evidence_.crashes().size())}});
+    hooks_.changed();
+}
+
 CrashGuard::Quarantine CrashGuard::quarantineOf(const RequestTraits &traits)
 {
     const auto now = loop_.now();
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.h
@@ -7,8 +7,9 @@
 
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hornbeamlane {
@@ -28,6 +29,8 @@
         Incarnation incarnation;
         CrashEvidence::Options evidence;
         SuspectTrials::Options trials;
+        /** Longest time from the first request on for which requests wait until this entry knows what the others do. */
+        std::chrono::milliseconds learningTime{0};
     };
 
     struct Hooks
@@ -47,6 +50,12 @@
 
     Decision decide(RequestNumber request, const RequestTraits &traits);
 
+    /** Whether requests wait because this entry has just started. */
+    bool isLearning() const
+    {
+        return !hasLearned_;
+    }
+
     /** Why and for how long a request is refused. */
     struct Quarantine
     {
@@ -114,6 +123,9 @@
     /** What the requests that were lost at a server tell of its crashes, the last one at the end. */
     std::vector<ServerCrash> crashesOf(const ServerStart &start, const std::vector<LostRequest> &requests) const;
     void endTrial(RequestNumber request);
+    /** Whether requests still have to wait until this entry knows what the others do. */
+    bool mustLearn(TimePoint now);
+    void noteLearned(std::string_view source);
     void handleChange();
     void logCulprits();
 
@@ -127,6 +139,10 @@
     CrashExchange exchange_;
     CrashRow row_;
     std::map<RequestNumber, ServerId> running_;
+    std::chrono::milliseconds learningTime_;
+    /** Empty before the first request. */
+    std::optional<TimePoint> learnsUntil_;
+    bool hasLearned_ = false;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/crashes/CrashRow.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashRow.h
@@ -42,6 +42,8 @@
         std::function<void()> changed;
         /** The row tells of a crash. */
         std::function<void(const ServerCrash &, CrashNews)> told;
+        /** It is known what the row holds, if there is one. */
+        std::function<void()> read = [] {};
     };
 
     CrashRow(EventLoop &loop, RandomSource &random, CrashEvidence &evidence, Options options, Hooks hooks);
@@ -51,6 +53,12 @@
 
     void onRowRemoved();
 
+    /** The table has been read as a whole, and onRow() told of the row if there is one. */
+    void onTableRead()
+    {
+        hooks_.read();
+    }
+
     /** The evidence may have changed. */
     void check();
 
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -77,7 +77,7 @@
 {
     if (!holdsUntil_) {
         holdsUntil_ = std::min(now() + suspectWait, deadline_);
-        logEvent(LogLevel::Info, "request_held_as_suspect",
+        logEvent(LogLevel::Info, gateway_.crashes_.isLearning() ? "request_held_at_start" : "request_held_as_suspect",
                  {{"id", attemptId_}, {"parts", formatTraits(traits_.parts)}, {"origin", formatOrigin(traits_)}});
     }
     if (now() >= *holdsUntil_) {
--- a/tests/gateway/GatewayWorld.cpp
+++ b/tests/gateway/GatewayWorld.cpp
@@ -46,6 +46,7 @@
     settings.callerAddress = "127.0.0.1:0";
     settings.readyAddress = "127.0.0.1:0";
     settings.peerAddress = "127.0.0.1:0";
+    settings.crashLearningTime = options_.learningTime;
     settings.retryRatio = 1;
     settings.retryAllowance = 1000;
     auto entry = std::make_unique<Gateway>(
@@ -137,7 +138,18 @@
     for (const auto &server : servers_) {
         listServerAt(*entries_[index], server);
     }
-    readRow();
+    later(options_.tableReadTime, [this, index] { readTable(index); });
+}
+
+void GatewayWorld::readTable(std::size_t entry)
+{
+    if (!isTableReachable_) {
+        return;
+    }
+    if (rowVersion_ != RowVersion()) {
+        entries_[entry]->crashRow().onRow(row_, rowVersion_);
+    }
+    entries_[entry]->crashRow().onTableRead();
 }
 
 void GatewayWorld::listServerAt(Gateway &entry, const Server &server)
--- a/tests/gateway/GatewayWorld.h
+++ b/tests/gateway/GatewayWorld.h
@@ -30,6 +30,10 @@
         bool hasPeers = true;
         /** Whether the entries reach the table with the row of known crashes. */
         bool hasTable = false;
+        /** Time that an entry which starts takes to read the table. */
+        std::chrono::milliseconds tableReadTime{0};
+        /** See GatewaySettings::crashLearningTime. */
+        std::chrono::milliseconds learningTime{0};
     };
 
     explicit GatewayWorld(Options options);
@@ -118,7 +122,9 @@
     /** Lists a server at one entry under its present id. */
     void listServerAt(Gateway &entry, const Server &server);
     void writeRow(const std::string &value, RowVersion expected, const TableClient::ReplyHandler &handler);
+    /** All entries read the row that has just been written. */
     void readRow();
+    void readTable(std::size_t entry);
     void listServer(Server &server);
     void answerLookup(Server &server, testing::ScriptedServer::Connection &connection, const std::string &head);
     bool isLookup(const std::string &head) const;
--- a/tests/gateway/RepeatedRequestTest.cpp
+++ b/tests/gateway/RepeatedRequestTest.cpp
@@ -153,6 +153,35 @@
     expectKept(world, served);
 }
 
+// Guards against an entry that sends a request before it has heard what the others, or the table, know of it.
+TEST_F(RepeatedRequestTest, IsNotSentByAnEntryThatHasJustStarted)
+{
+    for (const bool hasTable : {true, false}) {
+        GatewayWorld world({.entries = entries,
+                            .servers = 5,
+                            .downTime = milliseconds(500),
+                            .hasPeers = !hasTable,
+                            .hasTable = hasTable,
+                            .tableReadTime = milliseconds(100),
+                            .learningTime = milliseconds(500)});
+        world.deadlyPath = "/look/dead";
+        world.runFor(milliseconds(100));
+        // The two crashes have to be confirmed, or the request is refused for seconds only.
+        world.sendLookup(0, "glue", "/look/dead");
+        world.runFor(milliseconds(3000));
+        EXPECT_EQ(world.deadlyRequests(), 2);
+        for (std::size_t entry = 0; entry < entries; ++entry) {
+            world.restartEntry(entry);
+            const auto deadly = world.sendLookup(entry, "glue", "/look/dead");
+            const auto sound = world.sendLookup(entry, "glue", "/look/sound");
+            world.runFor(milliseconds(700));
+            EXPECT_EQ(deadly->head.status, 503) << hasTable;
+            EXPECT_EQ(sound->head.status, 200) << hasTable;
+        }
+        EXPECT_EQ(world.deadlyRequests(), 2) << hasTable;
+    }
+}
+
 // Guards against an error that passes for proof that the request is sound: a server that fails has not run it.
 TEST_F(RepeatedRequestTest, IsNotClearedByAnErrorOfAServer)
 {
