Do not hold sound requests against their origin that were at servers which one request keeps crashing

What callers saw: while one order came again and crashed servers, other orders of its team on that route were refused too (138 of 240 sound orders of two teams served in the new test; orders that take 120 ms, so some are at a server when it crashes). Cause: a team and route were blamed if two crashes had different requests of theirs. The sound orders that were lost with the servers are such requests, though one request was at all of the crashes. As orders are not sent again, no answer clears them. Change: a request that was at crashes of different moments explains these; the others there do not count against the origin. Requests that each crash two servers still count as different ones. Result: RepeatedRequestTest.LeavesSoundOrdersOfItsTeamAlone (138 of 240 before) and CrashEvidenceTest.DoesNotBlameAnOriginForRequestsBesideARepeatedOne failed before and pass; BlamesAnOriginWhoseRequestsEachCrashTwoServers holds before and after. Tests of routing: 58 pass.

--- a/modules/hornbeamlane_routing/crashes/OriginFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/OriginFindings.cpp
@@ -45,11 +45,49 @@
     return requests;
 }
 
-CrashesByOrigin crashesByOrigin(const Crashes &crashes)
+using RequestsByCrash = std::map<const ServerCrash *, std::vector<RequestTraits>>;
+
+/** Requests that were at crashes of different moments, one after the other. */
+std::set<TraitHash> repeatedRequests(const RequestsByCrash &requests, const CrashRules &rules)
 {
-    CrashesByOrigin result;
+    std::map<TraitHash, Crashes> crashes;
+    for (const auto &[crash, open] : requests) {
+        for (const auto &request : open) {
+            crashes[request.whole].insert(crash);
+        }
+    }
+    std::set<TraitHash> repeated;
+    for (const auto &[whole, ofRequest] : crashes) {
+        if (detail::groupsOf(ofRequest, rules.together).size() >= rules.crashesToQuarantine) {
+            repeated.insert(whole);
+        }
+    }
+    return repeated;
+}
+
+/** The open requests at each crash; a request that comes again explains its crashes, so the others there do not count.
+ */
+RequestsByCrash possibleCauses(const Crashes &crashes, const CrashRules &rules)
+{
+    RequestsByCrash requests;
     for (const auto *crash : crashes) {
-        for (const auto &request : openRequests(*crash)) {
+        requests[crash] = openRequests(*crash);
+    }
+    const auto repeated = repeatedRequests(requests, rules);
+    for (auto &[crash, open] : requests) {
+        const auto isRepeated = [&repeated](const RequestTraits &request) { return repeated.contains(request.whole); };
+        if (std::any_of(open.begin(), open.end(), isRepeated)) {
+            std::erase_if(open, [&](const RequestTraits &request) { return !isRepeated(request); });
+        }
+    }
+    return requests;
+}
+
+CrashesByOrigin crashesByOrigin(const RequestsByCrash &requests)
+{
+    CrashesByOrigin result;
+    for (const auto &[crash, open] : requests) {
+        for (const auto &request : open) {
             result[*request.origin].insert(crash);
         }
     }
@@ -57,17 +95,17 @@
 }
 
 /** Different requests of the origin at the crashes. */
-std::size_t countRequests(TraitHash origin, const Crashes &crashes)
+std::size_t countRequests(TraitHash origin, const Crashes &crashes, const RequestsByCrash &requests)
 {
-    std::set<TraitHash> requests;
+    std::set<TraitHash> wholes;
     for (const auto *crash : crashes) {
-        for (const auto &request : openRequests(*crash)) {
+        for (const auto &request : requests.at(crash)) {
             if (request.origin == origin) {
-                requests.insert(request.whole);
+                wholes.insert(request.whole);
             }
         }
     }
-    return requests.size();
+    return wholes.size();
 }
 
 std::chrono::milliseconds holdAfter(std::size_t crashes, const CrashRules &rules)
@@ -79,15 +117,15 @@
     return std::min(hold, rules.longestOriginHold);
 }
 
-void judgeOrigin(TraitHash origin, const Crashes &crashes, const CrashRules &rules, TimePoint now,
-                 CrashFindings &findings)
+void judgeOrigin(TraitHash origin, const Crashes &crashes, const RequestsByCrash &requests, const CrashRules &rules,
+                 TimePoint now, CrashFindings &findings)
 {
     Crashes open;
     std::copy_if(crashes.begin(), crashes.end(), std::inserter(open, open.end()),
                  [origin](const ServerCrash *crash) { return !crash->isOutweighed(origin); });
     const auto openGroups = detail::groupsOf(open, rules.together).size();
     // A single request that comes again is refused as a whole.
-    if (std::min(openGroups, countRequests(origin, open)) < rules.crashesToQuarantine) {
+    if (std::min(openGroups, countRequests(origin, open, requests)) < rules.crashesToQuarantine) {
         return;
     }
     const auto likely =
@@ -108,8 +146,9 @@
 void findOrigins(const std::vector<ServerCrash> &crashes, const CrashRules &rules, TimePoint now,
                  CrashFindings &findings)
 {
-    for (const auto &[origin, ofOrigin] : crashesByOrigin(withoutCuts(crashes, rules))) {
-        judgeOrigin(origin, ofOrigin, rules, now, findings);
+    const auto requests = possibleCauses(withoutCuts(crashes, rules), rules);
+    for (const auto &[origin, ofOrigin] : crashesByOrigin(requests)) {
+        judgeOrigin(origin, ofOrigin, requests, rules, now, findings);
     }
 }
 
--- a/tests/gateway/RepeatedRequestTest.cpp
+++ b/tests/gateway/RepeatedRequestTest.cpp
@@ -182,6 +182,16 @@
     }
 }
 
+// Guards against sound orders that are refused because they were at servers that one of the same team and route
+// crashed.
+TEST_F(RepeatedRequestTest, LeavesSoundOrdersOfItsTeamAlone)
+{
+    GatewayWorld world({.entries = entries, .servers = 5, .downTime = milliseconds(1000)});
+    world.lookupTime = milliseconds(120);
+    const auto served = run(world, {.kind = Repetition::Kind::Order, .pause = milliseconds(50), .rounds = 120});
+    expectKept(world, served);
+}
+
 // Guards against an error that passes for proof that the request is sound: a server that fails has not run it.
 TEST_F(RepeatedRequestTest, IsNotClearedByAnErrorOfAServer)
 {
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -430,6 +430,29 @@
     EXPECT_EQ(evidence_.judge(fromOrigin(2), start + seconds(1)), Verdict::Allowed);
 }
 
+// Guards against sound orders of a caller that were at the same servers as a single one which comes again and again.
+TEST_F(CrashEvidenceTest, DoesNotBlameAnOriginForRequestsBesideARepeatedOne)
+{
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        const auto time = start + id * seconds(1);
+        auto found = crash(
+            id, time, {{.traits = fromOrigin(7), .hadHead = false}, {.traits = fromOrigin(20 + id), .hadHead = false}});
+        found.isConfirmed = true;
+        evidence_.onCrash(found, time);
+    }
+    EXPECT_EQ(evidence_.judge(fromOrigin(7), start + seconds(3)), Verdict::Quarantined);
+    EXPECT_EQ(evidence_.judge(fromOrigin(8), start + seconds(3)), Verdict::Allowed);
+}
+
+// Guards against an origin that is let off because each of its requests was sent again once and crashed two servers.
+TEST_F(CrashEvidenceTest, BlamesAnOriginWhoseRequestsEachCrashTwoServers)
+{
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        crashUnder(id, start + id * seconds(1), fromOrigin(id / 2));
+    }
+    EXPECT_EQ(evidence_.judge(fromOrigin(8), start + seconds(4)), Verdict::Quarantined);
+}
+
 // Guards against callers that pay for crashes with another cause: most of their requests are answered in between, and
 // one that was at a crash is answered when it comes again.
 TEST_F(CrashEvidenceTest, HoldsSoundRequestsAgainstTheCrashesOfTheirOrigin)
