Count each loss of an engine beside an agent that lives on

What servers would see: where a model or service has one engine, each entry sends a request that crashes it there once, again after each restart, and none refuses it, since all its losses count as one. Cause: the quarantine of the stand-alone entry named a lost engine by the start of its agent. Change: the loss number that agents tell with a broken attempt is part of the name. Result: CrashQuarantineTest.CountsEachLossOfAnEngineBesideItsAgent failed with the old name and passes. Tests of routing (59) and of the path (18) pass.

--- a/modules/hornbeamlane_entry/Entry.cpp
+++ b/modules/hornbeamlane_entry/Entry.cpp
@@ -348,7 +348,7 @@
     };
     hooks.engineLost = [this](const RequestFlow::Target &target, std::uint64_t engineLoss) {
         routing_.crashes().onEngineLost(target.incarnation, engineLoss, loop_.now());
-        routing_.quarantine().onServerLost(target.incarnation, loop_.now());
+        routing_.quarantine().onEngineLost(target.incarnation, engineLoss, loop_.now());
         shareQuarantine();
     };
     hooks.takeRetry = [this](TimePoint now) {
--- a/modules/hornbeamlane_routing/quarantine/CrashQuarantine.cpp
+++ b/modules/hornbeamlane_routing/quarantine/CrashQuarantine.cpp
@@ -188,6 +188,17 @@
 }
 
 void CrashQuarantine::onServerLost(Incarnation serverIncarnation, TimePoint now)
+{
+    loseWork(serverIncarnation, serverIncarnation, now);
+}
+
+void CrashQuarantine::onEngineLost(Incarnation agent, std::uint64_t loss, TimePoint now)
+{
+    const auto name = std::to_string(agent.value()) + "/" + std::to_string(loss);
+    loseWork(agent, Incarnation(hash64(name)), now);
+}
+
+void CrashQuarantine::loseWork(Incarnation serverIncarnation, Incarnation lossName, TimePoint now)
 {
     const auto position = servers_.find(serverIncarnation);
     if (position == servers_.end()) {
@@ -201,7 +212,7 @@
         if (copies.empty()) {
             inFlight_.erase(fingerprint);
         }
-        addEvidence(fingerprint, serverIncarnation, work.id, now);
+        addEvidence(fingerprint, lossName, work.id, now);
     }
 }
 
--- a/modules/hornbeamlane_routing/quarantine/CrashQuarantine.h
+++ b/modules/hornbeamlane_routing/quarantine/CrashQuarantine.h
@@ -90,6 +90,9 @@
     /** The server ended without having announced it; all requests in flight on it become suspects. */
     void onServerLost(Incarnation serverIncarnation, TimePoint now);
 
+    /** The same of the engine beside an agent that lives on; `loss` tells its ends apart. */
+    void onEngineLost(Incarnation agent, std::uint64_t loss, TimePoint now);
+
     /** Whether the request is refused now. */
     bool isQuarantined(const Hash128 &fingerprint, TimePoint now) const;
 
@@ -157,6 +160,8 @@
     Record *findSuspect(const Hash128 &fingerprint, TimePoint now);
     Record &findOrAdd(const Hash128 &fingerprint, TimePoint now);
     void makeRoom(TimePoint now);
+    /** Ends the work of a server; the loss is remembered under a name of its own. */
+    void loseWork(Incarnation serverIncarnation, Incarnation lossName, TimePoint now);
     void addEvidence(const Hash128 &fingerprint, Incarnation lostServer, const ServerId &server, TimePoint now);
     void mergeRecord(const QuarantineRecord &received, Incarnation from, TimePoint now);
     void mergeEvidence(Record &record, const QuarantineRecord &received, TimePoint now);
--- a/tests/routing/CrashQuarantineTest.cpp
+++ b/tests/routing/CrashQuarantineTest.cpp
@@ -62,6 +62,29 @@
     EXPECT_EQ(mayDispatch(first_, crasher_, 12), Verdict::Allowed) << "the record does not expire";
 }
 
+// Guards against losses of an engine that pass for a single one because the agent beside it lives on: each entry would
+// send the request there once more.
+TEST_F(CrashQuarantineTest, CountsEachLossOfAnEngineBesideItsAgent)
+{
+    first_.setPeers({Incarnation(2)});
+    second_.setPeers({Incarnation(1)});
+    dispatch(first_, crasher_, 10);
+    first_.onEngineLost(Incarnation(10), 1, now_);
+    exchange();
+    dispatch(second_, crasher_, 10);
+    second_.onEngineLost(Incarnation(10), 2, now_);
+    exchange();
+    EXPECT_TRUE(first_.isQuarantined(crasher_, now_));
+    EXPECT_TRUE(second_.isQuarantined(crasher_, now_));
+    // Both entries tell of the same loss.
+    dispatch(first_, neighbour_, 11);
+    dispatch(second_, neighbour_, 11);
+    first_.onEngineLost(Incarnation(11), 1, now_);
+    second_.onEngineLost(Incarnation(11), 1, now_);
+    exchange();
+    EXPECT_FALSE(first_.isQuarantined(neighbour_, now_));
+}
+
 // Guards against neighbours that share a server as suspects and are blamed for the next crash, and against suspicion
 // that stays after a normal end.
 TEST_F(CrashQuarantineTest, IsolatesSuspectsAndClearsThem)
