Do not clear a request by the error of an engine on the product's own path

What servers would see: the same as at the gateway; a chat with a message that crashes engines was let through again after each error. Cause: the stand-alone entry took any complete answer, and the first byte of any body, for proof that the request is sound. Change: an answer of 500 or more clears neither a message nor a request that comes again, for chats and for keyed orders.

--- a/modules/hornbeamlane_entry/ClaimedFlow.cpp
+++ b/modules/hornbeamlane_entry/ClaimedFlow.cpp
@@ -138,7 +138,7 @@
 {
     if (result == ResponseAssembler::Result::Completed) {
         const auto attempt = dispatch_.attempt;
-        endAttempt(true);
+        endAttempt(!isServerError(response_.status));
         run(coordinator_.onResponse(attempt, std::move(response_), hooks_.now()));
     } else if (result == ResponseAssembler::Result::Failed) {
         const auto server = target_->server;
@@ -147,9 +147,9 @@
     }
 }
 
-void ClaimedFlow::endAttempt(bool isComplete)
+void ClaimedFlow::endAttempt(bool isAnswered)
 {
-    hooks_.ended(*target_, dispatch_, isComplete);
+    hooks_.ended(*target_, dispatch_, isAnswered);
     target_.reset();
 }
 
--- a/modules/hornbeamlane_entry/ClaimedFlow.h
+++ b/modules/hornbeamlane_entry/ClaimedFlow.h
@@ -44,7 +44,7 @@
     void dispatch(const DispatchAttempt &action);
     void handleData(const ResponseData &data);
     void applyResult(ResponseAssembler::Result result);
-    void endAttempt(bool isComplete);
+    void endAttempt(bool isAnswered);
 
     CallerRequest request_;
     CallerReply reply_;
--- a/modules/hornbeamlane_entry/DirectFlow.cpp
+++ b/modules/hornbeamlane_entry/DirectFlow.cpp
@@ -106,6 +106,7 @@
         tracker_.advance(dispatch_.attempt, AttemptProgress::Executing);
         const auto result = assembler_->onHead(*head);
         if (result == ResponseAssembler::Result::Accepted) {
+            status_ = head->status;
             reply_.setHead(head->status, head->contentType, dispatch_.isStream);
         }
         applyResult(result);
@@ -136,7 +137,7 @@
     if (result == ResponseAssembler::Result::Completed && reply_.endsInsideEvent()) {
         handleBroken("the stream ended inside an event");
     } else if (result == ResponseAssembler::Result::Completed) {
-        endAttempt(AttemptEnd::Completed, true);
+        endAttempt(AttemptEnd::Completed, !isServerError(status_));
         reply_.complete();
         isOver_ = true;
     } else if (result == ResponseAssembler::Result::Failed) {
@@ -234,10 +235,10 @@
     }
 }
 
-void DirectFlow::endAttempt(AttemptEnd how, bool isComplete)
+void DirectFlow::endAttempt(AttemptEnd how, bool isAnswered)
 {
     tracker_.end(dispatch_.attempt, how);
-    hooks_.ended(*target_, dispatch_, isComplete);
+    hooks_.ended(*target_, dispatch_, isAnswered);
     target_.reset();
 }
 
--- a/modules/hornbeamlane_entry/DirectFlow.h
+++ b/modules/hornbeamlane_entry/DirectFlow.h
@@ -36,7 +36,7 @@
     bool canResume() const;
     void applyResult(ResponseAssembler::Result result);
     void grantCredit();
-    void endAttempt(AttemptEnd how, bool isComplete);
+    void endAttempt(AttemptEnd how, bool isAnswered);
     void refuse(const Refusal &refusal);
 
     CallerRequest request_;
@@ -48,6 +48,8 @@
     std::optional<Target> target_;
     Dispatch dispatch_;
     std::optional<ResponseAssembler> assembler_;
+    /** Of the answer to the present attempt. */
+    int status_ = 0;
     std::uint64_t unpassedBytes_ = 0;
     std::optional<TimePoint> retryAt_;
     Refusal lastRefusal_;
--- a/modules/hornbeamlane_entry/Entry.cpp
+++ b/modules/hornbeamlane_entry/Entry.cpp
@@ -338,10 +338,10 @@
         routing_.onDispatched({.server = target.server, .incarnation = target.incarnation}, dispatch, loop_.now());
         routing_.crashes().onDispatched(dispatch.attempt, request, target.incarnation);
     };
-    hooks.ended = [this](const RequestFlow::Target &target, const Dispatch &dispatch, bool isComplete) {
-        routing_.onEnded({.server = target.server, .incarnation = target.incarnation}, dispatch, isComplete,
+    hooks.ended = [this](const RequestFlow::Target &target, const Dispatch &dispatch, bool isAnswered) {
+        routing_.onEnded({.server = target.server, .incarnation = target.incarnation}, dispatch, isAnswered,
                          loop_.now());
-        if (isComplete) {
+        if (isAnswered) {
             routing_.crashes().onAnswerBegun(dispatch.attempt, loop_.now());
         }
         routing_.crashes().onEnded(dispatch.attempt);
@@ -518,8 +518,8 @@
         return;
     }
     const auto flow = found->second;
-    if (std::holds_alternative<ResponseHead>(message)) {
-        routing_.crashes().onHead(*attempt);
+    if (const auto *head = std::get_if<ResponseHead>(&message)) {
+        routing_.crashes().onHead(*attempt, head->status);
     } else if (std::holds_alternative<ResponseData>(message)) {
         routing_.crashes().onAnswerBegun(*attempt, loop_.now());
     }
--- a/modules/hornbeamlane_entry/PromptPartGuard.cpp
+++ b/modules/hornbeamlane_entry/PromptPartGuard.cpp
@@ -71,17 +71,18 @@
     }
 }
 
-void PromptPartGuard::onHead(const AttemptId &attempt)
+void PromptPartGuard::onHead(const AttemptId &attempt, int status)
 {
     if (const auto found = attempts_.find(attempt); found != attempts_.end()) {
         found->second.hadHead = true;
+        found->second.isError = isServerError(status);
     }
 }
 
 void PromptPartGuard::onAnswerBegun(const AttemptId &attempt, TimePoint now)
 {
     const auto found = attempts_.find(attempt);
-    if (found == attempts_.end() || std::exchange(found->second.hasBegun, true)) {
+    if (found == attempts_.end() || found->second.isError || std::exchange(found->second.hasBegun, true)) {
         return;
     }
     std::vector<CrashId> cleared;
--- a/modules/hornbeamlane_entry/PromptPartGuard.h
+++ b/modules/hornbeamlane_entry/PromptPartGuard.h
@@ -35,7 +35,7 @@
     void onDispatched(const AttemptId &attempt, const CallerRequest &request, Incarnation agent);
 
     /** The head of an answer has come. */
-    void onHead(const AttemptId &attempt);
+    void onHead(const AttemptId &attempt, int status);
 
     /** A part of an answer's body has come, so its server lives. */
     void onAnswerBegun(const AttemptId &attempt, TimePoint now);
@@ -65,6 +65,8 @@
         RequestTraits traits;
         Incarnation agent;
         bool hadHead = false;
+        /** The answer is an error; its server may not have looked at the request. */
+        bool isError = false;
         bool hasBegun = false;
     };
 
--- a/modules/hornbeamlane_entry/RequestFlow.h
+++ b/modules/hornbeamlane_entry/RequestFlow.h
@@ -41,7 +41,8 @@
         std::function<bool(const Target &, const Message &)> send;
         /** An attempt was sent to, or has ended at, the server; keeps the entry's own counts. */
         std::function<void(const Target &, const Dispatch &, const CallerRequest &)> dispatched;
-        std::function<void(const Target &, const Dispatch &, bool isComplete)> ended;
+        /** `isAnswered`: the server has run it to an end that is no error, so the request does not crash servers. */
+        std::function<void(const Target &, const Dispatch &, bool isAnswered)> ended;
         /** The engine broke the response off while the agent lives; what it ran may have crashed it. */
         std::function<void(const Target &, std::uint64_t engineLoss)> engineLost;
         std::function<bool(TimePoint)> takeRetry;
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -439,7 +439,7 @@
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
     }
-    if (head.status >= 500) {
+    if (isServerError(head.status)) {
         // A server that fails may not have looked at the request, so that proves nothing for it.
         answers_.keepFailure(*send_);
         endSend(BackendOutcome::Failed);
--- a/modules/hornbeamlane_network/http/HttpMessages.h
+++ b/modules/hornbeamlane_network/http/HttpMessages.h
@@ -40,6 +40,12 @@
     std::string body;
 };
 
+/** Whether the status states that the server has failed. */
+constexpr bool isServerError(int status)
+{
+    return status >= 500;
+}
+
 /** Encodes every byte except unreserved characters of a URI. */
 std::string percentEncode(std::string_view text);
 
--- a/testing/standins/EngineStandIn.cpp
+++ b/testing/standins/EngineStandIn.cpp
@@ -87,6 +87,10 @@
         replyText(exchange, 400, "not a JSON object");
         return;
     }
+    if (errorStatus_ != 0) {
+        replyText(exchange, errorStatus_, "the engine fails");
+        return;
+    }
     if (exchange->request().body.find(crashMarker) != std::string::npos) {
         fallOver();
         exchange->abortStream();
@@ -216,6 +220,7 @@
     stall_ = std::chrono::milliseconds(faults.value("stallMilliseconds", 0));
     isFlooding_ = faults.value("endlessEvent", false);
     rateLimit_ = rateLimitOf(faults);
+    errorStatus_ = faults.value("errorStatus", 0);
     streamsToCut_ = faults.value("endInsideEvent", streamsToCut_);
     if (faults.value("turnCold", false)) {
         turnCold();
--- a/testing/standins/EngineStandIn.h
+++ b/testing/standins/EngineStandIn.h
@@ -92,6 +92,8 @@
     /** Streams send an event without end. */
     bool isFlooding_ = false;
     std::optional<double> rateLimit_;
+    /** Chats get this status and are not run; 0: they are run. */
+    int errorStatus_ = 0;
 };
 
 } // namespace hornbeamlane::testing
--- a/tests/path/PathTest.cpp
+++ b/tests/path/PathTest.cpp
@@ -269,6 +269,26 @@
     EXPECT_EQ(send("a sound message", requests), "served");
 }
 
+// Guards against an error of an engine that passes for proof that a message is sound: it has not run the chat.
+TEST_F(PathTest, DoesNotClearAMessageByAnError)
+{
+    constexpr int requests = 10;
+    std::string last;
+    for (int i = 0; i < requests; ++i) {
+        setFaults(path_.engineAddress(), {{"errorStatus", i % 2 == 0 ? 0 : 500}});
+        const json body = {{"model", "draft"},
+                           {"max_tokens", 4},
+                           {"messages",
+                            {{{"role", "system"}, {"content", "crash-the-engine"}},
+                             {{"role", "user"}, {"content", "question " + std::to_string(i)}}}}};
+        const auto answer = path_.call("POST", "/v1/chat/completions", LocalPath::teamHeaders(), body.dump());
+        path_.runUntil([] { return false; }, 100ms);
+        last = answer.response.status == 500 ? "failed" : refusalOf(answer).first;
+    }
+    EXPECT_EQ(last, "quarantined");
+    EXPECT_LE(countAt(path_.engineAddress(), "falls"), 3);
+}
+
 // Guards against chats of one team that crash engine after engine and share no message: all they share is the team.
 TEST_F(PathTest, QuarantinesATeamWhoseChatsCrashServers)
 {
