Leave requests alone that servers had answered before and that were at the crashes of another one

What callers saw: while one request came again and crashed servers, a sound request that many callers send was refused for ten minutes, as it was at several crashes too; refused everywhere, it could not be answered and so was never cleared. Cause: a whole request at two confirmed crashes was quarantined, however often servers had answered it before. Change: entries remember which whole requests servers have answered, as they do with parts (RecentTraits); such a request does not pay for crashes that a request without that record explains, and where nothing else explains them, what had been answered before is refused for 5, 10, 20 s and tried in between, and for ten minutes after five crashes only. The same bounds hold for parts. Why it works: a sound request is answered in its first trial; one that was harmless before reaches five crashes at most. Result: CrashEvidenceTest.LeavesARequestAloneThatServersHadAnsweredBefore failed before and passes; RefusesARequestThatWasHarmlessBefore holds before and after. Tests of routing (61), and 167 of the gateway, the path and the messages pass.

--- a/modules/hornbeamlane_messages/types/CrashMessages.h
+++ b/modules/hornbeamlane_messages/types/CrashMessages.h
@@ -59,7 +59,7 @@
     std::vector<CrashCandidate> candidates;
     /** Traits of candidates with which a server has begun an answer since. */
     std::vector<TraitHash> cleared;
-    /** Parts of candidates with which servers had begun answers before. */
+    /** Parts of candidates, and candidates as a whole, with which servers had begun answers before. */
     std::vector<TraitHash> begunBefore;
     /** Requests of the candidates' origins that have been answered since. */
     std::vector<SoundRequest> soundSince;
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.cpp
@@ -120,6 +120,8 @@
 
 CrashEvidence::CrashEvidence(Options options)
     : options_(options)
+    , begunParts_(options.maxBegun)
+    , begunRequests_(options.maxBegun)
 {
 }
 
@@ -407,7 +409,8 @@
 {
     auto parts = candidate.traits.parts;
     if (parts.size() > options_.maxParts) {
-        std::stable_partition(parts.begin(), parts.end(), [this](TraitHash part) { return !hasBegun(part); });
+        std::stable_partition(parts.begin(), parts.end(),
+                              [this](TraitHash part) { return !begunParts_.contains(part); });
         parts.resize(options_.maxParts);
     }
     return parts;
@@ -417,8 +420,10 @@
 {
     bool isNew = false;
     for (const auto &candidate : crash.candidates) {
+        const auto whole = candidate.traits.whole;
+        isNew = (begunRequests_.contains(whole) && addTo(crash.begunBefore, whole)) || isNew;
         for (const auto part : candidate.traits.parts) {
-            isNew = (hasBegun(part) && addTo(crash.begunBefore, part)) || isNew;
+            isNew = (begunParts_.contains(part) && addTo(crash.begunBefore, part)) || isNew;
         }
     }
     return isNew;
@@ -440,8 +445,9 @@
     for (const auto part : traits.parts) {
         clear(part);
     }
+    begunRequests_.add(traits.whole);
     for (const auto part : traits.parts) {
-        rememberBegun(part);
+        begunParts_.add(part);
     }
     if (const auto outweighed = noteSound(traits)) {
         cleared.push_back(*outweighed);
@@ -469,19 +475,6 @@
     return oldest->id;
 }
 
-bool CrashEvidence::hasBegun(TraitHash part) const
-{
-    return begun_.contains(part) || begunEarlier_.contains(part);
-}
-
-void CrashEvidence::rememberBegun(TraitHash part)
-{
-    if (!begun_.insert(part).second || begun_.size() < options_.maxBegunParts / 2) {
-        return;
-    }
-    begunEarlier_ = std::exchange(begun_, {});
-}
-
 std::vector<ServerCrash> CrashEvidence::expire(TimePoint now)
 {
     setAside_.clear();
--- a/modules/hornbeamlane_routing/crashes/CrashEvidence.h
+++ b/modules/hornbeamlane_routing/crashes/CrashEvidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamlane_routing/crashes/CrashFindings.h"
+#include "hornbeamlane_routing/crashes/RecentTraits.h"
 
 #include <cstdint>
 #include <optional>
@@ -46,8 +47,8 @@
         std::size_t maxCandidates = 24;
         /** Parts remembered of one candidate; those that are not proven come first. */
         std::size_t maxParts = 32;
-        /** Parts remembered with which answers have begun. */
-        std::size_t maxBegunParts = 8192;
+        /** Parts and whole requests, each, that are remembered because answers have begun with them. */
+        std::size_t maxBegun = 8192;
         /** Share of all servers that may crash at the same moment by requests; see CrashRules::mostTogether. */
         double shareTogether = 0.15;
         /** Time for which a crash is kept that proves nothing any more, so that peers hear of it. */
@@ -120,12 +121,10 @@
     bool addCandidate(ServerCrash &crash, const CrashCandidate &candidate);
     bool merge(CrashCandidate &known, const CrashCandidate &candidate) const;
     std::vector<TraitHash> partsToKeep(const CrashCandidate &candidate) const;
-    /** Marks parts with which this entry has seen answers begin. */
+    /** Marks parts and requests with which this entry has seen answers begin. */
     bool markBegunBefore(ServerCrash &crash) const;
     /** Holds a request that was answered against a crash at which its origin was; empty if there is none. */
     std::optional<CrashId> noteSound(const RequestTraits &traits);
-    bool hasBegun(TraitHash part) const;
-    void rememberBegun(TraitHash part);
     void makeRoom();
     /** Whether the first of two crashes is forgotten before the other. */
     bool isLess(const ServerCrash &a, const ServerCrash &b) const;
@@ -147,9 +146,8 @@
     mutable std::optional<std::uint64_t> digest_;
     /** Traits of all candidates; a request with none of them needs no closer look. */
     std::unordered_set<TraitHash> watched_;
-    /** Two halves, the older of which is dropped when the newer one is full. */
-    std::unordered_set<TraitHash> begun_;
-    std::unordered_set<TraitHash> begunEarlier_;
+    RecentTraits begunParts_;
+    RecentTraits begunRequests_;
 };
 
 /** See CrashEvidence::digest(). */
--- a/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.cpp
@@ -13,13 +13,16 @@
 namespace {
 
 using detail::Crashes;
+using detail::doubled;
 using detail::groupsOf;
+using detail::hadBegunBefore;
 using detail::lastOf;
 using CrashesByTrait = std::map<TraitHash, Crashes>;
 using Traits = std::set<TraitHash>;
 
-/** Open traits of the likely candidates of each crash, and all requests at it as a whole. */
-CrashesByTrait crashesByTrait(const Crashes &crashes)
+/** Open traits of the likely candidates of each crash, and all requests at it as a whole; of those crashes that a
+    request which came again explains, no request that servers had answered before. */
+CrashesByTrait crashesByTrait(const Crashes &crashes, const Crashes &explained = {})
 {
     CrashesByTrait result;
     for (const auto *crash : crashes) {
@@ -32,20 +35,16 @@
             }
         }
         for (const auto &candidate : crash->candidates) {
-            if (!crash->isCleared(candidate.traits.whole)) {
-                result[candidate.traits.whole].insert(crash);
+            const auto whole = candidate.traits.whole;
+            const bool isElsewhere = explained.contains(crash) && crash->hadBegunBefore(whole);
+            if (!crash->isCleared(whole) && !isElsewhere) {
+                result[whole].insert(crash);
             }
         }
     }
     return result;
 }
 
-bool hadBegunBefore(TraitHash trait, const Crashes &crashes)
-{
-    return std::any_of(crashes.begin(), crashes.end(),
-                       [trait](const ServerCrash *crash) { return crash->hadBegunBefore(trait); });
-}
-
 /** Those traits with which no answer had begun before; all of them if there is none. */
 Traits leastProven(const Traits &traits, const Crashes &crashes)
 {
@@ -104,31 +103,28 @@
     return result;
 }
 
-/** Whether one of the traits is a request as a whole. */
-bool hasWhole(const Traits &traits, const Crashes &crashes)
-{
-    return std::any_of(crashes.begin(), crashes.end(), [&traits](const ServerCrash *crash) {
-        return std::any_of(
-            crash->candidates.begin(), crash->candidates.end(),
-            [&traits](const CrashCandidate &candidate) { return traits.contains(candidate.traits.whole); });
-    });
-}
-
 /** How long after the last of the crashes requests are refused with traits that were at all of them. */
 std::chrono::milliseconds holdFor(const Traits &traits, const Crashes &crashes, const CrashRules &rules)
 {
+    const auto times = groupsOf(crashes, rules.together).size();
+    if (times >= rules.crashesToQuarantineProven) {
+        return rules.quarantine;
+    }
+    const bool isProven = std::any_of(traits.begin(), traits.end(),
+                                      [&crashes](TraitHash trait) { return hadBegunBefore(trait, crashes); });
+    if (isProven) {
+        return doubled(rules.doubtfulHold, times - std::min(times, rules.crashesToQuarantine));
+    }
     const auto likely =
         std::count_if(crashes.begin(), crashes.end(), [](const ServerCrash *crash) { return isLikely(*crash); });
-    const auto wanted = hasWhole(traits, crashes) ? rules.doubtfulToQuarantine : rules.doubtfulToQuarantinePart;
-    const bool isProven = static_cast<std::size_t>(likely) >= rules.crashesToQuarantine
-        || groupsOf(crashes, rules.together).size() >= wanted;
-    return isProven ? rules.quarantine : rules.doubtfulHold;
+    return static_cast<std::size_t>(likely) >= rules.crashesToQuarantine ? rules.quarantine : rules.doubtfulHold;
 }
 
 /** Takes out the crashes that one culprit explains; false if no trait was at enough of them. */
-bool takeCulprit(Crashes &unexplained, const CrashRules &rules, TimePoint now, CrashFindings &findings)
+bool takeCulprit(Crashes &unexplained, const Crashes &explainedByRequests, const CrashRules &rules, TimePoint now,
+                 CrashFindings &findings)
 {
-    const auto byTrait = crashesByTrait(unexplained);
+    const auto byTrait = crashesByTrait(unexplained, explainedByRequests);
     const auto [explained, weight] = heaviest(byTrait, rules);
     if (weight < rules.crashesToQuarantine) {
         return false;
@@ -141,7 +137,7 @@
     }
     const auto guilty = leastProven(together, explained);
     const auto until = lastOf(explained) + holdFor(guilty, explained, rules);
-    const auto suspectUntil = lastOf(explained) + rules.doubt;
+    const auto suspectUntil = until + rules.doubt;
     if (now < until) {
         findings.culprits.push_back(
             {.traits = {guilty.begin(), guilty.end()}, .until = until, .crashes = explained.size()});
@@ -222,21 +218,21 @@
             (isLikely(crash) ? likely : doubtful).insert(&crash);
         }
     }
+    const auto explained = findRepeatedRequests(crashes, rules, now, findings);
     likely = withoutCuts(likely, rules);
-    while (takeCulprit(likely, rules, now, findings)) {}
+    while (takeCulprit(likely, explained, rules, now, findings)) {}
     for (const auto *crash : likely) {
         judgeSingle(*crash, rules, now, findings);
     }
     // What was at one likely crash may be explained by doubtful ones too.
     auto unexplained = withoutCuts(doubtful, rules);
     unexplained.insert(likely.begin(), likely.end());
-    while (takeCulprit(unexplained, rules, now, findings)) {}
+    while (takeCulprit(unexplained, explained, rules, now, findings)) {}
     for (const auto *crash : unexplained) {
         if (!likely.contains(crash)) {
             judgeSingle(*crash, rules, now, findings);
         }
     }
-    findRepeatedRequests(crashes, rules, now, findings);
     findOrigins(crashes, rules, now, findings);
     // Of a culprit with several traits, a request that has only some of them can tell which one it is.
     for (const auto &culprit : findings.culprits) {
--- a/modules/hornbeamlane_routing/crashes/CrashFindings.h
+++ b/modules/hornbeamlane_routing/crashes/CrashFindings.h
@@ -48,8 +48,9 @@
     /** Such crashes, one after the other, that prove as much as confirmed ones against a request that comes again: a
         sound one is answered in between. */
     std::size_t doubtfulToQuarantine = 3;
-    /** The same against a part, whose requests may each be lost once. */
-    std::size_t doubtfulToQuarantinePart = 5;
+    /** Such crashes against a part, whose requests may each be lost once; and any crashes against what servers had
+       begun to answer before. */
+    std::size_t crashesToQuarantineProven = 5;
     /** Crashes so close to each other count as one against a part with which answers had begun before: they may have a
        cause in common that is no request, and the part had no chance to be cleared in between. */
     std::chrono::milliseconds together{100};
--- a/modules/hornbeamlane_routing/crashes/CrashGroups.cpp
+++ b/modules/hornbeamlane_routing/crashes/CrashGroups.cpp
@@ -32,4 +32,17 @@
     return last;
 }
 
+bool hadBegunBefore(TraitHash trait, const Crashes &crashes)
+{
+    return std::any_of(crashes.begin(), crashes.end(),
+                       [trait](const ServerCrash *crash) { return crash->hadBegunBefore(trait); });
+}
+
+std::chrono::milliseconds doubled(std::chrono::milliseconds time, std::size_t times)
+{
+    // More than any hold that counts.
+    constexpr std::size_t most = 16;
+    return time * (std::size_t(1) << std::min(times, most));
+}
+
 } // namespace hornbeamlane::detail
--- a/modules/hornbeamlane_routing/crashes/CrashGroups.h
+++ b/modules/hornbeamlane_routing/crashes/CrashGroups.h
@@ -14,4 +14,10 @@
 
 TimePoint lastOf(const Crashes &crashes);
 
+/** Whether a server had begun an answer with the trait before one of the crashes. */
+bool hadBegunBefore(TraitHash trait, const Crashes &crashes);
+
+/** The time, doubled that many times. */
+std::chrono::milliseconds doubled(std::chrono::milliseconds time, std::size_t times);
+
 } // namespace hornbeamlane::detail
--- a/modules/hornbeamlane_routing/crashes/OriginFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/OriginFindings.cpp
@@ -110,11 +110,8 @@
 
 std::chrono::milliseconds holdAfter(std::size_t crashes, const CrashRules &rules)
 {
-    auto hold = rules.firstOriginHold;
-    for (std::size_t i = rules.crashesToQuarantine; i < crashes && hold < rules.longestOriginHold; ++i) {
-        hold *= 2;
-    }
-    return std::min(hold, rules.longestOriginHold);
+    const auto further = crashes - std::min(crashes, rules.crashesToQuarantine);
+    return std::min(detail::doubled(rules.firstOriginHold, further), rules.longestOriginHold);
 }
 
 void judgeOrigin(TraitHash origin, const Crashes &crashes, const RequestsByCrash &requests, const CrashRules &rules,
--- a/modules/hornbeamlane_routing/crashes/RepeatedRequestFindings.cpp
+++ b/modules/hornbeamlane_routing/crashes/RepeatedRequestFindings.cpp
@@ -1,7 +1,5 @@
 #include "hornbeamlane_routing/crashes/RepeatedRequestFindings.h"
 
-#include "hornbeamlane_routing/crashes/CrashGroups.h"
-
 #include <algorithm>
 #include <map>
 
@@ -11,7 +9,7 @@
 
 using detail::Crashes;
 
-/** The crashes at which each request was that has not been answered since. */
+/** The crashes at which each request was that has not been answered since, nor before. */
 std::map<TraitHash, Crashes> crashesByRequest(const std::vector<ServerCrash> &crashes)
 {
     std::map<TraitHash, Crashes> result;
@@ -22,6 +20,7 @@
             }
         }
     }
+    std::erase_if(result, [](const auto &entry) { return detail::hadBegunBefore(entry.first, entry.second); });
     return result;
 }
 
@@ -33,20 +32,17 @@
     return result;
 }
 
-void judgeRequest(TraitHash request, const Crashes &crashes, const CrashRules &rules, TimePoint now,
+/** Whether the request was at several of the crashes. */
+bool judgeRequest(TraitHash request, const Crashes &crashes, const CrashRules &rules, TimePoint now,
                   CrashFindings &findings)
 {
-    const auto times = detail::groupsOf(crashes, rules.together).size();
-    const auto likelyTimes = detail::groupsOf(likelyOf(crashes), rules.together).size();
-    const auto last = detail::lastOf(crashes);
-    auto hold = std::chrono::milliseconds(0);
-    if (likelyTimes >= rules.crashesToQuarantine || times >= rules.doubtfulToQuarantine) {
-        hold = rules.quarantine;
-    } else if (times >= rules.crashesToQuarantine) {
-        hold = rules.doubtfulHold;
-    }
-    const auto until = last + hold;
-    const auto suspectUntil = last + rules.doubt;
+    const auto likely = likelyOf(crashes).size();
+    const bool isRepeated = crashes.size() >= rules.crashesToQuarantine;
+    const bool isProven = likely >= rules.crashesToQuarantine
+        || detail::groupsOf(crashes, rules.together).size() >= rules.doubtfulToQuarantine;
+    const auto hold = isProven ? rules.quarantine : rules.doubtfulHold;
+    const auto until = detail::lastOf(crashes) + (isRepeated ? hold : std::chrono::milliseconds(0));
+    const auto suspectUntil = until + rules.doubt;
     if (now < until) {
         findings.culprits.push_back({.traits = {request}, .until = until, .crashes = crashes.size()});
         findings.noteChange(until);
@@ -54,16 +50,21 @@
         findings.suspects.push_back(request);
         findings.noteChange(suspectUntil);
     }
+    return isRepeated;
 }
 
 } // namespace
 
-void findRepeatedRequests(const std::vector<ServerCrash> &crashes, const CrashRules &rules, TimePoint now,
-                          CrashFindings &findings)
+Crashes findRepeatedRequests(const std::vector<ServerCrash> &crashes, const CrashRules &rules, TimePoint now,
+                             CrashFindings &findings)
 {
+    Crashes explained;
     for (const auto &[request, ofRequest] : crashesByRequest(crashes)) {
-        judgeRequest(request, ofRequest, rules, now, findings);
+        if (judgeRequest(request, ofRequest, rules, now, findings)) {
+            explained.insert(ofRequest.begin(), ofRequest.end());
+        }
     }
+    return explained;
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_routing/crashes/ServerCrash.h
+++ b/modules/hornbeamlane_routing/crashes/ServerCrash.h
@@ -34,7 +34,8 @@
     std::vector<CrashCandidate> candidates;
     /** Traits of candidates with which a server has begun an answer since: they did not cause this crash. */
     std::vector<TraitHash> cleared;
-    /** Parts of candidates with which servers had begun answers before: seldom the cause. */
+    /** Parts of candidates, and candidates as a whole, with which servers had begun answers before: seldom the cause.
+     */
     std::vector<TraitHash> begunBefore;
     /** Requests of the candidates' origins that have been answered since; at most soundRequestsToClear of each. */
     std::vector<SoundRequest> soundSince;
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -308,6 +308,45 @@
     EXPECT_EQ(judge({firstPart, TraitHash(53)}, later), Verdict::Allowed);
 }
 
+// Guards against a request that many callers send and that was at all crashes of another one: it is left alone, or
+// tried again after seconds where nothing else explains the crashes.
+TEST_F(CrashEvidenceTest, LeavesARequestAloneThatServersHadAnsweredBefore)
+{
+    const auto popular = request(5, {});
+    const auto repeated = request(7, {});
+    begin(popular);
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        const auto time = start + id * seconds(1);
+        auto found = crash(id, time, {{.traits = popular, .hadHead = false}, {.traits = repeated, .hadHead = false}});
+        found.isConfirmed = true;
+        evidence_.onCrash(found, time);
+    }
+    EXPECT_EQ(evidence_.judge(repeated, start + seconds(60)), Verdict::Quarantined);
+    EXPECT_NE(evidence_.judge(popular, start + seconds(3)), Verdict::Quarantined);
+    for (std::uint64_t id = 4; id <= 5; ++id) {
+        crashUnder(id, start + id * seconds(1), popular);
+    }
+    EXPECT_EQ(evidence_.judge(popular, start + seconds(9)), Verdict::Quarantined);
+    EXPECT_EQ(evidence_.judge(popular, start + seconds(11)), Verdict::Suspect);
+    begin(popular);
+    EXPECT_EQ(evidence_.judge(popular, start + seconds(11)), Verdict::Allowed);
+    EXPECT_EQ(evidence_.judge(repeated, start + seconds(60)), Verdict::Quarantined);
+}
+
+// Guards against a request that crashes servers for ever because they had answered it before.
+TEST_F(CrashEvidenceTest, RefusesARequestThatWasHarmlessBefore)
+{
+    const auto repeated = request(7, {});
+    begin(repeated);
+    int crashes = 0;
+    for (auto time = start; time < start + seconds(300); time += std::chrono::milliseconds(200)) {
+        if (evidence_.judge(repeated, time) != Verdict::Quarantined) {
+            crashUnder(++crashes, time, repeated);
+        }
+    }
+    EXPECT_LE(crashes, 5);
+}
+
 // Guards against a request that is never remembered, since each server that it crashes has more requests than are
 // remembered and it is always the same ones that are left out.
 TEST_F(CrashEvidenceTest, RemembersEachRequestOfSomeOfManyCrashes)
