--- a/tests/platform/RowDecodersTest.cpp
+++ b/tests/platform/RowDecodersTest.cpp
@@ -1,6 +1,9 @@
 #include "platform/RowDecoders.h"
 #include "platform/Base64.h"
+#include "platform/EngineClient.h"
 #include "platform/PlatformSettings.h"
+#include "platform/StoreClient.h"
+#include "standins/ScriptedServer.h"
 
 #include <gtest/gtest.h>
 
@@ -75,6 +78,114 @@
     EXPECT_FALSE(decodeServer("i-1", std::string{char(0xff), char(0), char(0x7b)}, reason));
 }
 
+/** The server's entry with one part replaced. */
+std::string serverWith(const std::string &from, const std::string &to)
+{
+    auto text = server;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+// Guards against an entry of another writer that ends each process which reads it, or names a server that is none: very
+// deeply nested, with numbers too large, or with an address that cannot be.
+TEST(RowDecodersTest, RejectsOddEntries)
+{
+    const std::string nested(20000, '[');
+    const std::string nestedObjects = [] {
+        std::string text;
+        for (int level = 0; level < 5000; ++level) {
+            text += R"({"group":)";
+        }
+        return text + "1" + std::string(5000, '}');
+    }();
+    const std::vector<std::string> odd = {
+        nested,
+        nested + std::string(nested.size(), ']'),
+        serverWith(R"({"Name":"g","epoch":2,"rank":3,"Phase":"open"})", nestedObjects),
+        serverWith(R"("pool")", nested + std::string(nested.size(), ']')),
+        serverWith(":12,", ":4294967296,"),
+        serverWith(":12,", ":18446744073709551616,"),
+        serverWith(":12,", ":1e19,"),
+        serverWith(":12,", ":1e400,"),
+        serverWith(":12,", ":12.5,"),
+        serverWith(":12,", ":-12,"),
+        serverWith(":250,", ":1e18,"),
+        serverWith(":250,", ":9223372036854775808,"),
+        serverWith(":250,", ":-1,"),
+        serverWith(":17,", ":1e30,"),
+        serverWith(":17,", ":\"17\","),
+        serverWith("\"epoch\":2", "\"epoch\":1e300"),
+        serverWith("\"rank\":3", "\"rank\":4294967299"),
+        serverWith("\"rank\":3", "\"rank\":16"),
+        serverWith(":16}", ":4294967312}"),
+        serverWith("10.0.0.1:80", "10.0.0.1:65536"),
+        serverWith("10.0.0.1:80", "10.0.0.1:0"),
+        serverWith("10.0.0.1:80", "10.0.0.1:-80"),
+        serverWith("10.0.0.1:80", "10.0.0.1:"),
+        serverWith("10.0.0.1:80", "10.0.0.256:80"),
+        serverWith("10.0.0.1:80", "[::1]:80"),
+        serverWith("10.0.0.1:80", "server:80"),
+    };
+    for (const auto &text : odd) {
+        std::string reason;
+        EXPECT_FALSE(decodeServer("i-1", text, reason)) << text.substr(0, 200);
+        EXPECT_FALSE(reason.empty());
+    }
+    std::string reason;
+    EXPECT_FALSE(decodeServer("i-1\r\nDeadline-Ms: 1", server, reason));
+    EXPECT_FALSE(decodeServer("", server, reason));
+    EXPECT_TRUE(decodeServer("i-1", serverWith(":12,", ":12.0,"), reason)) << reason;
+}
+
+// Guards against one bad row that hides the others of its answer.
+TEST(StoreClientTest, LeavesOutOneBadRowOnly)
+{
+    EventLoop loop;
+    const auto row = [](const std::string &key, const std::string &value) {
+        return R"({"Table":"servers","part":"","Key":)" + key + R"(,"SchemaVersion":5,"Value":")" + encodeBase64(value)
+            + "\"}";
+    };
+    const std::string body = R"({"Rows":[)" + row("\"a\"", server) + "," + row("7", server) + ",3,"
+        + row("\"b\"", std::string(20000, '[')) + R"(,{"Key":"c","Value":7,"SchemaVersion":1e300},)"
+        + row("\"d\"", server) + R"(],"HasMore":false,"SchemaVersion":9,"NowMs":1})";
+    testing::ScriptedServer store(loop, [&body](testing::ScriptedServer::Connection &connection, const auto &, int) {
+        connection.send("HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    StoreClient client(loop, {.address = store.address()});
+    std::vector<std::string> usable;
+    client.readAll("servers", [&](const TableFeedReply &reply) {
+        EXPECT_EQ(reply.status, TableFeedReply::Status::Ok);
+        for (const auto &one : reply.rows) {
+            std::string reason;
+            if (decodeServer(one.key, one.value, reason)) {
+                usable.push_back(one.key);
+            }
+        }
+        loop.stop();
+    });
+    loop.run();
+    EXPECT_EQ(usable, (std::vector<std::string>{"a", "d"}));
+}
+
+// Guards against a report of a faulty server that ends the process which asked for it.
+TEST(EngineClientTest, SurvivesADeeplyNestedReport)
+{
+    EventLoop loop;
+    const auto body = R"({"group":)" + std::string(50000, '[') + std::string(50000, ']') + R"(,"step":1,"Mapping":0})";
+    testing::ScriptedServer engine(loop, [&body](testing::ScriptedServer::Connection &connection, const auto &, int) {
+        connection.send("HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    EngineClient client(loop);
+    bool isDone = false;
+    client.api().readReport(engine.address(), 0, [&](const std::optional<EngineRankReport> &report) {
+        EXPECT_FALSE(report);
+        isDone = true;
+        loop.stop();
+    });
+    loop.run();
+    EXPECT_TRUE(isDone);
+}
+
 // Guards against rows that crash the decoder: each cut and each changed byte is a result or a reason.
 TEST(RowDecodersTest, SurvivesChangedBytes)
 {
