Do not trust a refusal without an id on a kept connection

What callers would see: 'not run, try again' for an order that a server runs, or an order that runs at a second server, where a faulty server writes an earlier refusal once more. Cause: an answer with the id of another request was skipped, but one without an id was taken for the request's own. A refusal with its mark then promised that the request had not run, and allowed another sending. Change: on a connection that was used before, a refusal counts only with the request's id. Otherwise the outcome is unknown: an order gets 502, a look-up may be repeated; the connection is closed, since the true answer may still come on it (answer_doubtful, counted). Elsewhere: agents and the stand-alone entry call engines on one connection for each request.

--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -285,7 +285,8 @@
     if (const auto left = parseMilliseconds(head.header(names.warmup))) {
         gateway_.backends_.onWarmup(send_->start.server, *left, now());
     }
-    gateway_.crashes_.onServerAnswered(send_->start, send_->startedAt, head.status == statusMisdirected);
+    gateway_.crashes_.onServerAnswered(send_->start, send_->startedAt,
+                                       head.status == statusMisdirected && isOwnAnswer(head));
     gateway_.rateLimits_.onAnswer(attemptId_, send_->start, send_->startedAt, head);
     send_->head = head;
     send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head, names);
@@ -428,13 +429,14 @@
         endStream();
         return;
     }
-    if (isNotRun(head, names)) {
+    if (isNotRun(head, names) && isOwnAnswer(head)) {
         handleRejection();
         return;
     }
     ++runs_;
     const bool isSuccess = head.status / 100 == 2;
     if ((isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
+        dropDoubtfulConnection();
         endSend(BackendOutcome::Failed);
         retryOrRefuse(GatewayRefusal::ServerFailed);
         return;
@@ -456,6 +458,26 @@
     refuse(GatewayRefusal::ServerFailed);
 }
 
+bool ForwardedRequest::isOwnAnswer(const Http1ResponseHead &head) const
+{
+    // Answers with another id have been skipped. One without an id may be that of an earlier request, written once
+    // more.
+    return !send_->isKept || head.header(gateway_.settings_.headers.attemptId) != nullptr;
+}
+
+void ForwardedRequest::dropDoubtfulConnection()
+{
+    logEvent(LogLevel::Warning, "answer_doubtful",
+             {{"id", attemptId_},
+              {"server", send_->start.server.name()},
+              {"status", std::to_string(send_->head->status)},
+              {"has_id", send_->head->header(gateway_.settings_.headers.attemptId) == nullptr ? "no" : "yes"},
+              {"kept", send_->isKept ? "yes" : "no"}});
+    gateway_.metrics_.addToCounter("answers_doubtful_total");
+    // The request's own answer may still come on it.
+    send_->connection->cancel();
+}
+
 void ForwardedRequest::handleRejection()
 {
     const auto status = send_->head->status;
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -75,6 +75,10 @@
     void handleUnreachable();
     void handleCompleteAnswer();
     void handleRejection();
+    /** Whether the answer belongs to this request and not to an earlier one on its connection. */
+    bool isOwnAnswer(const Http1ResponseHead &head) const;
+    /** The answer is none that can be passed on; nothing more is read from its connection. */
+    void dropDoubtfulConnection();
     /** Sends the request again if it may be repeated and the retry budget allows it; refuses it otherwise. */
     void retryOrRefuse(GatewayRefusal reason);
     bool mayRepeat() const;
