Let a broken stream go on only with an answer of the same kind

What callers saw: after a stream had begun and broken off, the text of the next server's error in the middle of it, and an end that looked complete; at the stand-alone entry with any error, at the gateway only with a success of another content type. Cause: the stand-alone entry ignored the head of the next answer once the stream had begun, and passed its body on as events. The gateway looked at the status and the signature, not at the kind of content. Change: an answer goes on with a stream only if it has its status and content type; otherwise the stream is cut, so that its caller can tell, or another server is tried.

--- a/modules/hornbeamlane_entry/CallerReply.cpp
+++ b/modules/hornbeamlane_entry/CallerReply.cpp
@@ -40,6 +40,11 @@
     }
 }
 
+bool CallerReply::mayGoOnWith(int status, const std::string &contentType) const
+{
+    return !hasBegun() || (status == response_.status && contentType == response_.contentType);
+}
+
 void CallerReply::beginStream()
 {
     exchange_->startStream(response_);
--- a/modules/hornbeamlane_entry/CallerReply.h
+++ b/modules/hornbeamlane_entry/CallerReply.h
@@ -23,6 +23,9 @@
 
     void setHead(int status, const std::string &contentType, bool isStream);
 
+    /** Whether bytes under this head can go on with what the caller has already; always true if that is nothing. */
+    bool mayGoOnWith(int status, const std::string &contentType) const;
+
     /** Passes body bytes on. Bytes of an event stream go out as whole events only. */
     void addData(std::string_view bytes);
 
--- a/modules/hornbeamlane_entry/DirectFlow.cpp
+++ b/modules/hornbeamlane_entry/DirectFlow.cpp
@@ -105,6 +105,11 @@
     if (const auto *head = std::get_if<ResponseHead>(&message)) {
         tracker_.advance(dispatch_.attempt, AttemptProgress::Executing);
         const auto result = assembler_->onHead(*head);
+        if (result == ResponseAssembler::Result::Accepted && !reply_.mayGoOnWith(head->status, head->contentType)) {
+            hooks_.send(*target_, Cancel{.attempt = dispatch_.attempt});
+            handleBroken("the rest of a stream was answered in another way");
+            return;
+        }
         if (result == ResponseAssembler::Result::Accepted) {
             status_ = head->status;
             reply_.setHead(head->status, head->contentType, dispatch_.isStream);
--- a/modules/hornbeamlane_gateway/request/AnswerRelay.cpp
+++ b/modules/hornbeamlane_gateway/request/AnswerRelay.cpp
@@ -20,6 +20,12 @@
  * host. */
 constexpr std::size_t maxCollectedInSum = 24 * 1024 * 1024;
 
+std::string contentTypeOf(const Http1ResponseHead &head)
+{
+    const auto *type = head.header("Content-Type");
+    return type == nullptr ? "" : *type;
+}
+
 } // namespace
 
 AnswerRelay::AnswerRelay(std::shared_ptr<Http1Exchange> exchange, std::size_t &collectedBytes)
@@ -56,12 +62,23 @@
         return Progress::None;
     }
     if (!exchange_->isStreaming()) {
-        exchange_->startStream(send.head->status, endToEndHeaders(send.head->headers));
+        startStream(*send.head);
     }
     exchange_->sendPiece(whole);
     return Progress::Passed;
 }
 
+void AnswerRelay::startStream(const Http1ResponseHead &head)
+{
+    streamType_ = contentTypeOf(head);
+    exchange_->startStream(head.status, endToEndHeaders(head.headers));
+}
+
+bool AnswerRelay::mayGoOnWith(const Http1ResponseHead &head) const
+{
+    return !exchange_->isStreaming() || contentTypeOf(head) == streamType_;
+}
+
 bool AnswerRelay::mayCollect(const detail::BackendSend &send)
 {
     const auto waiting = waitingBytes(send);
@@ -95,7 +112,7 @@
 void AnswerRelay::finishStream(const detail::BackendSend &send)
 {
     if (!exchange_->isStreaming()) {
-        exchange_->startStream(send.head->status, endToEndHeaders(send.head->headers));
+        startStream(*send.head);
     }
     exchange_->finishStream();
 }
--- a/modules/hornbeamlane_gateway/request/AnswerRelay.h
+++ b/modules/hornbeamlane_gateway/request/AnswerRelay.h
@@ -36,6 +36,9 @@
      */
     Progress passEvents(detail::BackendSend &send, std::string_view bytes);
 
+    /** Whether bytes under this head can go on with the stream that the caller has; always true before there is one. */
+    bool mayGoOnWith(const Http1ResponseHead &head) const;
+
     /** Whether so much waits for the caller that the server has to wait too. */
     bool isCallerSlow() const;
 
@@ -74,6 +77,7 @@
     }
 
 private:
+    void startStream(const Http1ResponseHead &head);
     /** Whether the present answer may have so many bytes waiting. */
     bool mayCollect(const detail::BackendSend &send);
     void count(std::size_t ofPresentAnswer);
@@ -83,6 +87,8 @@
     /** Its part of these. */
     std::size_t countedBytes_ = 0;
     EventStreamFilter events_;
+    /** Content type of the stream that the caller has. */
+    std::string streamType_;
     std::optional<Http1ResponseHead> failedHead_;
     std::string failedBody_;
 };
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -289,7 +289,8 @@
                                        head.status == statusMisdirected && isOwnAnswer(head));
     gateway_.rateLimits_.onAnswer(attemptId_, send_->start, send_->startedAt, head);
     send_->head = head;
-    send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head, names);
+    send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head, names)
+        && answers_.mayGoOnWith(head);
     if (firstByteAt_ == TimePoint{}) {
         firstByteAt_ = now();
     }
--- a/tests/gateway/GatewayAnswerTest.cpp
+++ b/tests/gateway/GatewayAnswerTest.cpp
@@ -91,6 +91,52 @@
     expectStatus(send("POST", "/order/"), 502);
 }
 
+// Guards against an answer of another kind in the middle of a stream: its text, its head, or an end that looks
+// complete.
+TEST_F(GatewayTest, PassesOnNothingOfAnErrorAfterABrokenStream)
+{
+    const std::string eventLike = "id: 9\ndata: error\n\n";
+    const std::vector<std::function<std::string(const std::string &head)>> errors = {
+        [&](const std::string &head) { return answer(head, 500, "failed\n\n"); },
+        [&](const std::string &head) { return answer(head, 500, eventLike, "Content-Type: text/event-stream\r\n"); },
+        [&](const std::string &head) { return answer(head, 500, ""); },
+        [&](const std::string &head) { return answer(head, 404, "no such thing\n\n"); },
+        [&](const std::string &head) { return answer(head, 200, "failed\n\n", "Content-Type: text/plain\r\n"); },
+        [&](const std::string &head) { return answer(head, 200, eventLike, "Content-Type: application/json\r\n"); },
+        [&](const std::string &head) { return answer(head, 204, ""); },
+        [&](const std::string &head) { return answer(head, 206, eventLike); },
+        [&](const std::string &head) { return answer(head, 503, "busy\n\n", "X-Not-Run: 1\r\n"); },
+        [&](const std::string &head) { return answer(head, 503, "busy\n\n"); },
+        [&](const std::string &) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(eventLike.size()) + "\r\n\r\n" + eventLike;
+        },
+        [&](const std::string &) {
+            return "HTTP/1.1 500 X\r\nConnection: close\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" + eventLike;
+        },
+        [&](const std::string &) { return "no answer\r\n\r\n" + eventLike; },
+    };
+    for (std::size_t index = 0; index < errors.size(); ++index) {
+        const auto handler = [&](Connection &connection, const std::string &head, int) {
+            if (headerOf(head, "Last-Event-Id").empty()) {
+                connection.send(streamHead(head) + chunk(event(1) + event(2) + "id: 3\nda"));
+            } else {
+                connection.send(errors[index](head));
+            }
+            connection.close();
+        };
+        ScriptedServer first(loop_, handler);
+        ScriptedServer second(loop_, handler);
+        gateway_->backends().retainOnly({}, std::nullopt);
+        addServer(first, "first" + std::to_string(index));
+        addServer(second, "second" + std::to_string(index));
+        const auto result = send("POST", "/chat/");
+        runUntil([&] { return result->end.has_value(); });
+        EXPECT_EQ(result->end, Http1CallEnd::BrokenOff) << index;
+        EXPECT_EQ(result->body, event(1) + event(2)) << index;
+        EXPECT_EQ(first.requests() + second.requests(), 2) << index;
+    }
+}
+
 // Guards against a broken stream that looks complete to its caller.
 TEST_F(GatewayTest, CutsAStreamThatNobodyCanFinish)
 {
