Send nothing more to a server that says in its answers that it leaves

What servers would see: requests until they are gone, from each entry that knows of their leaving by their answers only; some never say so in their entries, and an entry that the store turns away does not see it there. Cause: nothing read the header. Evidence: ServerNoticeTest.SendsNothingMoreToAServerThatLeaves fails without the reading of the header: the server goes on getting its part. Change: ServerNoticeReader reads it in the head of each answer that is surely the server's own, ServerNotices keeps it for that start of the server, apart from the list, so that an entry which lapses and comes back changes nothing; another start ends it. The end of such a server is no crash. Why each entry for itself: the rule and the answers are those of each entry, all of which get answers of all servers within moments, and a start can be told apart without the table only where the entry has spoken to it.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -63,7 +63,7 @@
         return;
     }
     // A server that had announced its leaving has not lapsed.
-    if (usableUntil && !found->second.spec.isDraining) {
+    if (usableUntil && !isLeaving(found->second)) {
         found->second.lapsesAt = usableUntil;
         return;
     }
@@ -94,9 +94,25 @@
     options_.entryCount = std::max(1U, count);
 }
 
+bool BackendBook::isLeaving(const Backend &backend) const
+{
+    return backend.spec.isDraining || notices_.isLeaving(backend.spec.id, backend.spec.incarnation);
+}
+
+bool BackendBook::isLeaving(const ServerId &server) const
+{
+    const auto *backend = find(server);
+    return backend != nullptr && isLeaving(*backend);
+}
+
+bool BackendBook::onLeaving(const ServerId &server, std::uint64_t incarnation, TimePoint now)
+{
+    return notices_.onLeaving(server, incarnation, now);
+}
+
 bool BackendBook::isUsable(const Backend &backend, TimePoint now) const
 {
-    return !backend.isGone && !backend.spec.isDraining && !evacuated_.contains(backend.spec.dataCentre)
+    return !backend.isGone && !isLeaving(backend) && !evacuated_.contains(backend.spec.dataCentre)
         && now >= backend.replacedUntil && (!backend.lapsesAt || now < *backend.lapsesAt);
 }
 
@@ -396,6 +412,7 @@
 
 std::vector<ServerId> BackendBook::sweep(TimePoint now)
 {
+    notices_.expire(now);
     std::vector<ServerId> forgotten;
     for (auto it = backends_.begin(); it != backends_.end();) {
         auto &backend = it->second;
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -3,6 +3,7 @@
 #include "hornbeamlane_dispatch/catalogue/DispatchCatalogue.h"
 #include "hornbeamlane_dispatch/servers/GroupStates.h"
 #include "hornbeamlane_dispatch/servers/GroupWatch.h"
+#include "hornbeamlane_dispatch/servers/ServerNotices.h"
 
 #include <cstdint>
 #include <functional>
@@ -151,6 +152,12 @@
     void onSent(const ServerId &server, TimePoint now);
     void onEnded(const ServerId &server, BackendOutcome outcome, TimePoint now);
 
+    /** The start of the server has said in an answer that it leaves; true if that is news. */
+    bool onLeaving(const ServerId &server, std::uint64_t incarnation, TimePoint now);
+
+    /** Whether the server has announced its end, by its entry or in an answer. */
+    bool isLeaving(const ServerId &server) const;
+
     /** The server says that it is cold for this time. */
     void onWarmup(const ServerId &server, std::chrono::milliseconds left, TimePoint now);
 
@@ -210,6 +217,7 @@
     };
 
     bool isUsable(const Backend &backend, TimePoint now) const;
+    bool isLeaving(const Backend &backend) const;
     /** Place of a rank in its group, with the group's state. */
     GroupPlace placeOf(const Backend &rank) const;
     bool isGroupOpen(const Backend &backend, TimePoint now) const;
@@ -229,6 +237,7 @@
     Options options_;
     std::map<ServerId, Backend> backends_;
     std::map<ServiceId, Warmup> warmups_;
+    ServerNotices notices_;
     GroupStates groupStates_;
     GroupWatch groups_;
     std::set<DataCentreId> evacuated_;
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -86,6 +86,7 @@
                                                / peers_.entryCount(loop_.now()));
                        },
                    .serverOf = [this](ServerStartHash server) { return serverOf(server); }})
+    , notices_(loop, metrics_, settings_.headers, backends_)
     , queues_(loop, random, settings_, backends_, rateLimits_)
     , groupProbe_(loop, random, backends_, {},
                   {.readReport = std::move(hooks.readReport),
@@ -243,6 +244,7 @@
     pool_.sweep(now);
     crashes_.sweep();
     rateLimits_.sweep();
+    notices_.sweep();
     groupProbe_.sweep(now);
     setEntryCount(peers_.entryCount(now));
     queues_.notePeerBounds(peers_.loads());
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_gateway/GatewaySettings.h"
 #include "hornbeamlane_gateway/backends/BackendPool.h"
+#include "hornbeamlane_gateway/backends/ServerNoticeReader.h"
 #include "hornbeamlane_gateway/crashes/CrashGuard.h"
 #include "hornbeamlane_gateway/peers/PeerExchange.h"
 #include "hornbeamlane_gateway/queue/ServiceQueues.h"
@@ -101,6 +102,7 @@
     PeerExchange peers_;
     CrashGuard crashes_;
     RateLimitGuard rateLimits_;
+    ServerNoticeReader notices_;
     ServiceQueues queues_;
     GroupProbe groupProbe_;
     /** Shared with the requests that were admitted under it. */
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -39,6 +39,8 @@
     std::string faultyServer = "X-Faulty-Server";
     /** Time for which the server stays cold, in milliseconds. */
     std::string warmup = "X-Warmup-Ms";
+    /** "1" in all answers of a server that leaves: it wants no further requests. */
+    std::string leaving = "X-Server-Leaving";
     /** Requests a second that the server takes from all entries together, as a decimal number. */
     std::string rateLimit = "X-Rate-Limit";
     /** Position in a stream after which it goes on. */
--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
@@ -57,8 +57,7 @@
 
 bool CrashDetector::isLeaving(const ServerId &server) const
 {
-    const auto *backend = servers_.find(server);
-    return backend != nullptr && backend->spec.isDraining;
+    return servers_.isLeaving(server);
 }
 
 void CrashDetector::onBrokenOff(const ServerStart &start, LostRequest request, std::function<void()> checked)
@@ -122,7 +121,7 @@
 std::optional<CrashSign> CrashDetector::endOf(const ServerStart &start) const
 {
     const auto *backend = servers_.find(start.server);
-    if (backend != nullptr && backend->spec.isDraining) {
+    if (isLeaving(start.server)) {
         return std::nullopt;
     }
     if (backend != nullptr && backend->spec.incarnation != start.incarnation) {
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -287,6 +287,9 @@
     }
     gateway_.crashes_.onServerAnswered(send_->start, send_->startedAt,
                                        head.status == statusMisdirected && isOwnAnswer(head));
+    if (head.status != statusMisdirected && isOwnAnswer(head)) {
+        gateway_.notices_.onAnswer(attemptId_, send_->start, head);
+    }
     gateway_.rateLimits_.onAnswer(attemptId_, send_->start, send_->startedAt, head);
     send_->head = head;
     send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head, names)
--- a/tests/gateway/CrashDetectorTest.cpp
+++ b/tests/gateway/CrashDetectorTest.cpp
@@ -124,5 +124,19 @@
     EXPECT_TRUE(crashed_.empty());
 }
 
+// Guards against the same of a server that has announced it in its answers only.
+TEST_F(CrashDetectorTest, LeavesOutServersThatSaidInAnAnswerThatTheyLeave)
+{
+    list("s1", "127.0.0.1:9", 1);
+    book_.onLeaving(ServerId("s1"), 1, loop_.now());
+    breakOff("s1");
+    list("s1", "127.0.0.1:9", 2);
+    detector_.sweep(loop_.now());
+    EXPECT_TRUE(crashed_.empty());
+    detector_.onBrokenOff(startOf("s1"), lost(), [this] { loop_.stop(); });
+    loop_.run();
+    EXPECT_EQ(crashed_.size(), 1U);
+}
+
 } // namespace
 } // namespace hornbeamlane
