Send nothing to a server for as long as it asked for with a refusal

What servers would see: requests within the time for which they have asked this entry to send none, more than the two that may be on the way. Cause: a refusal with a time sent the request to another server, and the next request back to the same one. Values that are no number of seconds, zero or below it say nothing. A paused server counts as no place; where all of a service pause for longer than 0.3 s, requests are refused at once (servers_paused), with the rest of the first pause in Retry-After. A refusal with a time does not count as a sign that the server's group stalls. server_paused and server_notices_total tell of it.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -110,6 +110,28 @@
     return notices_.onLeaving(server, incarnation, now);
 }
 
+bool BackendBook::onPause(const ServerId &server, std::uint64_t incarnation, TimePoint until, TimePoint now)
+{
+    return notices_.onPause(server, incarnation, until, now);
+}
+
+TimePoint BackendBook::pausedUntil(const Backend &backend) const
+{
+    return notices_.pausedUntil(backend.spec.id, backend.spec.incarnation);
+}
+
+Duration BackendBook::pauseLeft(const ServiceId &service, TimePoint now) const
+{
+    std::optional<Duration> least;
+    for (const auto &[id, backend] : backends_) {
+        if (backend.spec.service == service && isUsable(backend, now)) {
+            const auto left = std::max(Duration::zero(), pausedUntil(backend) - now);
+            least = std::min(least.value_or(left), left);
+        }
+    }
+    return least.value_or(Duration::zero());
+}
+
 bool BackendBook::isUsable(const Backend &backend, TimePoint now) const
 {
     return !backend.isGone && !isLeaving(backend) && !evacuated_.contains(backend.spec.dataCentre)
@@ -183,8 +205,9 @@
     bool anyUsable = false;
     bool anyForming = false;
     bool anyOpen = false;
-    bool anyNotExcluded = false;
+    bool anyFull = false;
     bool anyRateLimited = false;
+    bool anyPaused = false;
     for (auto &[id, backend] : backends_) {
         if (backend.spec.service != request.service || !isUsable(backend, now)
             || (request.allowed != nullptr && !request.allowed->contains(backend.spec.dataCentre))) {
@@ -206,8 +229,12 @@
         if (isExcluded(request, id)) {
             continue;
         }
-        anyNotExcluded = true;
+        if (now < pausedUntil(backend)) {
+            anyPaused = true;
+            continue;
+        }
         if (isFull(backend) || isColdFull(backend, now, random)) {
+            anyFull = true;
             continue;
         }
         if (options_.isRateLimited(backend)) {
@@ -232,8 +259,10 @@
             lastFailure_ = anyForming ? NoChoice::GroupForming : NoChoice::GroupBroken;
         } else if (anyRateLimited) {
             lastFailure_ = NoChoice::RateLimited;
+        } else if (anyFull) {
+            lastFailure_ = NoChoice::AllFull;
         } else {
-            lastFailure_ = anyNotExcluded ? NoChoice::AllFull : NoChoice::AllExcluded;
+            lastFailure_ = anyPaused ? NoChoice::AllPaused : NoChoice::AllExcluded;
         }
         return std::nullopt;
     }
@@ -256,8 +285,8 @@
     std::vector<ServerId> ranks;
     for (auto &[id, backend] : backends_) {
         const bool isRank = backend.spec.service == request.service && backend.spec.group && isUsable(backend, now);
-        if (isRank && !isExcluded(request, id) && !isColdFull(backend, now, random) && !options_.isRateLimited(backend)
-            && groups_.mayTry(placeOf(backend), now)) {
+        if (isRank && !isExcluded(request, id) && now >= pausedUntil(backend) && !isColdFull(backend, now, random)
+            && !options_.isRateLimited(backend) && groups_.mayTry(placeOf(backend), now)) {
             ranks.push_back(id);
         }
     }
@@ -434,7 +463,7 @@
 {
     Occupancy result;
     for (const auto &[id, backend] : backends_) {
-        if (backend.spec.service == service && isUsable(backend, now)) {
+        if (backend.spec.service == service && isUsable(backend, now) && now >= pausedUntil(backend)) {
             result.places += backend.spec.slots;
             result.inFlight += backend.inFlight();
         }
@@ -446,7 +475,8 @@
 {
     std::vector<const Backend *> servers;
     for (const auto &[id, backend] : backends_) {
-        if (backend.spec.service == service && isUsable(backend, now) && isGroupOpen(backend, now)) {
+        if (backend.spec.service == service && isUsable(backend, now) && now >= pausedUntil(backend)
+            && isGroupOpen(backend, now)) {
             servers.push_back(&backend);
         }
     }
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -119,6 +119,7 @@
         GroupForming, ///< All ranks of such a group are back; it opens within a second.
         AllFull,
         RateLimited, ///< Each server that is not full has named a limit that leaves nothing for this entry now.
+        AllPaused, ///< Each server that could take it has asked this entry for a pause.
         AllExcluded, ///< Each usable server has been tried already.
     };
 
@@ -155,6 +156,13 @@
     /** The start of the server has said in an answer that it leaves; true if that is news. */
     bool onLeaving(const ServerId &server, std::uint64_t incarnation, TimePoint now);
 
+    /** The start of the server has asked for nothing until then; true if that is later than before. */
+    bool onPause(const ServerId &server, std::uint64_t incarnation, TimePoint until, TimePoint now);
+
+    /** Time until the first usable server of the service takes requests again; zero if one does now or there is none.
+     */
+    Duration pauseLeft(const ServiceId &service, TimePoint now) const;
+
     /** Whether the server has announced its end, by its entry or in an answer. */
     bool isLeaving(const ServerId &server) const;
 
@@ -218,6 +226,7 @@
 
     bool isUsable(const Backend &backend, TimePoint now) const;
     bool isLeaving(const Backend &backend) const;
+    TimePoint pausedUntil(const Backend &backend) const;
     /** Place of a rank in its group, with the group's state. */
     GroupPlace placeOf(const Backend &rank) const;
     bool isGroupOpen(const Backend &backend, TimePoint now) const;
--- a/modules/hornbeamlane_dispatch/servers/ServerNotices.cpp
+++ b/modules/hornbeamlane_dispatch/servers/ServerNotices.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamlane_dispatch/servers/ServerNotices.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hornbeamlane {
 
@@ -36,9 +37,27 @@
     return found != notices_.end() && found->second.isLeaving;
 }
 
+bool ServerNotices::onPause(const ServerId &server, std::uint64_t incarnation, TimePoint until, TimePoint now)
+{
+    auto &notice = findOrAdd({server, incarnation}, now);
+    // Each pause holds to its end, also if a shorter one is asked for later.
+    const bool isLonger = until > notice.pausedUntil;
+    notice.pausedUntil = std::max(notice.pausedUntil, until);
+    return isLonger;
+}
+
+TimePoint ServerNotices::pausedUntil(const ServerId &server, std::uint64_t incarnation) const
+{
+    const auto found = notices_.find({server, incarnation});
+    return found == notices_.end() ? TimePoint() : found->second.pausedUntil;
+}
+
 void ServerNotices::expire(TimePoint now)
 {
-    std::erase_if(notices_, [this, now](const auto &entry) { return now - entry.second.heardAt >= options_.memory; });
+    std::erase_if(notices_, [this, now](const auto &entry) {
+        const auto &notice = entry.second;
+        return now - notice.heardAt >= options_.memory && now >= notice.pausedUntil;
+    });
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_dispatch/servers/ServerNotices.h
+++ b/modules/hornbeamlane_dispatch/servers/ServerNotices.h
@@ -21,7 +21,8 @@
     {
         /** Starts remembered at most; the one heard of first makes room. */
         std::size_t maxStarts = 1024;
-        /** Time for which a start is remembered; one that leaves is gone well before. */
+        /** Time for which a start is remembered, beside a pause that it asked for; one that leaves is gone well before.
+         */
         std::chrono::minutes memory{60};
     };
 
@@ -33,6 +34,12 @@
 
     bool isLeaving(const ServerId &server, std::uint64_t incarnation) const;
 
+    /** The start wants nothing until then; true if that is later than what it asked for before. */
+    bool onPause(const ServerId &server, std::uint64_t incarnation, TimePoint until, TimePoint now);
+
+    /** Until when the start wants nothing; in the past if it never asked for that. */
+    TimePoint pausedUntil(const ServerId &server, std::uint64_t incarnation) const;
+
     /** Forgets what is too old. */
     void expire(TimePoint now);
 
@@ -43,6 +50,7 @@
     {
         TimePoint heardAt;
         bool isLeaving = false;
+        TimePoint pausedUntil;
     };
 
     Notice &findOrAdd(const Start &start, TimePoint now);
--- a/modules/hornbeamlane_gateway/backends/ServerNoticeReader.cpp
+++ b/modules/hornbeamlane_gateway/backends/ServerNoticeReader.cpp
@@ -1,7 +1,11 @@
 #include "hornbeamlane_gateway/backends/ServerNoticeReader.h"
 
+#include "hornbeamlane_gateway/request/RequestHeaders.h"
+#include "hornbeamlane_network/http/HttpMessages.h"
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
+#include <algorithm>
+
 namespace hornbeamlane {
 
 namespace {
@@ -9,6 +13,14 @@
 /** Lines on unreadable values between two sweeps; a faulty server may send one with each answer. */
 constexpr std::size_t maxUnreadableLines = 2;
 
+/** Lines on pauses between two sweeps; many servers may be full at the same time. */
+constexpr std::size_t maxPauseLines = 8;
+
+/** A longer pause counts as this one. */
+constexpr std::chrono::hours longestPause{24};
+
+const std::string retryAfterHeader = "Retry-After";
+
 /** Bytes of an unreadable value that are logged. */
 constexpr std::size_t loggedBytes = 32;
 
@@ -28,6 +40,10 @@
     if (const auto *value = head.header(names_.leaving)) {
         readLeaving(attemptId, start, *value);
     }
+    const auto *pause = head.status == statusUnavailable ? head.header(retryAfterHeader) : nullptr;
+    if (pause != nullptr) {
+        readPause(attemptId, start, *pause);
+    }
 }
 
 void ServerNoticeReader::readLeaving(const std::string &attemptId, const ServerStart &start, const std::string &value)
@@ -50,6 +66,29 @@
               {"start", std::to_string(start.incarnation)}});
 }
 
+void ServerNoticeReader::readPause(const std::string &attemptId, const ServerStart &start, const std::string &value)
+{
+    const auto asked = parseSeconds(value);
+    if (!asked) {
+        logUnreadable(attemptId, start, retryAfterHeader, value);
+        return;
+    }
+    const auto pause = std::min<Duration>(*asked, longestPause);
+    const auto now = loop_.now();
+    if (pause <= Duration::zero() || !servers_.onPause(start.server, start.incarnation, now + pause, now)) {
+        return;
+    }
+    metrics_.addToCounter("server_notices_total", {{"kind", "pause"}});
+    if (++pauseLines_ <= maxPauseLines) {
+        logEvent(LogLevel::Info, "server_paused",
+                 {{"id", attemptId},
+                  {"server", start.server.name()},
+                  {"start", std::to_string(start.incarnation)},
+                  {"for_s", formatSeconds(pause)},
+                  {"asked", value.substr(0, loggedBytes)}});
+    }
+}
+
 void ServerNoticeReader::logUnreadable(const std::string &attemptId, const ServerStart &start,
                                        const std::string &header, const std::string &value)
 {
@@ -66,6 +105,7 @@
 void ServerNoticeReader::sweep()
 {
     unreadableLines_ = 0;
+    pauseLines_ = 0;
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/backends/ServerNoticeReader.h
+++ b/modules/hornbeamlane_gateway/backends/ServerNoticeReader.h
@@ -24,6 +24,7 @@
 
 private:
     void readLeaving(const std::string &attemptId, const ServerStart &start, const std::string &value);
+    void readPause(const std::string &attemptId, const ServerStart &start, const std::string &value);
     void logUnreadable(const std::string &attemptId, const ServerStart &start, const std::string &header,
                        const std::string &value);
 
@@ -31,8 +32,9 @@
     MetricsRegistry &metrics_;
     const GatewayHeaders &names_;
     BackendBook &servers_;
-    /** Lines on unreadable values since the last sweep. */
+    /** Lines wanted since the last sweep. */
     std::size_t unreadableLines_ = 0;
+    std::size_t pauseLines_ = 0;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -171,6 +171,9 @@
     const auto &range = refusal == GatewayRefusal::GroupBroken ? afterBrokenGroup : afterOverload;
     const auto drawn =
         range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
+    if (const auto pause = backends_.pauseLeft(service, loop_.now()); pause > Duration::zero()) {
+        return pause + drawn;
+    }
     const auto rate = refusal == GatewayRefusal::RateLimited ? ownRate(service) : std::nullopt;
     if (!rate || *rate <= 0) {
         return drawn;
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -21,12 +21,8 @@
 /** Sendings of one request in all, also those that servers rejected without running it. */
 constexpr std::uint32_t maxSends = 4;
 
-/** Whether a place is expected soon, so that waiting for it makes sense. */
-bool isWorthWaiting(BackendBook::NoChoice failure)
-{
-    return failure == BackendBook::NoChoice::AllFull || failure == BackendBook::NoChoice::RateLimited
-        || failure == BackendBook::NoChoice::GroupForming;
-}
+/** Longest rest of a pause of all servers for which a request waits. */
+constexpr milliseconds shortPause{300};
 
 } // namespace
 
@@ -167,7 +163,7 @@
     const bool isLimited = mayQueue && !isTrial && route_->kind == RequestKind::Stream
         && gateway_.queues_.isAtLimit(service_, wait_->isLate());
     const auto server = chooseServer();
-    if (!server && !isWorthWaiting(gateway_.backends_.lastFailure())) {
+    if (!server && !isWorthWaiting()) {
         refuse(refusalFor(gateway_.backends_.lastFailure()));
         return;
     }
@@ -198,6 +194,23 @@
         gateway_.random_);
 }
 
+bool ForwardedRequest::isWorthWaiting() const
+{
+    switch (gateway_.backends_.lastFailure()) {
+    case BackendBook::NoChoice::AllFull:
+    case BackendBook::NoChoice::RateLimited:
+    case BackendBook::NoChoice::GroupForming:
+        return true;
+    case BackendBook::NoChoice::AllPaused:
+        return gateway_.backends_.pauseLeft(service_, now()) <= shortPause;
+    case BackendBook::NoChoice::NoServer:
+    case BackendBook::NoChoice::GroupBroken:
+    case BackendBook::NoChoice::AllExcluded:
+        return false;
+    }
+    return false;
+}
+
 bool ForwardedRequest::tryLeaveQueue()
 {
     if (const auto decision = gateway_.crashes_.decide(number_, traits_); decision != CrashGuard::Decision::Send) {
@@ -206,7 +219,7 @@
         return true;
     }
     const auto server = chooseServer();
-    if (!server && isWorthWaiting(gateway_.backends_.lastFailure())) {
+    if (!server && isWorthWaiting()) {
         return false;
     }
     if (server && route_->kind == RequestKind::Stream && !exchange_->isStreaming()
@@ -497,7 +510,8 @@
     auto &backends = gateway_.backends_;
     if (status != statusMisdirected && !faulty.empty() && faulty != send_->start.address) {
         backends.onRankLost(send_->start.server, send_->groupEpoch, now());
-    } else if (status == statusUnavailable) {
+    } else if (status == statusUnavailable && send_->head->header("Retry-After") == nullptr) {
+        // One that names a time speaks for itself, not for a group that stalls.
         backends.onRankTurnedAway(send_->start.server, send_->groupEpoch, now());
     }
     const bool isGroupClosed = backends.isInClosedGroup(send_->start.server, now());
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -65,6 +65,8 @@
     /** No server can take it in time, because they are busy or because of the limits that they name. */
     void refuseForLackOfPlace();
     std::optional<ServerId> chooseServer();
+    /** Whether a place is expected soon after the last choice found none, so that waiting for it makes sense. */
+    bool isWorthWaiting() const;
     void send(const ServerId &server);
     HttpHeaders requestHeaders(const ServerId &server) const;
     bool handleHead(const Http1ResponseHead &head);
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
@@ -6,10 +6,10 @@
 
 std::string_view toString(GatewayRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 14> names = {
-        "not_ready",       "no_route",      "unknown_key",  "bad_request",      "no_server",
-        "group_broken",    "overloaded",    "rate_limited", "quarantined",      "suspected",
-        "retries_used_up", "server_failed", "timed_out",    "timed_out_waiting"};
+    static constexpr std::array<std::string_view, 15> names = {
+        "not_ready",    "no_route",        "unknown_key",   "bad_request",    "no_server",
+        "group_broken", "overloaded",      "rate_limited",  "servers_paused", "quarantined",
+        "suspected",    "retries_used_up", "server_failed", "timed_out",      "timed_out_waiting"};
     return names[static_cast<std::size_t>(refusal)];
 }
 
@@ -31,6 +31,7 @@
     case GatewayRefusal::GroupBroken:
     case GatewayRefusal::Overloaded:
     case GatewayRefusal::RateLimited:
+    case GatewayRefusal::ServersPaused:
     case GatewayRefusal::Quarantined:
     case GatewayRefusal::Suspected:
     case GatewayRefusal::RetriesUsedUp:
@@ -52,6 +53,8 @@
         return GatewayRefusal::Overloaded;
     case BackendBook::NoChoice::RateLimited:
         return GatewayRefusal::RateLimited;
+    case BackendBook::NoChoice::AllPaused:
+        return GatewayRefusal::ServersPaused;
     case BackendBook::NoChoice::AllExcluded:
         return GatewayRefusal::RetriesUsedUp;
     }
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.h
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.h
@@ -16,6 +16,7 @@
     GroupBroken, ///< The group that serves the model has lost a rank.
     Overloaded, ///< No place became free in time.
     RateLimited, ///< The servers have named limits on requests a second that leave no room for it in time.
+    ServersPaused, ///< The servers have asked this entry for a pause.
     Quarantined, ///< Requests like it have crashed servers.
     Suspected, ///< It may crash servers like one that ran beside them, and it was not shown in time whether it does.
     RetriesUsedUp, ///< The server rejected the request and it may not be sent again.
--- a/modules/hornbeamlane_network/http/HttpMessages.cpp
+++ b/modules/hornbeamlane_network/http/HttpMessages.cpp
@@ -79,6 +79,18 @@
     return std::nullopt;
 }
 
+std::optional<std::chrono::nanoseconds> parseSeconds(std::string_view text)
+{
+    using Seconds = std::chrono::duration<double>;
+    const auto number = parseRate(text);
+    if (!number) {
+        return std::nullopt;
+    }
+    constexpr auto longest = std::chrono::nanoseconds::max();
+    const Seconds time(*number);
+    return time >= Seconds(longest) ? longest : std::chrono::duration_cast<std::chrono::nanoseconds>(time);
+}
+
 std::optional<double> parseRate(std::string_view text)
 {
     double value = 0;
--- a/modules/hornbeamlane_network/http/HttpMessages.h
+++ b/modules/hornbeamlane_network/http/HttpMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -55,6 +56,10 @@
 /** Value of a field of a query string, percent-decoded. */
 std::optional<std::string> queryField(std::string_view query, std::string_view name);
 
+/** Time in seconds, zero or more; empty if the text is no such decimal number. Times that the type cannot hold count as
+    its longest. */
+std::optional<std::chrono::nanoseconds> parseSeconds(std::string_view text);
+
 /** A number of events a second, zero or more; empty if the text is no such decimal number. */
 std::optional<double> parseRate(std::string_view text);
 
--- a/tests/dispatch/ServerNoticesTest.cpp
+++ b/tests/dispatch/ServerNoticesTest.cpp
@@ -19,6 +19,46 @@
     EXPECT_FALSE(notices.isLeaving(ServerId("s2"), 1));
 }
 
+// Guards against a pause that ends early because the server has asked for a shorter one since, or that is not longer
+// though it has asked for that.
+TEST(ServerNoticesTest, KeepTheLongestPause)
+{
+    using std::chrono::seconds;
+    ServerNotices notices({.memory = std::chrono::minutes(1)});
+    EXPECT_TRUE(notices.onPause(server, 1, start + seconds(10), start));
+    EXPECT_FALSE(notices.onPause(server, 1, start + seconds(5), start + seconds(1)));
+    EXPECT_EQ(notices.pausedUntil(server, 1), start + seconds(10));
+    EXPECT_TRUE(notices.onPause(server, 1, start + seconds(300), start + seconds(2)));
+    notices.expire(start + seconds(200));
+    EXPECT_EQ(notices.pausedUntil(server, 1), start + seconds(300));
+    EXPECT_LT(notices.pausedUntil(server, 2), start);
+    notices.expire(start + seconds(301));
+    EXPECT_LT(notices.pausedUntil(server, 1), start);
+}
+
+// Guards against requests for a server that has asked for a pause, and against callers that are told to come back
+// before the first of them ends.
+TEST(ServerNoticesTest, KeepAPausedServerOutOfUse)
+{
+    using std::chrono::seconds;
+    BackendBook book;
+    RandomSource random(1);
+    const ServiceId desk("desk");
+    const auto choice = [&](TimePoint now) { return book.choose({.service = desk}, now, random); };
+    book.update({.id = server, .service = desk, .address = "127.0.0.1:1"}, start);
+    book.update({.id = ServerId("s2"), .service = desk, .address = "127.0.0.1:2"}, start);
+    book.onPause(server, 0, start + seconds(4), start);
+    EXPECT_EQ(choice(start), ServerId("s2"));
+    EXPECT_EQ(book.pauseLeft(desk, start), Duration::zero());
+    EXPECT_EQ(book.occupancy(desk, start).places, 1U);
+    book.onPause(ServerId("s2"), 0, start + seconds(9), start);
+    EXPECT_FALSE(choice(start + seconds(1)));
+    EXPECT_EQ(book.lastFailure(), BackendBook::NoChoice::AllPaused);
+    EXPECT_EQ(book.pauseLeft(desk, start + seconds(1)), seconds(3));
+    EXPECT_EQ(choice(start + seconds(4)), server);
+    EXPECT_TRUE(choice(start + seconds(9)));
+}
+
 // Guards against memory that grows with servers that come and go.
 TEST(ServerNoticesTest, AreForgotten)
 {
