Refuse what cannot end before a planned stop, and answer what has not ended at its end

What callers saw: requests that an entry took late in its grace were passed on and, at the end of the grace, cut without an answer; among them orders. A request that waited for a place, or whose body came slowly, was passed on as late as that too. Cause: a stopping entry went on as if it had all the time of the caller, told servers so, and ended with connections open. The class of fault: a bound of the process that the requests in it do not know. Change: while a stop is planned, a request is sent on only if the entry runs on for as long as it may need: all of its time, half of it for a stream. Others are refused at once (stopping, not run, back within 0.2 s at another entry). Servers get no more time than the entry has. At the end what still runs is answered: 504 where it may have run, 503 where not, a stream is broken off so that its caller can tell. Requests that are not read whole by then get 503.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -25,6 +25,9 @@
 /** Time before the end of the grace period at which what still runs is cut off in an orderly way. */
 constexpr milliseconds shutdownMargin{400};
 
+/** Time in which the last answers leave the process; the process ends before the grace period does. */
+constexpr milliseconds lastAnswersTime{250};
+
 /** Callers' patience differs by some 15 %; one with less time than this share of the longest has come back. */
 constexpr double comeBackShare = 0.8;
 
@@ -291,13 +294,40 @@
         callers_.stopAccepting();
         return;
     }
-    if (now >= cutOffAt_ || (callers_.openExchanges() == 0 && callers_.connectionCount() == 0)) {
+    if (now >= cutOffAt_ && !std::exchange(hasCutOff_, true)) {
+        cutOff();
+    }
+    if (callers_.connectionCount() == 0 || now >= cutOffAt_ + lastAnswersTime) {
         drainTimer_.stop();
-        logEvent(LogLevel::Info, "drained", {{"cut_off", std::to_string(callers_.openExchanges())}});
+        logEvent(LogLevel::Info, "drained", {{"connections_left", std::to_string(callers_.connectionCount())}});
         drained_();
     }
 }
 
+std::optional<TimePoint> Gateway::cutOffAt() const
+{
+    return isStopping_ ? std::optional(cutOffAt_) : std::nullopt;
+}
+
+void Gateway::cutOff()
+{
+    logEvent(LogLevel::Warning, "cut_off", {{"requests", std::to_string(callers_.openExchanges())}});
+    for (const auto &request : openRequests()) {
+        request->onCutOff();
+    }
+    callers_.refuseUnread();
+}
+
+std::vector<std::shared_ptr<ForwardedRequest>> Gateway::openRequests() const
+{
+    std::vector<std::shared_ptr<ForwardedRequest>> requests;
+    requests.reserve(requests_.size());
+    for (const auto &[key, request] : requests_) {
+        requests.push_back(request);
+    }
+    return requests;
+}
+
 std::vector<LostRequest> Gateway::unansweredAt(const ServerId &server) const
 {
     std::vector<LostRequest> unanswered;
@@ -311,12 +341,7 @@
 
 void Gateway::crashesChanged()
 {
-    std::vector<std::shared_ptr<ForwardedRequest>> requests;
-    requests.reserve(requests_.size());
-    for (const auto &[key, request] : requests_) {
-        requests.push_back(request);
-    }
-    for (const auto &request : requests) {
+    for (const auto &request : openRequests()) {
         request->onCrashesChanged();
     }
 }
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -82,7 +82,13 @@
     std::optional<ServerId> serverOf(ServerStartHash start) const;
     void sweep();
     void setEntryCount(std::uint32_t count);
+    /** When what still runs is cut off; empty while no stop is planned. */
+    std::optional<TimePoint> cutOffAt() const;
     void checkDrained();
+    /** Answers all that has not ended, so that nothing ends with a closed connection only. */
+    void cutOff();
+    /** A copy, for calls by which requests may end. */
+    std::vector<std::shared_ptr<ForwardedRequest>> openRequests() const;
     std::vector<LostRequest> unansweredAt(const ServerId &server) const;
     /** What is known of crashes has changed, or held requests have waited for a while. */
     void crashesChanged();
@@ -121,6 +127,7 @@
     std::function<void()> drained_;
     bool isStopping_ = false;
     bool hasStoppedAccepting_ = false;
+    bool hasCutOff_ = false;
     TimePoint stopAcceptingAt_;
     TimePoint cutOffAt_;
     TimePoint stateLoggedAt_;
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -23,6 +23,9 @@
 /** A lost rank is seldom back within two seconds; callers wait a third of their time at most, here 2.7 s. */
 constexpr RetryAfterRange afterBrokenGroup{.from = milliseconds(2300), .to = milliseconds(2660)};
 
+/** Another entry takes the caller at once; a crowd should not come in the same moment. */
+constexpr RetryAfterRange afterStop{.from = milliseconds(20), .to = milliseconds(200)};
+
 constexpr milliseconds longestRetryAfter{3000};
 
 /** Requests that the limits of servers let through while one waits, for each one up to it, so that waiting makes sense.
@@ -36,6 +39,18 @@
 constexpr milliseconds longestBacklog{1000};
 constexpr double minBacklog = 4;
 
+const RetryAfterRange &rangeFor(GatewayRefusal refusal)
+{
+    switch (refusal) {
+    case GatewayRefusal::GroupBroken:
+        return afterBrokenGroup;
+    case GatewayRefusal::Stopping:
+        return afterStop;
+    default:
+        return afterOverload;
+    }
+}
+
 } // namespace
 
 ServiceQueues::ServiceQueues(EventLoop &loop, RandomSource &random, const GatewaySettings &settings,
@@ -168,9 +183,12 @@
 
 Duration ServiceQueues::drawRetryAfter(GatewayRefusal refusal, const ServiceId &service)
 {
-    const auto &range = refusal == GatewayRefusal::GroupBroken ? afterBrokenGroup : afterOverload;
+    const auto &range = rangeFor(refusal);
     const auto drawn =
         range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
+    if (refusal == GatewayRefusal::Stopping) {
+        return drawn;
+    }
     if (const auto pause = backends_.pauseLeft(service, loop_.now()); pause > Duration::zero()) {
         return pause + drawn;
     }
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -21,6 +21,10 @@
 /** Sendings of one request in all, also those that servers rejected without running it. */
 constexpr std::uint32_t maxSends = 4;
 
+/** Streams mostly end well before the time that their callers would wait; the entry has to run on for this share of it.
+ */
+constexpr double streamShareBeforeStop = 0.5;
+
 /** Longest rest of a pause of all servers for which a request waits. */
 constexpr milliseconds shortPause{300};
 
@@ -150,8 +154,30 @@
     return exchange_->isStreaming() ? PlaceWait::Stage::Streaming : PlaceWait::Stage::Unanswered;
 }
 
+bool ForwardedRequest::canEndBeforeStop() const
+{
+    const auto stop = gateway_.cutOffAt();
+    if (!stop) {
+        return true;
+    }
+    const std::chrono::duration<double> left = *stop - now();
+    // What an order has come to stays unknown if the entry stops before its answer, so it gets all of its time.
+    const auto share = route_->kind == RequestKind::Stream ? streamShareBeforeStop : 1.0;
+    return left >= (deadline_ - now()) * share;
+}
+
+TimePoint ForwardedRequest::lastMoment() const
+{
+    const auto stop = gateway_.cutOffAt();
+    return stop ? std::min(*stop, deadline_) : deadline_;
+}
+
 void ForwardedRequest::dispatch(bool mayQueue)
 {
+    if (!canEndBeforeStop()) {
+        refuse(GatewayRefusal::Stopping);
+        return;
+    }
     const auto decision = gateway_.crashes_.decide(number_, traits_);
     if (decision == CrashGuard::Decision::Refuse) {
         refuseAsQuarantined();
@@ -218,6 +244,11 @@
         decision == CrashGuard::Decision::Refuse ? refuseAsQuarantined() : hold();
         return true;
     }
+    if (!canEndBeforeStop()) {
+        wait_->leave();
+        refuse(GatewayRefusal::Stopping);
+        return true;
+    }
     const auto server = chooseServer();
     if (!server && isWorthWaiting()) {
         return false;
@@ -248,7 +279,7 @@
 {
     const auto &names = gateway_.settings_.headers;
     auto headers = callerHeaders(exchange_->request().headers, names);
-    headers.emplace_back(names.timeLeft, formatMilliseconds(std::max(Duration::zero(), deadline_ - now())));
+    headers.emplace_back(names.timeLeft, formatMilliseconds(std::max(Duration::zero(), lastMoment() - now())));
     headers.emplace_back(names.expectedServer, server.name());
     if (team_ != nullptr) {
         headers.emplace_back(names.team, team_->name.name());
@@ -621,15 +652,27 @@
 }
 
 void ForwardedRequest::onTimeout()
+{
+    giveUp(GatewayRefusal::TimedOutWaiting, GatewayRefusal::TimedOut);
+}
+
+void ForwardedRequest::onCutOff()
+{
+    if (!isFinished_) {
+        giveUp(GatewayRefusal::Stopping, GatewayRefusal::CutOffByStop);
+    }
+}
+
+void ForwardedRequest::giveUp(GatewayRefusal beforeSending, GatewayRefusal atServer)
 {
     const auto self = shared_from_this();
     if (wait_->isWaiting() || isHeld_) {
         wait_->leave();
-        refuse(runs_ > 0 ? GatewayRefusal::ServerFailed : GatewayRefusal::TimedOutWaiting);
+        refuse(runs_ > 0 ? GatewayRefusal::ServerFailed : beforeSending);
         return;
     }
     endSend(BackendOutcome::Cancelled);
-    refuse(GatewayRefusal::TimedOut);
+    refuse(atServer);
 }
 
 void ForwardedRequest::onCallerLeft()
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -47,6 +47,9 @@
         return isHeld_;
     }
 
+    /** The entry stops now: answers the caller with what is known of the request. */
+    void onCutOff();
+
     /** What it would tell if its server crashed now; empty if it is at no server or has got something of an answer. */
     std::optional<LostRequest> unansweredAt(const ServerId &server) const;
 
@@ -59,6 +62,10 @@
 private:
     bool admit();
     PlaceWait::Stage stage() const;
+    /** Whether the entry runs on for as long as the request may need. */
+    bool canEndBeforeStop() const;
+    /** When the entry gives the request up, by its own time or because of a planned stop. */
+    TimePoint lastMoment() const;
     void dispatch(bool mayQueue);
     void refuseAsQuarantined();
     void hold();
@@ -95,6 +102,8 @@
     void endSend(BackendOutcome outcome);
     void refuse(GatewayRefusal refusal);
     void onTimeout();
+    /** Ends the request for the caller, wherever it is. */
+    void giveUp(GatewayRefusal beforeSending, GatewayRefusal atServer);
     void onCallerLeft();
     void finish(std::string_view outcome);
     TimePoint now() const;
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
@@ -6,10 +6,10 @@
 
 std::string_view toString(GatewayRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 15> names = {
-        "not_ready",    "no_route",        "unknown_key",   "bad_request",    "no_server",
-        "group_broken", "overloaded",      "rate_limited",  "servers_paused", "quarantined",
-        "suspected",    "retries_used_up", "server_failed", "timed_out",      "timed_out_waiting"};
+    static constexpr std::array<std::string_view, 17> names = {
+        "not_ready",     "no_route",     "unknown_key",       "bad_request", "no_server",      "group_broken",
+        "overloaded",    "rate_limited", "servers_paused",    "quarantined", "suspected",      "retries_used_up",
+        "server_failed", "timed_out",    "timed_out_waiting", "stopping",    "cut_off_by_stop"};
     return names[static_cast<std::size_t>(refusal)];
 }
 
@@ -25,6 +25,7 @@
     case GatewayRefusal::ServerFailed:
         return 502;
     case GatewayRefusal::TimedOut:
+    case GatewayRefusal::CutOffByStop:
         return 504;
     case GatewayRefusal::NotReady:
     case GatewayRefusal::NoServer:
@@ -36,6 +37,7 @@
     case GatewayRefusal::Suspected:
     case GatewayRefusal::RetriesUsedUp:
     case GatewayRefusal::TimedOutWaiting:
+    case GatewayRefusal::Stopping:
         return 503;
     }
     return 503;
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.h
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.h
@@ -23,6 +23,8 @@
     ServerFailed, ///< The server broke off; the request may have run.
     TimedOut, ///< The time ran out at a server; the request may have run.
     TimedOutWaiting, ///< The time ran out before the request was sent.
+    Stopping, ///< This entry stops before the request could end.
+    CutOffByStop, ///< This entry stopped while the request was at a server; it may have run.
 };
 
 std::string_view toString(GatewayRefusal refusal);
--- a/modules/hornbeamlane_network/http1/Http1Server.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Server.cpp
@@ -207,6 +207,13 @@
     }
 }
 
+void Http1Server::refuseUnread()
+{
+    for (const auto &[key, connection] : implementation_->connections) {
+        key->refuseUnread();
+    }
+}
+
 std::size_t Http1Server::connectionCount() const
 {
     return implementation_->connections.size();
--- a/modules/hornbeamlane_network/http1/Http1Server.h
+++ b/modules/hornbeamlane_network/http1/Http1Server.h
@@ -88,6 +88,9 @@
     /** Takes no new connections and closes those without a request. */
     void stopAccepting();
 
+    /** Answers 503 to the requests that have not been read whole, and closes their connections. */
+    void refuseUnread();
+
     std::size_t connectionCount() const;
 
     /** Requests that have been read and not yet answered. */
--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
@@ -53,6 +53,13 @@
     }
 }
 
+void Http1ServerConnection::refuseUnread()
+{
+    if (state_ == State::Reading) {
+        refuse(503);
+    }
+}
+
 std::size_t Http1ServerConnection::bufferedBytes() const
 {
     return evbuffer_get_length(bufferevent_get_output(stream_));
--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.h
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.h
@@ -54,6 +54,7 @@
     Http1ServerConnection &operator=(const Http1ServerConnection &) = delete;
 
     void closeIdle();
+    void refuseUnread();
 
     std::size_t bufferedBytes() const;
 
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -29,6 +29,7 @@
         settings.peerAddress = "127.0.0.1:0";
         settings.retryRatio = 1;
         settings.retryAllowance = 100;
+        settings.shutdownBound = shutdownBound_;
         gateway_ = std::make_unique<Gateway>(loop_, random_, settings,
                                              GatewayHooks{.isMapHolder = [] { return false; },
                                                           .tableVersions = [] { return std::vector<std::uint64_t>(); },
@@ -44,15 +45,15 @@
         gateway_->applyCatalogue(std::move(catalogue));
     }
 
-    static RouteSpec route(const std::string &name, const std::string &prefix, RequestKind kind,
-                           const std::string &service, std::uint32_t attempts)
+    RouteSpec route(const std::string &name, const std::string &prefix, RequestKind kind, const std::string &service,
+                    std::uint32_t attempts) const
     {
         return {.name = RouteId(name),
                 .host = "h",
                 .prefix = prefix,
                 .kind = kind,
                 .services = {{.service = ServiceId(service)}},
-                .timeout = milliseconds(1500),
+                .timeout = routeTimeout_,
                 .maxAttempts = attempts};
     }
 
@@ -117,6 +118,9 @@
         EXPECT_EQ(result->head.status, status);
     }
 
+    /** Read by SetUp(). */
+    milliseconds shutdownBound_{8000};
+    milliseconds routeTimeout_{1500};
     EventLoop loop_;
     RandomSource random_{3};
     std::unique_ptr<Gateway> gateway_;
