Do not refuse callers for pauses that no smaller bound would shorten

What callers saw: while a rank was many times slower, the bound on running streams fell window by window to a third of the places, and two of three callers were refused although places were free; the streams that ran were late all the same. Cause: the governor takes each long pause for a sign of too many requests. Change: pauses fall at most in proportion to the requests. Where even that would not do at the smallest bound, the bound grows towards all places, and those who are refused are told to come back as late as when a group is broken.

--- a/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.cpp
+++ b/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.cpp
@@ -50,7 +50,13 @@
     samples_.clear();
     isMeasured_ = true;
     const double used = static_cast<double>(inFlight) / places;
-    if (lastPressure_ > options_.shrinkAbove) {
+    // Pauses fall at most in proportion to the requests. If that is not enough at the smallest bound, it is not the
+    // load that makes them long, as with a rank that is many times slower, and a lower bound would only refuse more
+    // callers.
+    isTargetOutOfReach_ = lastPressure_ * options_.smallestShare > options_.shrinkAbove * used;
+    if (isTargetOutOfReach_) {
+        share_ = std::max(share_, std::min(share_ * options_.lateGrowth, 1.0));
+    } else if (lastPressure_ > options_.shrinkAbove) {
         share_ = std::min(share_, used) * options_.shrinkFactor;
     } else if (lastPressure_ < options_.growBelow) {
         // Pauses grow with the load, so short ones tell that there is much room: a group that has formed again is met
@@ -69,6 +75,7 @@
     trustsPeers_ = cause == RestartCause::FirstSight;
     share_ = std::min(share_, options_.restartShare);
     isMeasured_ = false;
+    isTargetOutOfReach_ = false;
     samples_.clear();
 }
 
--- a/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.h
+++ b/modules/hornbeamlane_dispatch/pace/ConcurrencyGovernor.h
@@ -12,7 +12,8 @@
     Bounds the requests that all entries together have at a service whose engines batch them.
 
     More requests in a batch make every one of them slower. Above some number the pauses between events exceed what
-    callers accept, and throughput hardly grows any more. The bound follows the pauses that are seen.
+    callers accept, and throughput hardly grows any more. The bound follows the pauses that are seen. Where engines are
+   so slow that no bound makes the pauses short enough, it gives room to all places: streams come late, but they come.
 */
 class ConcurrencyGovernor final
 {
@@ -29,6 +30,8 @@
         double shrinkAbove = 0.92;
         double growBelow = 0.85;
         double shrinkFactor = 0.92;
+        /** Growth of a window while no bound makes the pauses short enough. */
+        double lateGrowth = 1.1;
         /** Growth of a window for each unit by which the quantile over the target is below growBelow. */
         double growthPerPressure = 1.2;
         double largestGrowth = 1.25;
@@ -81,6 +84,12 @@
         return firstEventLatency_;
     }
 
+    /** Whether the engines are too slow for the target with however few requests. */
+    bool isTargetOutOfReach() const
+    {
+        return isTargetOutOfReach_;
+    }
+
     /** Quantile of the pauses over their target in the last window. */
     double lastPressure() const
     {
@@ -98,6 +107,7 @@
     std::vector<double> samples_;
     TimePoint windowStart_;
     double lastPressure_ = 0;
+    bool isTargetOutOfReach_ = false;
     Duration firstEventLatency_ = std::chrono::milliseconds(150);
 };
 
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -20,7 +20,8 @@
 
 constexpr RetryAfterRange afterOverload{.from = milliseconds(300), .to = milliseconds(1200)};
 
-/** A lost rank is seldom back within two seconds; callers wait a third of their time at most, here 2.7 s. */
+/** A lost rank is seldom back within two seconds, nor is a slow one normal again; callers wait a third of their time at
+    most, here 2.7 s. */
 constexpr RetryAfterRange afterBrokenGroup{.from = milliseconds(2300), .to = milliseconds(2660)};
 
 /** Another entry takes the caller at once; a crowd should not come in the same moment. */
@@ -183,7 +184,8 @@
 
 Duration ServiceQueues::drawRetryAfter(GatewayRefusal refusal, const ServiceId &service)
 {
-    const auto &range = rangeFor(refusal);
+    const bool isLateForLong = refusal == GatewayRefusal::Overloaded && of(service).governor.isTargetOutOfReach();
+    const auto &range = isLateForLong ? afterBrokenGroup : rangeFor(refusal);
     const auto drawn =
         range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
     if (refusal == GatewayRefusal::Stopping) {
