Let entries pass on what they hear of each other once there are many

Cause: with more than 48 peers an entry told 48 of them each 40 ms, changed or not: 1,200 datagrams a second from and to each entry, each of which woke the receiver, added up its servers anew and looked at its queues. An entry that does not hold the maps also looked after the lease 40 times a second. Change: LoadGossip, a class without sockets, decides who is told what and when. Up to 24 peers are told directly as before. With more, each entry tells four others, drawn in turn, its own load and those that it has newly heard, each once, with their age; a load is forgotten by the time its entry told it, so that repeating it keeps nothing alive. Timers run when something is due. Datagrams that come close together are read together, and sums and queues are looked at once for all of them. An entry that hears the holder of the maps looks after the lease 7 times a second. Compared by thought: direct words in turn (the time until all are told grows with the entries), one collector for each data centre (less to send, but its loss has to be noticed and agreed on). Test first: TellsManyPeersInTurn counted on being told again without any change; it now changes the load.

--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -19,13 +19,16 @@
               .readInterval = options.readInterval,
               .takeoverDelay = std::chrono::milliseconds(options.self.value()
                                                          % static_cast<std::uint64_t>(options.takeoverSpread.count()))})
-    , timer_(loop, [this] { tick(); })
+    , timer_(loop, [this] {
+        tick();
+        timer_.startOnce(!token_ && isHolderHeard() ? options_.watchInterval : options_.tickInterval);
+    })
 {
 }
 
 void MapDuty::start()
 {
-    timer_.startRepeating(options_.tickInterval);
+    timer_.startOnce(Duration::zero());
 }
 
 void MapDuty::stop()
@@ -36,10 +39,16 @@
     pollLease();
 }
 
+bool MapDuty::isHolderHeard() const
+{
+    const auto silence = std::max(options_.holderSilence, hooks_.usualSilence());
+    return loop_.now() - hooks_.holderHeardAt() < silence;
+}
+
 void MapDuty::pollLease()
 {
     // Reads are priced, and a holder that is heard has not lost the lease.
-    if (!token_ && loop_.now() - hooks_.holderHeardAt() < options_.holderSilence) {
+    if (!token_ && isHolderHeard()) {
         return;
     }
     const auto request = lease_.poll(loop_.nowWithSuspend());
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -28,6 +28,8 @@
         std::chrono::milliseconds holderSilence{600};
         /** Time between two looks at what is due; replies are handled at once. */
         std::chrono::milliseconds tickInterval{25};
+        /** The same while another entry is heard as holder. */
+        std::chrono::milliseconds watchInterval{150};
         /** A holder whose lease ends because the store is away goes on for this time if nobody else takes over. */
         std::chrono::milliseconds holdWithoutStore{30000};
         GroupMapKeeper::Policy policy;
@@ -42,6 +44,8 @@
         std::function<std::optional<EngineModel>(const ServiceId &)> engineOf;
         /** When another entry last said that it holds the lease. */
         std::function<TimePoint()> holderHeardAt;
+        /** Time for which a holder that lives may not be heard; the longer of this and the option counts. */
+        std::function<std::chrono::milliseconds()> usualSilence = [] { return std::chrono::milliseconds(0); };
     };
 
     MapDuty(EventLoop &loop, TableClient &table, const Options &options, Hooks hooks);
@@ -67,6 +71,7 @@
 
     void tick();
     void pollLease();
+    bool isHolderHeard() const;
     std::optional<FencingToken> tokenToActUnder();
     bool mayGoOnWithoutStore() const;
     std::map<GroupId, GroupView> groups() const;
--- a/modules/hornbeamlane_gateway/peers/DatagramSocket.cpp
+++ b/modules/hornbeamlane_gateway/peers/DatagramSocket.cpp
@@ -1,5 +1,6 @@
 #include "hornbeamlane_gateway/peers/DatagramSocket.h"
 
+#include "hornbeamlane_network/loop/Timer.h"
 #include "hornbeamlane_network/socket/SocketAddress.h"
 
 #include <event2/event.h>
@@ -30,12 +31,31 @@
 struct DatagramSocket::Implementation
 {
     EventLoop &loop;
-    Handler handler;
+    Callbacks callbacks;
+    Timer resume;
+    std::chrono::milliseconds quietTime{0};
     int socket = -1;
     event *readable = nullptr;
     std::array<char, maxDatagramBytes> buffer{};
 
+    Implementation(EventLoop &eventLoop, Callbacks handlers)
+        : loop(eventLoop)
+        , callbacks(std::move(handlers))
+        , resume(eventLoop, [this] { event_add(readable, nullptr); })
+    {
+    }
+
     void receive()
+    {
+        readAll();
+        callbacks.drained();
+        if (quietTime > std::chrono::milliseconds(0)) {
+            event_del(readable);
+            resume.startOnce(quietTime);
+        }
+    }
+
+    void readAll()
     {
         while (true) {
             sockaddr_in sender{};
@@ -45,13 +65,13 @@
             if (size < 0) {
                 return;
             }
-            handler({buffer.data(), static_cast<std::size_t>(size)}, formatAddress(sender));
+            callbacks.received({buffer.data(), static_cast<std::size_t>(size)}, formatAddress(sender));
         }
     }
 };
 
-DatagramSocket::DatagramSocket(EventLoop &loop, Handler handler)
-    : implementation_(new Implementation{.loop = loop, .handler = std::move(handler)})
+DatagramSocket::DatagramSocket(EventLoop &loop, Callbacks callbacks)
+    : implementation_(std::make_unique<Implementation>(loop, std::move(callbacks)))
 {
 }
 
@@ -88,6 +108,11 @@
     return boundPort(implementation_->socket);
 }
 
+void DatagramSocket::setQuietTime(std::chrono::milliseconds time)
+{
+    implementation_->quietTime = time;
+}
+
 void DatagramSocket::send(const std::string &address, std::string_view bytes)
 {
     const auto target = toSocketAddress(address);
--- a/modules/hornbeamlane_gateway/peers/DatagramSocket.h
+++ b/modules/hornbeamlane_gateway/peers/DatagramSocket.h
@@ -10,14 +10,26 @@
 
 namespace hornbeamlane {
 
-/** A UDP socket on the loop. Datagrams may be lost; one that cannot be sent at once is dropped. */
+/**
+    A UDP socket on the loop. Datagrams may be lost; one that cannot be sent at once is dropped.
+
+    Datagrams that come within a short time of each other are read together, so that many peers do not wake the process
+    one by one.
+*/
 class DatagramSocket final
 {
 public:
     /** Takes the bytes and the sender's address, "<ip>:<port>". */
     using Handler = std::function<void(std::string_view bytes, const std::string &sender)>;
 
-    DatagramSocket(EventLoop &loop, Handler handler);
+    struct Callbacks
+    {
+        Handler received;
+        /** All that had come has been handled. */
+        std::function<void()> drained = [] {};
+    };
+
+    DatagramSocket(EventLoop &loop, Callbacks callbacks);
     ~DatagramSocket();
 
     DatagramSocket(const DatagramSocket &) = delete;
@@ -29,6 +41,9 @@
     /** Port in use after a successful bind(). */
     std::uint16_t port() const;
 
+    /** Time for which nothing is read after a read. */
+    void setQuietTime(std::chrono::milliseconds time);
+
     void send(const std::string &address, std::string_view bytes);
 
 private:
--- /dev/null
+++ b/modules/hornbeamlane_gateway/peers/LoadGossip.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "hornbeamlane_gateway/peers/PeerLoads.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hornbeamlane {
+
+/**
+    Decides when an entry tells which other entries what.
+
+    A few entries tell each other directly. With more of them each passes what it has newly heard on to a few others,
+    drawn anew each time, so that neither the messages of an entry nor its wake-ups grow with their number. What is
+    passed on has its age, so that a dead entry is forgotten however often its last words are repeated.
+*/
+class LoadGossip final
+{
+public:
+    struct Options
+    {
+        std::string name;
+        std::string address;
+        /** Seed of the draws. */
+        std::uint64_t seed = 1;
+        /** Time between two messages while the load changes; what is not told yet is seen late by the others. */
+        std::chrono::milliseconds interval{40};
+        /** Time between two messages without changes. */
+        std::chrono::milliseconds idleInterval{300};
+        /** Peers that are told directly; with more of them, what is heard is passed on. */
+        std::size_t fanOut = 24;
+        /** The same while entries pass on: time between two rounds, and between two words of this entry's own. */
+        std::chrono::milliseconds relayInterval{100};
+        std::chrono::milliseconds ownInterval{200};
+        std::chrono::milliseconds ownIdleInterval{1500};
+        /** Peers told in a round, and loads of others that one message carries. */
+        std::size_t relayFanOut = 4;
+        std::size_t relayedAtOnce = 200;
+        /** Load of a peer that has told nothing for this time is forgotten. */
+        std::chrono::milliseconds silence{1500};
+        std::chrono::milliseconds relaySilence{4500};
+        /** A peer that has not been heard for this time is told less often. */
+        std::chrono::milliseconds lostAfter{3000};
+        std::chrono::milliseconds relayLostAfter{6000};
+    };
+
+    /** What is to be sent now. */
+    struct Round
+    {
+        std::vector<std::string> targets;
+        /** Whether the entry's own load is told anew; otherwise as it was told last. */
+        bool isOwnDue = false;
+        std::vector<RelayedLoad> relayed;
+    };
+
+    explicit LoadGossip(Options options);
+
+    /** An entry that may be there. */
+    void addPeer(const std::string &address, TimePoint now);
+
+    /** The own load has changed. */
+    void markChanged();
+
+    /** Takes a message; gives the loads in it that are news. */
+    std::vector<const LoadMessage *> onMessage(const LoadMessage &message, const std::string &address, TimePoint now);
+
+    /** What is due now; empty before nextRoundAt(). */
+    std::optional<Round> poll(TimePoint now);
+
+    TimePoint nextRoundAt() const;
+
+    /** Forgets silent peers; true if sums have changed. */
+    bool expire(TimePoint now);
+
+    /** Whether there are so many entries that they pass on what they hear. */
+    bool isRelaying() const
+    {
+        return peers_.size() > options_.fanOut;
+    }
+
+    /** Time after which all peers have heard of a change. */
+    std::chrono::milliseconds tellingTime() const;
+
+    /** Entries heard of within the last minute and this one. */
+    std::uint32_t entryCount(TimePoint now) const;
+
+    /** Addresses of peers that are heard. */
+    std::vector<std::string> livePeers(TimePoint now) const;
+
+    const PeerLoads &loads() const
+    {
+        return loads_;
+    }
+
+private:
+    struct Peer
+    {
+        TimePoint addedAt;
+        TimePoint heardAt;
+    };
+
+    bool isHeard(const Peer &peer, TimePoint now) const;
+    void noteHeard(const std::string &address, TimePoint heardAt);
+    void noteNews(const std::string &sender, PeerLoads::News news);
+    std::vector<std::string> nextPeers(TimePoint now);
+    const std::string &nextInTurn();
+    std::vector<RelayedLoad> takeNews();
+
+    Options options_;
+    RandomSource random_;
+    PeerLoads loads_;
+    std::map<std::string, Peer> peers_;
+    /** Peers in the order in which they are told, drawn anew when all have had their turn, and whose turn is next. */
+    std::vector<std::string> order_;
+    std::size_t turn_ = 0;
+    /** Senders whose loads have not been passed on. */
+    std::set<std::string> news_;
+    bool hasUrgentNews_ = false;
+    bool hasChanged_ = true;
+    TimePoint lastRound_;
+    TimePoint ownToldAt_;
+    TimePoint silentToldAt_;
+};
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -9,8 +9,21 @@
 
 namespace {
 
-/** An entry that was heard within this time counts in the division of shared bounds, also when it is cut off. */
-constexpr std::chrono::seconds entryMemory{60};
+using std::chrono::milliseconds;
+
+/** Time for which messages are collected before they are read together, with few entries and with many. */
+constexpr milliseconds quietTime{15};
+constexpr milliseconds relayQuietTime{80};
+
+/** Time between two tellings of all limits that servers have named. */
+constexpr milliseconds allLimitsInterval{300};
+
+/** Peers that hear of something urgent at once; they tell the others that they know more. */
+constexpr std::size_t urgentFanOut = 48;
+
+/** Several rounds may be lost before a peer counts as silent. */
+constexpr milliseconds silence{600};
+constexpr milliseconds relaySilence{1200};
 
 } // namespace
 
@@ -18,7 +31,14 @@
     : loop_(loop)
     , options_(std::move(options))
     , callbacks_(std::move(callbacks))
-    , socket_(loop, [this](std::string_view bytes, const std::string &sender) { receive(bytes, sender); })
+    , socket_(loop,
+              {.received = [this](std::string_view bytes, const std::string &sender) { receive(bytes, sender); },
+               .drained = [this] { handleDrained(); }})
+    , gossip_({.name = options_.name,
+               .address = options_.address,
+               .seed = options_.incarnation.value(),
+               .interval = options_.interval,
+               .fanOut = options_.fanOut})
     , timer_(loop, [this] { tick(); })
 {
 }
@@ -28,27 +48,38 @@
     if (!socket_.bind(options_.address)) {
         return false;
     }
-    timer_.startRepeating(options_.interval);
+    isRunning_ = true;
+    schedule();
     return true;
 }
 
 void PeerExchange::stop()
 {
+    isRunning_ = false;
     timer_.stop();
 }
 
 void PeerExchange::addPeer(const std::string &address)
 {
-    if (address != options_.address && !peers_.contains(address)) {
-        peers_[address].addedAt = loop_.now();
-        hasChanged_ = true;
-        lastSentToAll_ = {};
-    }
+    gossip_.addPeer(address, loop_.now());
+    socket_.setQuietTime(gossip_.isRelaying() ? relayQuietTime : quietTime);
+    schedule();
 }
 
 void PeerExchange::markChanged()
 {
-    hasChanged_ = true;
+    gossip_.markChanged();
+    schedule();
+}
+
+void PeerExchange::schedule()
+{
+    const auto next = gossip_.nextRoundAt();
+    if (!isRunning_ || next >= wakeAt_) {
+        return;
+    }
+    wakeAt_ = next;
+    timer_.startOnce(std::max(Duration::zero(), next - loop_.now()));
 }
 
 void PeerExchange::sendTo(const std::string &address, const std::string &bytes)
@@ -58,30 +89,16 @@
 
 void PeerExchange::sendToAll(const std::string &bytes)
 {
-    const auto now = loop_.now();
-    std::size_t sent = 0;
-    for (const auto &[address, peer] : peers_) {
-        if (sent < options_.fanOut && now - peer.heardAt < options_.silence) {
-            socket_.send(address, bytes);
-            ++sent;
-        }
+    auto peers = gossip_.livePeers(loop_.now());
+    peers.resize(std::min(peers.size(), urgentFanOut));
+    for (const auto &address : peers) {
+        socket_.send(address, bytes);
     }
 }
 
-std::chrono::milliseconds PeerExchange::tellingTime() const
-{
-    const auto peers = entryCount(loop_.now()) - 1;
-    const auto rounds = (peers + options_.fanOut - 1) / options_.fanOut;
-    return options_.interval * std::max<std::size_t>(rounds, 1);
-}
-
-std::uint32_t PeerExchange::entryCount(TimePoint now) const
+milliseconds PeerExchange::usualSilence() const
 {
-    const auto known = std::count_if(peers_.begin(), peers_.end(), [now](const auto &entry) {
-        const auto &peer = entry.second;
-        return now - std::max(peer.heardAt, peer.addedAt) < entryMemory;
-    });
-    return 1 + static_cast<std::uint32_t>(known);
+    return gossip_.isRelaying() ? relaySilence : silence;
 }
 
 void PeerExchange::receive(std::string_view bytes, const std::string &sender)
@@ -96,67 +113,62 @@
                  {{"sender", sender}, {"bytes", std::to_string(bytes.size())}});
         return;
     }
-    addPeer(sender);
-    auto &peer = peers_[sender];
-    peer.heardAt = now;
     callbacks_.peerVersions(message->tableVersions);
     callbacks_.peerCrashDigest(sender, message->crashDigest);
-    if (loads_.take(*message, now)) {
-        callbacks_.peerRateLimits(message->incarnation, message->rateLimits);
-        callbacks_.changed();
+    for (const auto *load : gossip_.onMessage(*message, sender, now)) {
+        callbacks_.peerRateLimits(load->incarnation, load->rateLimits);
+        haveLoadsChanged_ = true;
     }
 }
 
-std::vector<std::string> PeerExchange::nextPeers(TimePoint now, bool alsoSilent)
+void PeerExchange::handleDrained()
 {
-    std::vector<std::string> addresses;
-    auto next = peers_.upper_bound(lastTold_);
-    for (std::size_t looked = 0; looked < peers_.size() && addresses.size() < options_.fanOut; ++looked) {
-        if (next == peers_.end()) {
-            next = peers_.begin();
-        }
-        if (alsoSilent || now - next->second.heardAt < options_.silence) {
-            addresses.push_back(next->first);
-        }
-        lastTold_ = next->first;
-        ++next;
+    socket_.setQuietTime(gossip_.isRelaying() ? relayQuietTime : quietTime);
+    if (std::exchange(haveLoadsChanged_, false)) {
+        callbacks_.changed();
     }
-    return addresses;
+    schedule();
+}
+
+LoadMessage PeerExchange::ownLoad(TimePoint now)
+{
+    const bool tellsAllLimits = gossip_.isRelaying() || now - rateLimitsToldAt_ >= allLimitsInterval;
+    rateLimitsToldAt_ = tellsAllLimits ? now : rateLimitsToldAt_;
+    return {.sender = options_.name,
+            .sequence = ++sequence_,
+            .incarnation = options_.incarnation,
+            .isMapHolder = callbacks_.isMapHolder(),
+            .inFlight = callbacks_.ownLoad(),
+            .bounds = callbacks_.bounds(),
+            .rateLimits = callbacks_.rateLimits(tellsAllLimits),
+            .demands = callbacks_.demands()};
 }
 
 void PeerExchange::tick()
 {
     const auto now = loop_.now();
-    if (loads_.expire(now)) {
+    wakeAt_ = TimePoint::max();
+    if (gossip_.expire(now)) {
         callbacks_.changed();
     }
-    if (!hasChanged_ && now - lastSent_ < options_.idleInterval) {
-        return;
-    }
-    // Peers that are silent may be gone; they are told seldom, so that one that is back is found again.
-    const bool toAll = now - lastSentToAll_ >= options_.idleInterval;
-    const bool tellsAllLimits = peers_.size() > options_.fanOut || now - rateLimitsToldAt_ >= options_.idleInterval;
-    rateLimitsToldAt_ = tellsAllLimits ? now : rateLimitsToldAt_;
-    const auto bytes = encodeLoadMessage({.sender = options_.name,
-                                          .sequence = ++sequence_,
-                                          .incarnation = options_.incarnation,
-                                          .isMapHolder = callbacks_.isMapHolder(),
-                                          .tableVersions = callbacks_.tableVersions(),
-                                          .inFlight = callbacks_.ownLoad(),
-                                          .bounds = callbacks_.bounds(),
-                                          .crashDigest = callbacks_.crashDigest(),
-                                          .rateLimits = callbacks_.rateLimits(tellsAllLimits),
-                                          .demands = callbacks_.demands()},
-                                         now);
-    for (const auto &address : nextPeers(now, toAll)) {
-        socket_.send(address, bytes);
+    if (callbacks_.isMapHolder()) {
+        // The others read the lease if they do not hear of its holder.
+        gossip_.markChanged();
     }
-    // With more peers than are told at a time, the next tick goes on with the others.
-    hasChanged_ = peers_.size() > options_.fanOut;
-    lastSent_ = now;
-    if (toAll) {
-        lastSentToAll_ = now;
+    if (auto round = gossip_.poll(now)) {
+        if (round->isOwnDue) {
+            told_ = ownLoad(now);
+        }
+        told_.tableVersions = callbacks_.tableVersions();
+        told_.crashDigest = callbacks_.crashDigest();
+        told_.relayed = std::move(round->relayed);
+        const auto bytes = encodeLoadMessage(told_, now);
+        for (const auto &address : round->targets) {
+            socket_.send(address, bytes);
+        }
+        told_.relayed.clear();
     }
+    schedule();
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "hornbeamlane_gateway/peers/DatagramSocket.h"
-#include "hornbeamlane_gateway/peers/PeerLoads.h"
+#include "hornbeamlane_gateway/peers/LoadGossip.h"
 #include "hornbeamlane_network/loop/Timer.h"
 
-#include <map>
 #include <string>
 #include <vector>
 
@@ -19,14 +18,9 @@
         std::string name;
         Incarnation incarnation;
         std::string address;
-        /** Time between two messages while the load changes; what is not told yet is seen late by the others. */
+        /** See LoadGossip. */
         std::chrono::milliseconds interval{40};
-        /** Time between two messages without changes. */
-        std::chrono::milliseconds idleInterval{300};
-        /** Peers told at a time; with more of them each is told in turn, so that the cost does not grow with them. */
-        std::size_t fanOut = 48;
-        /** A peer that has not been heard for this time is told less often. */
-        std::chrono::milliseconds silence{3000};
+        std::size_t fanOut = 24;
     };
 
     struct Callbacks
@@ -79,39 +73,44 @@
 
     const PeerLoads &loads() const
     {
-        return loads_;
+        return gossip_.loads();
     }
 
     /** Time after which all peers have heard of a change. */
-    std::chrono::milliseconds tellingTime() const;
+    std::chrono::milliseconds tellingTime() const
+    {
+        return gossip_.tellingTime();
+    }
 
-    /** Entries heard of within the last minute and this one. */
-    std::uint32_t entryCount(TimePoint now) const;
+    /** Time without a word of a peer after which it is likely to be gone. */
+    std::chrono::milliseconds usualSilence() const;
 
-private:
-    struct Peer
+    /** Entries heard of within the last minute and this one. */
+    std::uint32_t entryCount(TimePoint now) const
     {
-        TimePoint addedAt;
-        TimePoint heardAt;
-    };
+        return gossip_.entryCount(now);
+    }
 
+private:
     void receive(std::string_view bytes, const std::string &sender);
+    void handleDrained();
     void tick();
-    std::vector<std::string> nextPeers(TimePoint now, bool alsoSilent);
+    /** Starts the timer for the next round if that is earlier than what it is set to. */
+    void schedule();
+    LoadMessage ownLoad(TimePoint now);
 
     EventLoop &loop_;
     Options options_;
     Callbacks callbacks_;
     DatagramSocket socket_;
-    PeerLoads loads_;
-    std::map<std::string, Peer> peers_;
+    LoadGossip gossip_;
     Timer timer_;
+    TimePoint wakeAt_ = TimePoint::max();
+    bool isRunning_ = false;
+    bool haveLoadsChanged_ = false;
     std::uint64_t sequence_ = 0;
-    /** Address after which the next round of messages goes on. */
-    std::string lastTold_;
-    bool hasChanged_ = true;
-    TimePoint lastSent_;
-    TimePoint lastSentToAll_;
+    /** The own load as it was told last. */
+    LoadMessage told_;
     TimePoint rateLimitsToldAt_;
 };
 
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -51,15 +51,19 @@
 constexpr double rateScale = 1000;
 constexpr double maxRate = 1e6;
 
+std::int64_t ageOf(TimePoint time, TimePoint now)
+{
+    return std::max<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count(), 0);
+}
+
 nlohmann::json encodeReports(const std::vector<RateLimitReport> &reports, TimePoint now)
 {
     auto numbers = nlohmann::json::array();
     for (const auto &report : reports) {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - report.shownAt).count();
         const auto rate = std::min(report.perSecond.value_or(0), maxRate) * rateScale;
         numbers.push_back(report.server);
         numbers.push_back(report.perSecond ? 1 + static_cast<std::uint64_t>(std::llround(rate)) : 0);
-        numbers.push_back(std::max<std::int64_t>(age, 0));
+        numbers.push_back(ageOf(report.shownAt, now));
         numbers.push_back(report.sent);
     }
     return numbers;
@@ -92,43 +96,23 @@
     return version != document.end() && *version == protocolVersion;
 }
 
-} // namespace
-
-ServerHash hashOfServer(const ServerId &server)
-{
-    return static_cast<ServerHash>(hash64(server.name()));
-}
-
-ServiceHash hashOfService(const ServiceId &service)
-{
-    return static_cast<ServiceHash>(hash64(service.name()));
-}
-
-std::string encodeLoadMessage(const LoadMessage &message, TimePoint now)
+nlohmann::json encodeLoad(const LoadMessage &message, TimePoint now)
 {
-    nlohmann::json document = {{"v", protocolVersion},           {"n", message.sender},
-                               {"s", message.sequence},          {"i", message.incarnation.value()},
-                               {"m", message.isMapHolder},       {"t", message.tableVersions},
-                               {"l", flatten(message.inFlight)}, {"b", flatten(message.bounds)},
-                               {"q", message.crashDigest}};
+    nlohmann::json document = {{"v", protocolVersion},        {"n", message.sender},
+                               {"s", message.sequence},       {"i", message.incarnation.value()},
+                               {"m", message.isMapHolder},    {"l", flatten(message.inFlight)},
+                               {"b", flatten(message.bounds)}};
     if (!message.rateLimits.empty()) {
         document["r"] = encodeReports(message.rateLimits, now);
     }
     if (!message.demands.empty()) {
         document["d"] = flatten(message.demands);
     }
-    std::string bytes;
-    nlohmann::json::to_cbor(document, bytes);
-    return bytes;
+    return document;
 }
 
-std::optional<LoadMessage> decodeLoadMessage(std::string_view bytes, TimePoint now)
+std::optional<LoadMessage> decodeLoad(const nlohmann::json &document, TimePoint now)
 {
-    // The library throws for sizes that do not fit its containers, also when asked not to.
-    if (detail::checkCborBounds(bytes) != DecodeFailure::None) {
-        return std::nullopt;
-    }
-    const auto document = nlohmann::json::from_cbor(bytes, true, false);
     if (!document.is_object() || !hasVersion(document)) {
         return std::nullopt;
     }
@@ -151,11 +135,6 @@
                         .tableVersions = {},
                         .inFlight = std::move(*inFlight),
                         .bounds = {}};
-    if (const auto versions = document.find("t"); versions != document.end() && versions->is_array()) {
-        for (const auto &version : *versions) {
-            message.tableVersions.push_back(version.is_number_unsigned() ? version.get<std::uint64_t>() : 0);
-        }
-    }
     if (const auto bounds = document.find("b"); bounds != document.end()) {
         message.bounds = pairsFrom(*bounds).value_or(NumberPairs());
     }
@@ -165,38 +144,117 @@
     if (const auto demands = document.find("d"); demands != document.end()) {
         message.demands = pairsFrom(*demands).value_or(NumberPairs());
     }
-    if (const auto digest = document.find("q"); digest != document.end() && digest->is_number_unsigned()) {
-        message.crashDigest = digest->get<std::uint64_t>();
-    }
     return message;
 }
 
-PeerLoads::PeerLoads()
-    : PeerLoads(Options())
+std::optional<RelayedLoad> decodeRelayed(const nlohmann::json &document, TimePoint now)
 {
+    auto load = decodeLoad(document, now);
+    if (!load) {
+        return std::nullopt;
+    }
+    const auto age = document.find("a");
+    const auto address = document.find("p");
+    if (age == document.end() || !age->is_number_unsigned() || address == document.end() || !address->is_string()) {
+        return std::nullopt;
+    }
+    const std::chrono::milliseconds since(age->get<std::uint32_t>());
+    return RelayedLoad{.load = std::move(*load), .address = address->get<std::string>(), .heardAt = now - since};
 }
 
-PeerLoads::PeerLoads(Options options)
-    : options_(options)
+} // namespace
+
+ServerHash hashOfServer(const ServerId &server)
 {
+    return static_cast<ServerHash>(hash64(server.name()));
 }
 
-bool PeerLoads::take(const LoadMessage &message, TimePoint now)
+ServiceHash hashOfService(const ServiceId &service)
+{
+    return static_cast<ServiceHash>(hash64(service.name()));
+}
+
+std::string encodeLoadMessage(const LoadMessage &message, TimePoint now)
+{
+    auto document = encodeLoad(message, now);
+    document["t"] = message.tableVersions;
+    document["q"] = message.crashDigest;
+    for (const auto &relayed : message.relayed) {
+        auto load = encodeLoad(relayed.load, now);
+        load["a"] = ageOf(relayed.heardAt, now);
+        load["p"] = relayed.address;
+        document["o"].push_back(std::move(load));
+    }
+    std::string bytes;
+    nlohmann::json::to_cbor(document, bytes);
+    return bytes;
+}
+
+std::optional<LoadMessage> decodeLoadMessage(std::string_view bytes, TimePoint now)
+{
+    // The library throws for sizes that do not fit its containers, also when asked not to.
+    if (detail::checkCborBounds(bytes) != DecodeFailure::None) {
+        return std::nullopt;
+    }
+    const auto document = nlohmann::json::from_cbor(bytes, true, false);
+    auto message = decodeLoad(document, now);
+    if (!message) {
+        return std::nullopt;
+    }
+    if (const auto versions = document.find("t"); versions != document.end() && versions->is_array()) {
+        for (const auto &version : *versions) {
+            message->tableVersions.push_back(version.is_number_unsigned() ? version.get<std::uint64_t>() : 0);
+        }
+    }
+    if (const auto digest = document.find("q"); digest != document.end() && digest->is_number_unsigned()) {
+        message->crashDigest = digest->get<std::uint64_t>();
+    }
+    if (const auto others = document.find("o"); others != document.end() && others->is_array()) {
+        for (const auto &other : *others) {
+            if (auto relayed = decodeRelayed(other, now)) {
+                message->relayed.push_back(std::move(*relayed));
+            }
+        }
+    }
+    return message;
+}
+
+PeerLoads::News PeerLoads::take(const LoadMessage &message, const Origin &origin)
 {
-    auto &peer = peers_[message.sender];
-    if (peer.last.incarnation == message.incarnation && peer.last.sequence >= message.sequence) {
-        return false;
+    const auto found = peers_.find(message.sender);
+    const bool isKnown = found != peers_.end();
+    if (isKnown) {
+        const auto &known = found->second;
+        const bool isSameStart = known.last.incarnation == message.incarnation;
+        // What was passed on of an entry's last start can come after the first words of the new one.
+        const bool isOlder =
+            isSameStart ? known.last.sequence >= message.sequence : !origin.isDirect && known.heardAt >= origin.heardAt;
+        if (isOlder) {
+            return News::None;
+        }
     }
+    auto &peer = isKnown ? found->second : peers_[message.sender];
+    const bool isChanged = !isKnown || peer.last.inFlight != message.inFlight || peer.last.bounds != message.bounds
+        || peer.last.demands != message.demands || !message.rateLimits.empty()
+        || peer.last.isMapHolder != message.isMapHolder || message.isMapHolder;
     subtract(peer.last);
     peer.last = message;
-    peer.heardAt = now;
+    peer.last.relayed.clear();
+    peer.address = origin.address;
+    peer.heardAt = origin.heardAt;
     if (message.isMapHolder) {
-        mapHolderHeardAt_ = now;
+        mapHolderHeardAt_ = std::max(mapHolderHeardAt_, origin.heardAt);
     }
     for (const auto &[server, count] : message.inFlight) {
         sums_[server] += count;
     }
-    return true;
+    return isChanged ? News::Changed : News::Refreshed;
+}
+
+const PeerLoads::Peer *PeerLoads::find(const std::string &sender) const
+{
+    const auto found = peers_.find(sender);
+    return found == peers_.end() ? nullptr : &found->second;
 }
 
 void PeerLoads::subtract(const LoadMessage &message)
@@ -213,11 +271,11 @@
     }
 }
 
-bool PeerLoads::expire(TimePoint now)
+bool PeerLoads::expire(TimePoint now, std::chrono::milliseconds silence)
 {
     bool hasChanged = false;
     for (auto it = peers_.begin(); it != peers_.end();) {
-        if (now - it->second.heardAt < options_.silence) {
+        if (now - it->second.heardAt < silence) {
             ++it;
             continue;
         }
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -27,6 +27,8 @@
 constexpr double boundScale = 1000;
 constexpr double demandScale = 1000;
 
+struct RelayedLoad;
+
 /** What one entry tells the others about its requests at the servers. */
 struct LoadMessage
 {
@@ -49,6 +51,18 @@
     std::vector<RateLimitReport> rateLimits;
     /** Requests that the sender has to send at once to a service some of whose servers have limits, in thousandths. */
     std::vector<std::pair<ServiceHash, std::uint32_t>> demands;
+    /** Loads of other entries that the sender passes on. */
+    std::vector<RelayedLoad> relayed;
+};
+
+/** The load of an entry as another one has heard it; tells no table versions, crashes or further loads. */
+struct RelayedLoad
+{
+    LoadMessage load;
+    /** "<ip>:<port>" of the entry. */
+    std::string address;
+    /** When the entry told it, on the clock of the process that holds the message; passes as an age. */
+    TimePoint heardAt;
 };
 
 /** CBOR form of the message; decode() is empty for bytes that are no such message. */
@@ -59,20 +73,38 @@
 class PeerLoads final
 {
 public:
-    struct Options
+    /** How a load has come. */
+    struct Origin
     {
-        /** Load of a peer that has told nothing for this time is forgotten. */
-        std::chrono::milliseconds silence{1500};
+        /** "<ip>:<port>" of the entry whose load it is. */
+        std::string address;
+        /** When that entry told it. */
+        TimePoint heardAt;
+        /** Not passed on by another entry. */
+        bool isDirect = true;
     };
 
-    PeerLoads();
-    explicit PeerLoads(Options options);
+    enum class News {
+        None, ///< Known, or older than what is known.
+        Refreshed, ///< The entry lives, and its load is as it was.
+        Changed,
+    };
 
-    /** Takes a message; false if a newer one of the same peer is known. */
-    bool take(const LoadMessage &message, TimePoint now);
+    /** The last that was told of an entry. */
+    struct Peer
+    {
+        LoadMessage last;
+        std::string address;
+        TimePoint heardAt;
+    };
+
+    News take(const LoadMessage &message, const Origin &origin);
+
+    /** Forgets peers that have told nothing for that time; true if sums have changed. */
+    bool expire(TimePoint now, std::chrono::milliseconds silence);
 
-    /** Forgets silent peers; true if sums have changed. */
-    bool expire(TimePoint now);
+    /** Null if the entry is not heard. */
+    const Peer *find(const std::string &sender) const;
 
     std::uint32_t sumFor(ServerHash server) const;
 
@@ -95,15 +127,8 @@
     }
 
 private:
-    struct Peer
-    {
-        LoadMessage last;
-        TimePoint heardAt;
-    };
-
     void subtract(const LoadMessage &message);
 
-    Options options_;
     std::map<std::string, Peer> peers_;
     std::unordered_map<ServerHash, std::uint32_t> sums_;
     TimePoint mapHolderHeardAt_;
--- a/tests/gateway/PeerExchangeTest.cpp
+++ b/tests/gateway/PeerExchangeTest.cpp
@@ -33,17 +33,20 @@
     int messages = 0;
     std::vector<std::unique_ptr<DatagramSocket>> sockets;
     for (int peer = 0; peer < peers; ++peer) {
-        sockets.push_back(
-            std::make_unique<DatagramSocket>(loop, [&, peer](std::string_view bytes, const std::string &) {
+        sockets.push_back(std::make_unique<DatagramSocket>(
+            loop, DatagramSocket::Callbacks{.received = [&, peer](std::string_view bytes, const std::string &) {
                 const auto message = decodeLoadMessage(bytes, loop.now());
                 ASSERT_TRUE(message);
                 sequences.insert(message->sequence);
                 told.insert(peer);
                 ++messages;
-            }));
+            }}));
         ASSERT_TRUE(sockets.back()->bind("127.0.0.1:0"));
         exchange.addPeer("127.0.0.1:" + std::to_string(sockets.back()->port()));
     }
+    // Peers that do not pass on what they hear are told in turn while the load changes.
+    Timer changes(loop, [&] { exchange.markChanged(); });
+    changes.startRepeating(milliseconds(20));
     Timer end(loop, [&] { loop.stop(); });
     end.startOnce(milliseconds(1500));
     loop.run();
--- a/tests/gateway/PeerLoadsTest.cpp
+++ b/tests/gateway/PeerLoadsTest.cpp
@@ -29,6 +29,8 @@
                        {.server = 10, .perSecond = 0, .shownAt = start, .sent = 0},
                        {.server = 11, .perSecond = std::nullopt, .shownAt = start, .sent = 1}};
     sent.demands = {{ServiceHash(8), 1500}};
+    sent.relayed = {{.load = message("other", 7, 2, 98), .address = "10.0.0.1:7", .heardAt = start - milliseconds(70)}};
+    sent.relayed[0].load.isMapHolder = true;
     // The clocks of two hosts differ; what passes is the age.
     const auto offset = std::chrono::hours(5);
     const auto later = start + offset;
@@ -42,6 +44,13 @@
     EXPECT_EQ(received->inFlight, sent.inFlight);
     EXPECT_EQ(received->bounds, sent.bounds);
     EXPECT_EQ(received->demands, sent.demands);
+    ASSERT_EQ(received->relayed.size(), 1U);
+    EXPECT_EQ(received->relayed[0].load.sender, "other");
+    EXPECT_EQ(received->relayed[0].load.sequence, 7U);
+    EXPECT_EQ(received->relayed[0].load.inFlight, sent.relayed[0].load.inFlight);
+    EXPECT_TRUE(received->relayed[0].load.isMapHolder);
+    EXPECT_EQ(received->relayed[0].address, "10.0.0.1:7");
+    EXPECT_EQ(received->relayed[0].heardAt, later - milliseconds(70));
     ASSERT_EQ(received->rateLimits.size(), sent.rateLimits.size());
     for (std::size_t i = 0; i < sent.rateLimits.size(); ++i) {
         sent.rateLimits[i].shownAt += offset;
@@ -58,6 +67,7 @@
     auto full = message("entry", 3, 5);
     full.rateLimits = {{.server = 9, .perSecond = 2.5, .shownAt = start, .sent = 7}};
     full.demands = {{ServiceHash(8), 1500}};
+    full.relayed = {{.load = message("other", 7, 2, 98), .address = "10.0.0.1:7", .heardAt = start}};
     const auto good = encodeLoadMessage(full, start);
     EXPECT_FALSE(decodeLoadMessage("", start));
     EXPECT_FALSE(decodeLoadMessage("hello", start));
@@ -78,7 +88,7 @@
     for (const auto &[name, bound] : std::map<std::string, std::uint32_t>{{"a", 350}, {"b", 800}, {"c", 820}}) {
         auto told = message(name, 1, 5);
         told.bounds = {{ServiceHash(8), bound}};
-        loads.take(told, start);
+        loads.take(told, {.heardAt = start});
     }
     EXPECT_DOUBLE_EQ(*loads.boundFor(8), 0.8);
     EXPECT_EQ(loads.boundFor(9), std::nullopt);
@@ -88,22 +98,35 @@
 TEST(PeerLoadsTest, IgnoresOldMessages)
 {
     PeerLoads loads;
-    EXPECT_TRUE(loads.take(message("a", 2, 5), start));
-    EXPECT_FALSE(loads.take(message("a", 1, 9), start));
+    EXPECT_EQ(loads.take(message("a", 2, 5), {.heardAt = start}), PeerLoads::News::Changed);
+    EXPECT_EQ(loads.take(message("a", 1, 9), {.heardAt = start}), PeerLoads::News::None);
     EXPECT_EQ(loads.sumFor(ServerHash(7)), 5U);
     // A restarted peer counts from the beginning.
-    EXPECT_TRUE(loads.take(message("a", 1, 1, 2), start));
+    EXPECT_EQ(loads.take(message("a", 1, 1, 2), {.heardAt = start}), PeerLoads::News::Changed);
     EXPECT_EQ(loads.sumFor(ServerHash(7)), 1U);
 }
 
+// Guards against words of an entry's last start that are passed on and come after those of the new one.
+TEST(PeerLoadsTest, IgnoresWhatIsPassedOnOfAnEarlierStart)
+{
+    PeerLoads loads;
+    loads.take(message("a", 1, 1, 2), {.heardAt = start});
+    const PeerLoads::Origin before{.heardAt = start - milliseconds(300), .isDirect = false};
+    EXPECT_EQ(loads.take(message("a", 900, 9, 1), before), PeerLoads::News::None);
+    EXPECT_EQ(loads.sumFor(ServerHash(7)), 1U);
+    const PeerLoads::Origin after{.heardAt = start + milliseconds(300), .isDirect = false};
+    EXPECT_EQ(loads.take(message("a", 1, 4, 3), after), PeerLoads::News::Changed);
+    EXPECT_EQ(loads.sumFor(ServerHash(7)), 4U);
+}
+
 // Guards against the load of a peer that has gone, which would keep its servers empty.
 TEST(PeerLoadsTest, ForgetsSilentPeers)
 {
     PeerLoads loads;
-    loads.take(message("a", 1, 5), start);
-    loads.take(message("b", 1, 2), start + milliseconds(1400));
+    loads.take(message("a", 1, 5), {.heardAt = start});
+    loads.take(message("b", 1, 2), {.heardAt = start + milliseconds(1400)});
     EXPECT_EQ(loads.sumFor(ServerHash(7)), 7U);
-    EXPECT_TRUE(loads.expire(start + milliseconds(1600)));
+    EXPECT_TRUE(loads.expire(start + milliseconds(1600), milliseconds(1500)));
     EXPECT_EQ(loads.sumFor(ServerHash(7)), 2U);
     EXPECT_EQ(loads.activePeers(), 1U);
 }
