Pass loads on sooner, and among more than 48 entries only

Change: up to 48 peers are told directly again, from 17 on less often while nothing changes, with a longer silence to match; the holder of the maps is awaited and speaks each 250 ms. Beyond, rounds come each 50 ms and own words each 100 ms while loads change.

--- a/modules/hornbeamlane_gateway/peers/LoadGossip.cpp
+++ b/modules/hornbeamlane_gateway/peers/LoadGossip.cpp
@@ -44,7 +44,7 @@
     if (own != PeerLoads::News::None) {
         accepted.push_back(&message);
     }
-    const auto silence = isRelaying() ? options_.relaySilence : options_.silence;
+    const auto silence = longestSilence();
     for (const auto &relayed : message.relayed) {
         if (relayed.load.sender == options_.name || now - relayed.heardAt >= silence) {
             continue;
@@ -80,23 +80,36 @@
 TimePoint LoadGossip::nextRoundAt() const
 {
     if (!isRelaying()) {
-        return lastRound_ + (hasChanged_ ? options_.interval : options_.idleInterval);
+        return lastRound_ + (hasChanged_ ? options_.interval : longestInterval());
     }
-    const auto ownAt = hasChanged_ ? ownToldAt_ + options_.ownInterval : ownToldAt_ + options_.ownIdleInterval;
+    const auto ownAt = ownToldAt_ + (hasChanged_ ? options_.ownInterval : longestInterval());
     auto next = std::max(ownAt, lastRound_ + options_.relayInterval);
     if (!news_.empty()) {
-        next = std::min(next, lastRound_ + (hasUrgentNews_ ? options_.relayInterval : options_.idleInterval));
+        next = std::min(next, lastRound_ + (hasUrgentNews_ ? options_.relayInterval : options_.relayIdleInterval));
     }
     return next;
 }
 
+std::chrono::milliseconds LoadGossip::longestSilence() const
+{
+    const auto whileFew = peers_.size() > options_.fewPeers ? options_.crowdSilence : options_.silence;
+    return isRelaying() ? options_.relaySilence : whileFew;
+}
+
+std::chrono::milliseconds LoadGossip::longestInterval() const
+{
+    const auto whileFew = peers_.size() > options_.fewPeers ? options_.crowdIdleInterval : options_.idleInterval;
+    const auto interval = isRelaying() ? options_.ownIdleInterval : whileFew;
+    return isAwaited_ ? std::min(interval, options_.awaitedInterval) : interval;
+}
+
 std::optional<LoadGossip::Round> LoadGossip::poll(TimePoint now)
 {
     if (now < nextRoundAt()) {
         return std::nullopt;
     }
     Round round{.targets = nextPeers(now)};
-    const auto ownInterval = hasChanged_ ? options_.ownInterval : options_.ownIdleInterval;
+    const auto ownInterval = hasChanged_ ? options_.ownInterval : longestInterval();
     round.isOwnDue = !isRelaying() || now - ownToldAt_ >= ownInterval;
     if (round.isOwnDue) {
         ownToldAt_ = now;
@@ -180,7 +193,7 @@
 
 bool LoadGossip::expire(TimePoint now)
 {
-    return loads_.expire(now, isRelaying() ? options_.relaySilence : options_.silence);
+    return loads_.expire(now, longestSilence());
 }
 
 std::chrono::milliseconds LoadGossip::tellingTime() const
--- a/modules/hornbeamlane_gateway/peers/LoadGossip.h
+++ b/modules/hornbeamlane_gateway/peers/LoadGossip.h
@@ -30,17 +30,24 @@
         std::chrono::milliseconds interval{40};
         /** Time between two messages without changes. */
         std::chrono::milliseconds idleInterval{300};
+        /** The same for an entry on whose words the others wait. */
+        std::chrono::milliseconds awaitedInterval{250};
+        /** With more peers than this, words without changes come seldom, and silence is borne for longer. */
+        std::size_t fewPeers = 16;
+        std::chrono::milliseconds crowdIdleInterval{700};
         /** Peers that are told directly; with more of them, what is heard is passed on. */
-        std::size_t fanOut = 24;
+        std::size_t fanOut = 48;
         /** The same while entries pass on: time between two rounds, and between two words of this entry's own. */
-        std::chrono::milliseconds relayInterval{100};
-        std::chrono::milliseconds ownInterval{200};
+        std::chrono::milliseconds relayInterval{50};
+        std::chrono::milliseconds relayIdleInterval{300};
+        std::chrono::milliseconds ownInterval{100};
         std::chrono::milliseconds ownIdleInterval{1500};
         /** Peers told in a round, and loads of others that one message carries. */
         std::size_t relayFanOut = 4;
         std::size_t relayedAtOnce = 200;
         /** Load of a peer that has told nothing for this time is forgotten. */
         std::chrono::milliseconds silence{1500};
+        std::chrono::milliseconds crowdSilence{2200};
         std::chrono::milliseconds relaySilence{4500};
         /** A peer that has not been heard for this time is told less often. */
         std::chrono::milliseconds lostAfter{3000};
@@ -64,6 +71,12 @@
     /** The own load has changed. */
     void markChanged();
 
+    /** Whether the others wait for words of this entry, as for those of the holder of the maps. */
+    void setAwaited(bool isAwaited)
+    {
+        isAwaited_ = isAwaited;
+    }
+
     /** Takes a message; gives the loads in it that are news. */
     std::vector<const LoadMessage *> onMessage(const LoadMessage &message, const std::string &address, TimePoint now);
 
@@ -103,6 +116,10 @@
     };
 
     bool isHeard(const Peer &peer, TimePoint now) const;
+    /** Time after which the load of a silent peer is forgotten. */
+    std::chrono::milliseconds longestSilence() const;
+    /** Longest time between two words of this entry while nothing changes. */
+    std::chrono::milliseconds longestInterval() const;
     void noteHeard(const std::string &address, TimePoint heardAt);
     void noteNews(const std::string &sender, PeerLoads::News news);
     std::vector<std::string> nextPeers(TimePoint now);
@@ -120,6 +137,7 @@
     std::set<std::string> news_;
     bool hasUrgentNews_ = false;
     bool hasChanged_ = true;
+    bool isAwaited_ = false;
     TimePoint lastRound_;
     TimePoint ownToldAt_;
     TimePoint silentToldAt_;
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -11,9 +11,10 @@
 
 using std::chrono::milliseconds;
 
-/** Time for which messages are collected before they are read together, with few entries and with many. */
+/** Time for which messages are collected before they are read together; longer while there is no load here that they
+    could change. */
 constexpr milliseconds quietTime{15};
-constexpr milliseconds relayQuietTime{80};
+constexpr milliseconds idleQuietTime{60};
 
 /** Time between two tellings of all limits that servers have named. */
 constexpr milliseconds allLimitsInterval{300};
@@ -62,10 +63,14 @@
 void PeerExchange::addPeer(const std::string &address)
 {
     gossip_.addPeer(address, loop_.now());
-    socket_.setQuietTime(gossip_.isRelaying() ? relayQuietTime : quietTime);
     schedule();
 }
 
+void PeerExchange::updateQuietTime()
+{
+    socket_.setQuietTime(told_.inFlight.empty() ? idleQuietTime : quietTime);
+}
+
 void PeerExchange::markChanged()
 {
     gossip_.markChanged();
@@ -96,6 +101,12 @@
     }
 }
 
+milliseconds PeerExchange::usualDelay() const
+{
+    // Mostly half of each time that the slowest word takes.
+    return gossip_.tellingTime() / 2 + quietTime;
+}
+
 milliseconds PeerExchange::usualSilence() const
 {
     return gossip_.isRelaying() ? relaySilence : silence;
@@ -123,7 +134,7 @@
 
 void PeerExchange::handleDrained()
 {
-    socket_.setQuietTime(gossip_.isRelaying() ? relayQuietTime : quietTime);
+    updateQuietTime();
     if (std::exchange(haveLoadsChanged_, false)) {
         callbacks_.changed();
     }
@@ -151,10 +162,8 @@
     if (gossip_.expire(now)) {
         callbacks_.changed();
     }
-    if (callbacks_.isMapHolder()) {
-        // The others read the lease if they do not hear of its holder.
-        gossip_.markChanged();
-    }
+    // The others read the lease if they do not hear of its holder.
+    gossip_.setAwaited(callbacks_.isMapHolder());
     if (auto round = gossip_.poll(now)) {
         if (round->isOwnDue) {
             told_ = ownLoad(now);
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -20,7 +20,7 @@
         std::string address;
         /** See LoadGossip. */
         std::chrono::milliseconds interval{40};
-        std::size_t fanOut = 24;
+        std::size_t fanOut = 48;
     };
 
     struct Callbacks
@@ -82,6 +82,9 @@
         return gossip_.tellingTime();
     }
 
+    /** Time after which a peer mostly has heard of a change. */
+    std::chrono::milliseconds usualDelay() const;
+
     /** Time without a word of a peer after which it is likely to be gone. */
     std::chrono::milliseconds usualSilence() const;
 
@@ -95,6 +98,7 @@
     void receive(std::string_view bytes, const std::string &sender);
     void handleDrained();
     void tick();
+    void updateQuietTime();
     /** Starts the timer for the next round if that is earlier than what it is set to. */
     void schedule();
     LoadMessage ownLoad(TimePoint now);
