Draw a server among as many of the best as requests are sent unseen

Servers with 10 slots had between 1 and 24 requests; 15 requests of 15 entries reached the same server within 250 ms. Cause: each entry took the server with the least load, and all of them saw the same one until they had heard of each other's requests. Evidence: CrowdOfEntriesTest.DoesNotPileUpAtTheServerThatLooksBest: over a tenth of the requests came to a server with all slots taken while others had free ones; under one in fifty now. Change: the number of requests that all entries send before they have heard of them (own rate, entries, usual delay of a word) is the number of servers, in order of load, among which two are drawn; the better one is taken. Where little is unseen it is the best one as before. Compared: the best of two drawn among all (uneven where views are fresh), uniform draws (Poisson: one in twenty waits at this load).

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -193,11 +193,6 @@
 
 std::optional<ServerId> BackendBook::choose(const Request &request, TimePoint now, RandomSource &random)
 {
-    struct Candidate
-    {
-        const Backend *backend = nullptr;
-        double score = 0;
-    };
     std::vector<Candidate> candidates;
     std::vector<Candidate> avoided;
     /** Ranks of broken groups whose entries say so. */
@@ -266,12 +261,26 @@
         }
         return std::nullopt;
     }
-    const auto best =
-        std::min_element(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-            return a.score < b.score;
-        })->score;
-    std::erase_if(candidates, [best](const Candidate &one) { return one.score > best + scoreTolerance; });
-    return candidates[random.below(candidates.size())].backend->spec.id;
+    return pick(std::move(candidates), request.service, random).spec.id;
+}
+
+// Entries choose by what they have heard of each other. If all took the server that looks best, those sent until they
+// hear of it would pile up there. So each draws among as many of the best as requests are sent in that time.
+const Backend &BackendBook::pick(std::vector<Candidate> candidates, const ServiceId &service,
+                                 RandomSource &random) const
+{
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate &a, const Candidate &b) { return a.score < b.score; });
+    const auto unseen = static_cast<std::size_t>(std::max(0.0, std::round(options_.unseenRequests(service))));
+    const auto best = candidates.front().score;
+    std::size_t eligible = std::clamp<std::size_t>(unseen, 1, candidates.size());
+    while (eligible < candidates.size() && candidates[eligible].score <= best + scoreTolerance) {
+        ++eligible;
+    }
+    const auto one = random.below(eligible);
+    const auto other = random.below(eligible);
+    // In the order of their scores, the earlier one has less to do.
+    return *candidates[unseen > 1 ? std::min(one, other) : one].backend;
 }
 
 bool BackendBook::isExcluded(const Request &request, const ServerId &server) const
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -99,6 +99,8 @@
         std::chrono::milliseconds coldTurnTime{150};
         /** Entries that share the bounds of a cold server; see setEntryCount(). */
         std::uint32_t entryCount = 16;
+        /** Requests that all entries are likely to send to a service before they have heard of each other's. */
+        std::function<double(const ServiceId &)> unseenRequests = [](const auto &) { return 0.0; };
         /** Whether a server has named a limit on requests a second that leaves nothing for this entry now. */
         std::function<bool(const Backend &)> isRateLimited = [](const Backend &) { return false; };
     };
@@ -139,7 +141,7 @@
     void setEvacuated(std::set<DataCentreId> dataCentres);
     void setEntryCount(std::uint32_t count);
 
-    /** Picks the server with the least load among those that may take the request; empty: see lastFailure(). */
+    /** Picks a server with little load among those that may take the request; empty: see lastFailure(). */
     std::optional<ServerId> choose(const Request &request, TimePoint now, RandomSource &random);
 
     NoChoice lastFailure() const
@@ -241,6 +243,12 @@
     bool isColdFull(Backend &backend, TimePoint now, RandomSource &random) const;
     double failureShare(const Backend &backend, TimePoint now) const;
     double score(const Backend &backend, const Request &request, TimePoint now) const;
+    struct Candidate
+    {
+        const Backend *backend = nullptr;
+        double score = 0;
+    };
+    const Backend &pick(std::vector<Candidate> candidates, const ServiceId &service, RandomSource &random) const;
     void countFailure(Backend &backend, bool isUnreachable, TimePoint now);
 
     Options options_;
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -38,6 +38,7 @@
     , random_(random)
     , settings_(std::move(settings))
     , backends_({.entryCount = assumedEntries,
+                 .unseenRequests = [this](const ServiceId &service) { return unseenRequests(service); },
                  .isRateLimited = [this](const Backend &backend) { return rateLimits_.isLimited(backend); }})
     , pool_(loop, {})
     , peers_(loop, {.name = settings_.name, .incarnation = random.incarnation(), .address = settings_.peerAddress},
@@ -227,6 +228,13 @@
     loop_.post([this] { queues_.serveAll(); });
 }
 
+double Gateway::unseenRequests(const ServiceId &service)
+{
+    const auto now = loop_.now();
+    const auto perSecond = queues_.of(service).starts.perSecond(now) * peers_.entryCount(now);
+    return perSecond * std::chrono::duration<double>(peers_.usualDelay()).count();
+}
+
 std::optional<ServerId> Gateway::serverOf(ServerStartHash start) const
 {
     for (const auto &[id, backend] : backends_.all()) {
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -79,6 +79,8 @@
     bool isShortened(const RouteSpec &route, std::chrono::milliseconds timeLeft);
     /** A group runs that is broken by the entries of its ranks, of which this is one. */
     void groupHasFormed(const ServerId &rank);
+    /** Requests that all entries are likely to send to the service before this one hears of them. */
+    double unseenRequests(const ServiceId &service);
     std::optional<ServerId> serverOf(ServerStartHash start) const;
     void sweep();
     void setEntryCount(std::uint32_t count);
