Bound what replies of control interfaces hold together

What would be seen: a process that runs out of memory while many faulty servers answer its reports or counts without end; it reads those of a whole group at once, 192 of them on the largest deployment. Cause: each reply was bounded by 8 MB, their sum by nothing. The class of fault: a bound for each that forgets how many there are. Evidence: Http1CallerTest.GivesUpTheLongestOfManyRepliesWithoutEnd with the new bound out of reach: 146,800,640 bytes held, 32 MB allowed. Change: while replies hold more than 24 MB together, the longest is given up; sound ones beside them are short and go on. Elsewhere: answers to callers had a bound on their sum already (EndlessAnswerTest). Result: the test passes; GivesUpAReplyWithoutEnd holds before and after.

--- a/modules/hornbeamlane_network/http1/Http1Caller.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Caller.cpp
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_network/loop/Timer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hornbeamlane {
@@ -14,6 +15,9 @@
 /** Longest body of a reply; the control interfaces keep theirs well below. */
 constexpr std::size_t maxReplyBytes = 8 * 1024 * 1024;
 
+/** Bytes of all replies together that are not complete. */
+constexpr std::size_t maxHeldBytes = 24 * 1024 * 1024;
+
 } // namespace
 
 struct Http1Caller::Running
@@ -68,17 +72,28 @@
                  running->status = head.status;
                  return true;
              },
-         .data =
-             [this, running](std::string_view bytes) {
-                 if (running->reply.body.size() + bytes.size() > maxReplyBytes) {
-                     finish(running, Http1CallEnd::BadResponse);
-                     return;
-                 }
-                 running->reply.body.append(bytes);
-             },
+         .data = [this, running](std::string_view bytes) { append(running, bytes); },
          .end = [this, running](Http1CallEnd end) { finish(running, end); }});
 }
 
+void Http1Caller::append(Running *running, std::string_view bytes)
+{
+    if (running->reply.body.size() + bytes.size() > maxReplyBytes) {
+        finish(running, Http1CallEnd::BadResponse);
+        return;
+    }
+    running->reply.body.append(bytes);
+    heldBytes_ += bytes.size();
+    if (heldBytes_ <= maxHeldBytes) {
+        return;
+    }
+    // Sound replies are short, so the longest one is the least likely to be of use.
+    const auto longest = std::max_element(running_.begin(), running_.end(), [](const auto &a, const auto &b) {
+        return a.second->reply.body.size() < b.second->reply.body.size();
+    });
+    finish(longest->first, Http1CallEnd::BadResponse);
+}
+
 void Http1Caller::finish(Running *running, Http1CallEnd end)
 {
     const auto found = running_.find(running);
@@ -88,6 +103,7 @@
     // Its timer or its connection may be calling, so it is destroyed on the next turn.
     const std::shared_ptr<Running> ended = std::move(found->second);
     running_.erase(found);
+    heldBytes_ -= ended->reply.body.size();
     ended->timeout->stop();
     auto &idle = idle_[ended->address];
     if (ended->connection->isReusable() && idle.size() < maxIdleConnections) {
--- a/modules/hornbeamlane_network/http1/Http1Caller.h
+++ b/modules/hornbeamlane_network/http1/Http1Caller.h
@@ -43,13 +43,21 @@
     /** The handler runs once, later. */
     void call(const Call &call, Handler handler);
 
+    /** Bytes of replies that are not complete. */
+    std::size_t heldBytes() const
+    {
+        return heldBytes_;
+    }
+
 private:
     struct Running;
 
+    void append(Running *running, std::string_view bytes);
     std::unique_ptr<Http1ClientConnection> connectionTo(const Call &call);
     void finish(Running *running, Http1CallEnd end);
 
     EventLoop &loop_;
+    std::size_t heldBytes_ = 0;
     std::unordered_map<Running *, std::unique_ptr<Running>> running_;
     std::map<std::string, std::vector<std::unique_ptr<Http1ClientConnection>>> idle_;
 };
--- a/tests/gateway/Http1CallerTest.cpp
+++ b/tests/gateway/Http1CallerTest.cpp
@@ -4,6 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <memory>
+#include <vector>
+
 namespace hornbeamlane {
 namespace {
 
@@ -44,5 +48,44 @@
     EXPECT_LE(sent, mostBytesSent);
 }
 
+// Guards against memory that many faulty servers take together, each by a reply that is not too long by itself, as when
+// the reports of a whole group are read at once; sound servers beside them go on being heard.
+TEST(Http1CallerTest, GivesUpTheLongestOfManyRepliesWithoutEnd)
+{
+    constexpr std::size_t servers = 20;
+    constexpr std::size_t mostBytesHeld = 32 * 1024 * 1024;
+    constexpr std::size_t bytesOfEach = 7 * 1024 * 1024;
+    EventLoop loop;
+    Http1Caller caller(loop);
+    const std::string flood(bytesOfEach, 'x');
+    std::vector<std::unique_ptr<testing::ScriptedServer>> flooding;
+    std::size_t givenUp = 0;
+    for (std::size_t i = 0; i < servers; ++i) {
+        flooding.push_back(std::make_unique<testing::ScriptedServer>(
+            loop, [&](testing::ScriptedServer::Connection &connection, const std::string &, int) {
+                connection.send("HTTP/1.1 200 OK\r\n\r\n" + flood);
+            }));
+        caller.call({.address = flooding.back()->address(), .target = "/", .timeout = milliseconds(4000)},
+                    [&](const Http1Caller::Reply &reply) { givenUp += reply.status ? 0 : 1; });
+    }
+    testing::ScriptedServer sound(loop, [](testing::ScriptedServer::Connection &connection, const std::string &, int) {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    std::size_t mostHeld = 0;
+    int heard = 0;
+    Timer look(loop, [&] {
+        mostHeld = std::max(mostHeld, caller.heldBytes());
+        caller.call({.address = sound.address(), .target = "/"},
+                    [&](const Http1Caller::Reply &reply) { heard += reply.body == "ok" ? 1 : 0; });
+    });
+    look.startRepeating(milliseconds(20));
+    Timer end(loop, [&] { loop.stop(); });
+    end.startOnce(milliseconds(2000));
+    loop.run();
+    EXPECT_LE(mostHeld, mostBytesHeld);
+    EXPECT_GE(givenUp, servers / 2);
+    EXPECT_GE(heard, 10);
+}
+
 } // namespace
 } // namespace hornbeamlane
