Name the silences of peers apart from each other

Cause: the linter found a parameter with the name of a constant of a source that is compiled with it. Change: the constants say that they are for the holder of the maps.

--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -22,9 +22,9 @@
 /** Peers that hear of something urgent at once; they tell the others that they know more. */
 constexpr std::size_t urgentFanOut = 48;
 
-/** Several rounds may be lost before a peer counts as silent. */
-constexpr milliseconds silence{600};
-constexpr milliseconds relaySilence{1200};
+/** Several words of the holder of the maps may be lost before it counts as silent. */
+constexpr milliseconds holderSilence{600};
+constexpr milliseconds relayHolderSilence{1200};
 
 } // namespace
 
@@ -109,7 +109,7 @@
 
 milliseconds PeerExchange::usualSilence() const
 {
-    return gossip_.isRelaying() ? relaySilence : silence;
+    return gossip_.isRelaying() ? relayHolderSilence : holderSilence;
 }
 
 void PeerExchange::receive(std::string_view bytes, const std::string &sender)
