Give servers that look alike the same, and count the time of reading in the time of telling

What was seen: after a server had lifted its limit it got 7 requests in a second where another one got 26 (ServerLimitTest.KeepsALimitThatAServerNames, once in a run of all tests with sanitizers, then in two of eight runs side by side). Cause: of two servers drawn, the one earlier in the order by load was taken, also where loads are the same, so the place in a list decided. Read beside it: the time after which all have heard of a change left out the 15 ms for which messages are collected, and an entry without load, which collects for 60 ms, did so also while limits were told. Which of the two made the test fail was not separated. Change: the other one is taken only if it has less to do by more than a tie; the time counts the collecting; an entry that tells of limits collects for 15 ms. CrowdOfEntriesTest.GivesServersThatLookAlikeTheSame guards the draw.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -277,10 +277,10 @@
     while (eligible < candidates.size() && candidates[eligible].score <= best + scoreTolerance) {
         ++eligible;
     }
-    const auto one = random.below(eligible);
-    const auto other = random.below(eligible);
-    // In the order of their scores, the earlier one has less to do.
-    return *candidates[unseen > 1 ? std::min(one, other) : one].backend;
+    const auto &one = candidates[random.below(eligible)];
+    const auto &other = candidates[random.below(eligible)];
+    // The order of servers that look alike says nothing about them.
+    return *(other.score < one.score - scoreTolerance ? other : one).backend;
 }
 
 bool BackendBook::isExcluded(const Request &request, const ServerId &server) const
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -68,7 +68,8 @@
 
 void PeerExchange::updateQuietTime()
 {
-    socket_.setQuietTime(told_.inFlight.empty() ? idleQuietTime : quietTime);
+    const bool isIdle = told_.inFlight.empty() && told_.rateLimits.empty();
+    socket_.setQuietTime(isIdle ? idleQuietTime : quietTime);
 }
 
 void PeerExchange::markChanged()
@@ -101,6 +102,11 @@
     }
 }
 
+milliseconds PeerExchange::tellingTime() const
+{
+    return gossip_.tellingTime() + quietTime;
+}
+
 milliseconds PeerExchange::usualDelay() const
 {
     // Mostly half of each time that the slowest word takes.
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -77,10 +77,7 @@
     }
 
     /** Time after which all peers have heard of a change. */
-    std::chrono::milliseconds tellingTime() const
-    {
-        return gossip_.tellingTime();
-    }
+    std::chrono::milliseconds tellingTime() const;
 
     /** Time after which a peer mostly has heard of a change. */
     std::chrono::milliseconds usualDelay() const;
--- a/tests/dispatch/CrowdOfEntriesTest.cpp
+++ b/tests/dispatch/CrowdOfEntriesTest.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace hornbeamlane {
@@ -131,5 +133,25 @@
     EXPECT_LT(shareBehindOthers(crowd), 0.01);
 }
 
+// Guards against a draw that prefers servers by their place in a list: those that look alike get alike.
+TEST(CrowdOfEntriesTest, GivesServersThatLookAlikeTheSame)
+{
+    constexpr int servers = 3;
+    constexpr int requests = 3000;
+    RandomSource random(3);
+    const TimePoint now{std::chrono::hours(1)};
+    BackendBook book({.unseenRequests = [](const auto &) { return 5.0; }});
+    for (int server = 0; server < servers; ++server) {
+        book.update({.id = ServerId(std::to_string(server)), .service = ServiceId("pool"), .slots = slots}, now);
+    }
+    std::map<std::string, int> chosen;
+    for (int request = 0; request < requests; ++request) {
+        ++chosen[book.choose({.service = ServiceId("pool")}, now, random)->name()];
+    }
+    for (const auto &[name, count] : chosen) {
+        EXPECT_NEAR(count, requests / servers, requests / 20) << name;
+    }
+}
+
 } // namespace
 } // namespace hornbeamlane
