--- a/review/stand-ins/platform.hh
+++ b/review/stand-ins/platform.hh
@@ -308,6 +308,11 @@
         return ip_;
     }
 
+    pid_t pid() const
+    {
+        return pid_;
+    }
+
     int callerPort() const
     {
         return callerPort_;
