Review: the late hold also after planned stops

Change: review/1 takes TROUBLE=stop, a planned stop of one process after the other in place of the final fault.

--- a/review/1/late-hold.cc
+++ b/review/1/late-hold.cc
@@ -1,5 +1,6 @@
 // A hold that is carried out late, after all processes have been killed and started again, stops a group for good.
 //   TROUBLE=0     neither disruption      TROUBLE=late  only the late order      TROUBLE=kill  only the final fault
+//   TROUBLE=stop  the late order, and a planned stop of one process after the other in place of the final fault
 #include "../stand-ins/caller.hh"
 #include "../stand-ins/group.hh"
 
@@ -37,7 +38,8 @@
     const char *const text = std::getenv("TROUBLE");
     const std::string trouble = text == nullptr ? "both" : text;
     const bool isLate = trouble != "0" && trouble != "kill";
-    const bool isKill = trouble != "0" && trouble != "late";
+    const bool isStop = trouble == "stop";
+    const bool isKill = trouble != "0" && trouble != "late" && !isStop;
     const Place place;
     Store store;
     const int storePort = freePort(place.ip(1));
@@ -86,6 +88,17 @@
             entry->start();
         }
     }
+    for (auto *entry : runningEntries) {
+        if (isStop) {
+            entry->signal(SIGTERM);
+            record("platform: SIGTERM to %s", entry->name().c_str());
+            for (int tries = 0; tries < 400 && !entry->ended(); ++tries) {
+                sleepFor(0.02);
+            }
+            entry->start();
+            entry->awaitReady();
+        }
+    }
     for (auto *entry : runningEntries) {
         entry->awaitReady();
     }
