Release holds of controllers that are gone, at any rank and at any time

A copy of a hold was carried out after the release, when the pass had not begun, as the group had no work; its sender, the only one to know that the copy could come, had been killed.

Cause: a controller that takes over looked for holds once. It entered Idle although the ranks were armed for a pass that had not begun, took no notice of holds there, and had each new map refused by the armed ranks. Settling looked at the rank of its own hold only, and a hold at the rank of the next one was taken for a group that is faster than assumed.

Change: a group that stands still is asked for holds by whoever keeps its maps, in Idle and Settling, at all ranks, each second while an order of a predecessor can come and each 5 s later. A hold that is found starts the recovery that a new controller makes, which completes the switch and is safe beside a sender that still lives. Recovery waits for a pass for which the ranks are armed, takes the first of several held passes, ignores holds of passes that have begun, and knows that arms of the predecessor may be on their way. A refused map makes the controller look again. The fault matrix holds passes at the rank that the product uses, and its groups can be without work.

--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamlane_groups/enginemaps/HeldMapSwitch.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace hornbeamlane {
@@ -10,6 +11,9 @@
 /** A hold that a report still shows after this time is not one that has just been released. */
 constexpr std::chrono::milliseconds strayHoldAge{1500};
 
+/** Holds that are refused one after the other without a pause; more of them mean another hold at the same rank. */
+constexpr int quickHoldRetries = 3;
+
 } // namespace
 
 HeldMapSwitch::HeldMapSwitch(Options options)
@@ -172,6 +176,8 @@
             step_ = progress_.ahead(options_.leadPasses, now);
             holder_ = options_.holdRank;
             isHoldConfirmed_ = false;
+            areMoreHeld_ = false;
+            holdRefusals_ = 0;
             enter(Phase::Holding, now);
         } else if (now - phaseSince_ > options_.prepareTimeout) {
             // Nothing is armed or held, so a map that was prepared in part has no effect.
@@ -220,7 +226,6 @@
     ranks_.assign(options_.ranks, Rank{});
     phase_ = Phase::Recovering;
     holdSeenAt_.reset();
-    ++counters_.abandoned;
 }
 
 void HeldMapSwitch::onResult(const EngineOrder &order, EngineOrderResult result, TimePoint now)
@@ -239,8 +244,9 @@
             return;
         }
         if (!isAccepted) {
+            // The rank is armed, or has had a newer map: another controller has got further than this one knows.
             ++counters_.abandoned;
-            enter(Phase::Idle, now);
+            restartRecovery();
             return;
         }
         rank.order = RankState::Done;
@@ -255,10 +261,13 @@
             isHoldConfirmed_ = true;
             return;
         }
-        // The pass has begun: the group is faster than assumed. An earlier copy of this order is refused as well.
+        // The pass has begun: the group is faster than assumed. An earlier copy of this order is refused as well. Or
+        // the rank holds another pass, for an order that was carried out late; its report tells.
         progress_.noteBegun(step_, now);
         step_ = progress_.ahead(options_.leadPasses, now);
-        rank.order = RankState::Unknown;
+        rank.hasRefused = true;
+        rank.sentAt = now;
+        rank.order = ++holdRefusals_ > quickHoldRetries ? RankState::Sent : RankState::Unknown;
         return;
     case EngineOrderKind::Arm:
         if (phase_ != Phase::Arming || order.version != target_) {
@@ -281,6 +290,10 @@
             ++counters_.completed;
             active_ = target_;
         }
+        if (areMoreHeld_) {
+            restartRecovery();
+            return;
+        }
         enter(Phase::Settling, now);
         return;
     }
@@ -292,15 +305,19 @@
     if (now - reportsAskedAt_ < options_.reportInterval) {
         return wanted;
     }
-    if (phase_ == Phase::Settling) {
-        // A hold that is still there after the release shows in reports only.
-        if (now - phaseSince_ > strayHoldAge) {
+    if (phase_ == Phase::Settling || phase_ == Phase::Idle) {
+        // A hold that is there after the release, or that an earlier controller sent, shows in reports only.
+        const auto stillFor = now - progress_.newestAt();
+        const auto pause =
+            stillFor < options_.latestExecution ? options_.holdLookInterval : options_.idleHoldLookInterval;
+        const bool isWanted = phase_ == Phase::Settling ? now - phaseSince_ > strayHoldAge : isStandingStill(now);
+        if (isOpen_ && isWanted && now - reportsAskedAt_ >= pause) {
             reportsAskedAt_ = now;
-            wanted.push_back(holder_);
+            wanted = allRanks();
         }
         return wanted;
     }
-    if (phase_ == Phase::Arming) {
+    if (phase_ == Phase::Arming || phase_ == Phase::Holding) {
         // A refused arm means that the pass has begun or that the rank is not prepared; its report tells which.
         for (RankIndex index = 0; index < ranks_.size(); ++index) {
             if (ranks_[index].hasRefused) {
@@ -380,10 +397,46 @@
         enter(Phase::Idle, now);
     } else if (phase_ == Phase::Arming || phase_ == Phase::Unwinding) {
         // Another controller has completed the switch: orders of this one could only disturb the next.
+        ++counters_.abandoned;
         restartRecovery();
     }
 }
 
+bool HeldMapSwitch::isStandingStill(TimePoint now) const
+{
+    return now - progress_.newestAt() >= options_.standstill;
+}
+
+bool HeldMapSwitch::showsUnknownHold(const EngineRankReport &report, TimePoint now) const
+{
+    if (!report.heldStep || *report.heldStep <= report.step) {
+        return false;
+    }
+    switch (phase_) {
+    case Phase::Idle:
+        // A pass that has begun is held no longer: the report is older than that.
+        return *report.heldStep > progress_.newest() && isStandingStill(now);
+    case Phase::Settling:
+        return *report.heldStep > progress_.newest() && now - phaseSince_ > strayHoldAge;
+    case Phase::Holding:
+        return report.rank == holder_ && ranks_[holder_].hasRefused && *report.heldStep != step_;
+    case Phase::Recovering:
+    case Phase::Preparing:
+    case Phase::Arming:
+    case Phase::Releasing:
+    case Phase::Unwinding:
+        return false;
+    }
+    return false;
+}
+
+std::vector<RankIndex> HeldMapSwitch::allRanks() const
+{
+    std::vector<RankIndex> ranks(ranks_.size());
+    std::iota(ranks.begin(), ranks.end(), RankIndex(0));
+    return ranks;
+}
+
 void HeldMapSwitch::onReport(const EngineRankReport &report, TimePoint now)
 {
     if (report.rank >= ranks_.size() || report.epoch < epoch_) {
@@ -393,13 +446,20 @@
         reset(report.epoch);
     }
     isOpen_ = report.isOpen;
-    auto &rank = ranks_[report.rank];
     if (!report.isOpen) {
         return;
     }
+    noteProgress(report.step, now - options_.reportAge, now);
+    if (showsUnknownHold(report, now)) {
+        // Its sender may be gone, so nobody else releases it; or it lives, and completing its switch does no harm.
+        // Refused holds have moved the newest pass beyond what the group has begun.
+        progress_.restart();
+        progress_.note(report.step, now - options_.reportAge);
+        restartRecovery();
+    }
+    auto &rank = ranks_[report.rank];
     rank.report = report;
     rank.reportedAt = now;
-    noteProgress(report.step, now - options_.reportAge, now);
     if (phase_ == Phase::Preparing && report.prepared == target_) {
         rank.isPrepared = true;
     }
@@ -408,12 +468,6 @@
             holdSeenAt_ = now;
         }
         recover(now);
-        return;
-    }
-    // A copy of the hold that was carried out after the release would stop the group for good.
-    if (phase_ == Phase::Settling && report.heldStep && now - phaseSince_ > strayHoldAge) {
-        step_ = *report.heldStep;
-        enter(Phase::Releasing, now);
     }
 }
 
@@ -436,6 +490,10 @@
     if (phase_ == Phase::Preparing && maps.epoch == epoch_ && maps.prepared == target_) {
         ranks_[maps.rank].isPrepared = true;
     }
+    // Versions only grow: a switch that another controller began has been completed since the ranks were asked.
+    if (phase_ == Phase::Idle && maps.epoch == epoch_ && maps.active > active_) {
+        active_ = maps.active;
+    }
 }
 
 // A report from before the hold may not show yet that the rank has prepared the map. A controller that took it for the
@@ -454,27 +512,77 @@
     if (!allReported) {
         return;
     }
-    active_ = ranks_.front().report->active;
-    std::optional<RankIndex> holding;
-    std::size_t armed = 0;
+    active_ = ExpertMapVersion();
+    for (const auto &rank : ranks_) {
+        // The reports are of different ages; versions only grow.
+        active_ = std::max(active_, rank.report->active);
+    }
+    if (const auto holder = firstHolder()) {
+        recoverWithHold(*holder, now);
+    } else {
+        recoverWithoutHold(now);
+    }
+}
+
+std::optional<RankIndex> HeldMapSwitch::firstHolder() const
+{
+    std::optional<RankIndex> first;
     for (RankIndex index = 0; index < ranks_.size(); ++index) {
-        const auto &report = *ranks_[index].report;
-        if (report.heldStep) {
-            holding = index;
-            step_ = *report.heldStep;
+        const auto &held = ranks_[index].report->heldStep;
+        // A pass that has begun is held no longer: the report is older than that.
+        const bool isHeld = held && *held > progress_.newest();
+        if (isHeld && (!first || *held < *ranks_[*first].report->heldStep)) {
+            first = index;
         }
-        if (report.isArmed) {
-            ++armed;
-            target_ = report.armedMap;
+    }
+    return first;
+}
+
+// Without a hold the release has been sent, and that only when all ranks were armed. A group without requests may be a
+// long way from that pass, and until then it can be held again by a copy of the hold, and refuses each new map.
+void HeldMapSwitch::recoverWithoutHold(TimePoint now)
+{
+    std::optional<StepNumber> armedStep;
+    for (const auto &rank : ranks_) {
+        if (rank.report->isArmed) {
+            active_ = std::max(active_, rank.report->armedMap);
+            armedStep = std::max(armedStep, rank.report->armedStep);
         }
     }
-    if (!holding) {
-        // Without a hold the release has been sent, and that only when all ranks were armed.
+    if (!armedStep || *armedStep <= progress_.newest()) {
         enter(Phase::Idle, now);
         return;
     }
-    holder_ = *holding;
+    target_ = active_;
+    step_ = *armedStep;
+    enter(Phase::Settling, now);
+}
+
+void HeldMapSwitch::recoverWithHold(RankIndex holder, TimePoint now)
+{
+    holder_ = holder;
+    step_ = *ranks_[holder].report->heldStep;
     isHoldConfirmed_ = true;
+    std::size_t held = 0;
+    std::size_t armed = 0;
+    bool isArmedForStep = false;
+    for (auto &rank : ranks_) {
+        const auto &report = *rank.report;
+        held += report.heldStep && *report.heldStep > progress_.newest() ? 1 : 0;
+        if (!report.isArmed) {
+            continue;
+        }
+        ++armed;
+        if (!report.armedStep || *report.armedStep == step_) {
+            isArmedForStep = true;
+            target_ = report.armedMap;
+        }
+    }
+    areMoreHeld_ = held > 1;
+    // Arms of the controller that sent the hold may be on their way, so they cannot be taken back at once.
+    for (auto &rank : ranks_) {
+        rank.unresolvedArmAt = now;
+    }
     if (armed == 0) {
         const auto prepared = ranks_.front().report->prepared;
         const bool allPrepared = prepared && std::all_of(ranks_.begin(), ranks_.end(), [&](const Rank &rank) {
@@ -488,6 +596,15 @@
         enter(allPrepared ? Phase::Arming : Phase::Releasing, now);
         return;
     }
+    if (!isArmedForStep) {
+        // The ranks are armed for a later pass, for which they could be prepared only because no arm for this one had
+        // been confirmed: this hold was carried out late.
+        if (areReportsNewerThanHold()) {
+            target_ = active_;
+            enter(Phase::Releasing, now);
+        }
+        return;
+    }
     // Some ranks are armed: completing the switch is always possible, taking it back is not.
     enter(Phase::Arming, now);
 }
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.h
@@ -58,6 +58,12 @@
         std::chrono::milliseconds armTimeout{1500};
         /** An order that got no answer may be carried out within this time. */
         std::chrono::milliseconds latestExecution{13000};
+        /** Without a new pass for this time, all ranks are asked whether one of them holds a pass. */
+        std::chrono::milliseconds standstill{1000};
+        /** Pause between two such rounds while an order of an earlier controller can still be carried out. */
+        std::chrono::milliseconds holdLookInterval{1000};
+        /** The same for a group that has stood still for longer, such as one without requests. */
+        std::chrono::milliseconds idleHoldLookInterval{5000};
         /** Whether the pass may be released. Default: when all ranks are armed. */
         std::function<bool(std::size_t armed, std::size_t ranks)> mayRelease;
         /** Whether ranks may be armed. Default: when the hold is confirmed. */
@@ -126,7 +132,7 @@
         TimePoint sentAt;
         bool isPrepared = false;
         bool hasRefused = false;
-        /** An arm without answer that may still take effect. */
+        /** An arm without answer, of this or an earlier controller, that may still take effect. */
         std::optional<TimePoint> unresolvedArmAt;
     };
 
@@ -134,8 +140,16 @@
     void enter(Phase phase, TimePoint now);
     void resendLost(TimePoint now);
     void recover(TimePoint now);
+    void recoverWithoutHold(TimePoint now);
+    void recoverWithHold(RankIndex holder, TimePoint now);
     void restartRecovery();
+    /** The held pass that the group comes to first, and its rank; empty if no report shows one. */
+    std::optional<RankIndex> firstHolder() const;
     bool areReportsNewerThanHold() const;
+    bool isStandingStill(TimePoint now) const;
+    /** Whether the report shows a hold that this controller does not know of and that stops the group. */
+    bool showsUnknownHold(const EngineRankReport &report, TimePoint now) const;
+    std::vector<RankIndex> allRanks() const;
     /** Ranks that have accepted the order to prepare and are not known to have the map yet; empty while they copy. */
     std::vector<RankIndex> ranksToConfirm(TimePoint now) const;
     void advance(TimePoint now);
@@ -158,6 +172,9 @@
     StepNumber step_;
     RankIndex holder_ = 0;
     bool isHoldConfirmed_ = false;
+    /** Recovery has seen holds at other ranks than the holder. */
+    bool areMoreHeld_ = false;
+    int holdRefusals_ = 0;
     TimePoint phaseSince_;
     TimePoint reportsAskedAt_;
     TimePoint mapsAskedAt_;
--- a/modules/hornbeamlane_groups/enginemaps/PassProgress.h
+++ b/modules/hornbeamlane_groups/enginemaps/PassProgress.h
@@ -25,6 +25,12 @@
         return newest_;
     }
 
+    /** When the newest pass was seen. */
+    TimePoint newestAt() const
+    {
+        return newestAt_;
+    }
+
 private:
     StepNumber newest_;
     TimePoint newestAt_;
--- a/testing/fault_matrix/HeldSwitchWorld.cpp
+++ b/testing/fault_matrix/HeldSwitchWorld.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds orderTimeout{70};
 constexpr milliseconds reportAge{20};
 constexpr milliseconds formTime{100};
+/** Pause between two looks at the counts of a rank, which tell the newest pass. */
+constexpr milliseconds countsInterval{500};
 constexpr std::uint64_t mapsPerToken = 1000;
 
 } // namespace
@@ -30,8 +32,12 @@
 {
     auto &controller = controllers_.emplace_back();
     controller.token = controllers_.size();
-    controller.mapSwitch = std::make_unique<HeldMapSwitch>(HeldMapSwitch::Options{
-        .ranks = options_.ranks, .reportAge = reportAge, .mayRelease = options_.mayRelease, .mayArm = options_.mayArm});
+    controller.mapSwitch = std::make_unique<HeldMapSwitch>(
+        HeldMapSwitch::Options{.ranks = options_.ranks,
+                               .holdRank = static_cast<RankIndex>(controller.token % options_.ranks),
+                               .reportAge = reportAge,
+                               .mayRelease = options_.mayRelease,
+                               .mayArm = options_.mayArm});
 }
 
 void HeldSwitchWorld::run(milliseconds time)
@@ -42,6 +48,17 @@
     }
 }
 
+void HeldSwitchWorld::setWork(bool hasWork)
+{
+    hasWork_ = hasWork;
+    nextPass_ = now_;
+}
+
+bool HeldSwitchWorld::isHeld() const
+{
+    return std::any_of(ranks_.begin(), ranks_.end(), [](const Rank &rank) { return rank.held.has_value(); });
+}
+
 void HeldSwitchWorld::startSwitch()
 {
     wantsSwitch_ = true;
@@ -103,7 +120,7 @@
         events_.erase(events_.begin());
         event();
     }
-    if (isOpen_ && now_ >= nextPass_) {
+    if (isOpen_ && hasWork_ && now_ >= nextPass_) {
         beginPass();
     }
     // References into a deque stay valid while controllers are added.
@@ -160,6 +177,21 @@
         });
     }
     readMaps(controller);
+    readProgress(controller);
+}
+
+void HeldSwitchWorld::readProgress(Controller &controller)
+{
+    if (now_ - controller.progressReadAt < countsInterval) {
+        return;
+    }
+    controller.progressReadAt = now_;
+    at(now_ + transit, [this, &controller] {
+        at(now_ + transit, [this, &controller, epoch = epoch_, step = step_] {
+            deliver(controller,
+                    [this, &controller, epoch, step] { controller.mapSwitch->onProgress(epoch, step, now_); });
+        });
+    });
 }
 
 void HeldSwitchWorld::readMaps(Controller &controller)
--- a/testing/fault_matrix/HeldSwitchWorld.h
+++ b/testing/fault_matrix/HeldSwitchWorld.h
@@ -44,6 +44,9 @@
     /** Runs with the clock for this time. */
     void run(std::chrono::milliseconds time);
 
+    /** A group without work makes no passes. */
+    void setWork(bool hasWork);
+
     /** Starts a switch to a map that differs from the present one. */
     void startSwitch();
 
@@ -70,6 +73,12 @@
     {
         return ranks_.front().active;
     }
+    bool isHeld() const;
+    /** The newest controller. */
+    const HeldMapSwitch &mapSwitch() const
+    {
+        return *controllers_.back().mapSwitch;
+    }
     int ordersSent() const
     {
         return ordersSent_;
@@ -92,6 +101,7 @@
         std::uint64_t token = 0;
         TimePoint frozenUntil;
         bool isDead = false;
+        TimePoint progressReadAt;
         std::vector<std::function<void()>> backlog;
     };
 
@@ -99,6 +109,7 @@
     void beginPass();
     void poll(Controller &controller);
     void readMaps(Controller &controller);
+    void readProgress(Controller &controller);
     void send(Controller &controller, const EngineOrder &order);
     EngineOrderResult carryOut(const EngineOrder &order);
     EngineRankReport report(RankIndex rank) const;
@@ -111,6 +122,7 @@
     std::vector<Rank> ranks_;
     GroupEpoch epoch_{1};
     bool isOpen_ = true;
+    bool hasWork_ = true;
     StepNumber step_;
     TimePoint nextPass_;
     std::deque<Controller> controllers_;
