Bound what one row, report or message from outside can make a process allocate

A row of another writer stated a group of 4,000,000,000 ranks, and the keeper of its maps took memory for each of them. Nothing stopped the exception short of the event loop.

Change: the size of a group counts once there is a row for each of its ranks, and a row that states another size than the others stands alone, so that what is kept never exceeds the rows; 32 groups at most, the largest first, whatever came first. The layers and experts of an engine are bounded by what an answer of a rank can hold; none, or no places for them, had ended the process at an assertion. An exception in a row, a reply of a rank, a message of another entry or the keeper of a group ends that handler only and is logged with its subject; the rows beside it stay followed.

--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -72,19 +72,40 @@
     }
 }
 
-std::map<GroupId, MapDuty::GroupView> MapDuty::groups() const
+// Rows of other writers may state any size. A size counts once there is a row for each of its ranks, so what is kept
+// for a group is never more than its rows; and a row that states another size than the others stands alone.
+std::vector<MapDuty::GroupView> MapDuty::groups()
 {
-    std::map<GroupId, GroupView> groups;
+    std::map<std::pair<GroupId, std::uint32_t>, GroupView> views;
     for (const auto &[id, backend] : hooks_.servers()) {
         if (!backend.spec.group || backend.isGone) {
             continue;
         }
-        auto &view = groups[backend.spec.group->group];
+        const auto &place = *backend.spec.group;
+        auto &view = views[{place.group, place.size}];
+        view.group = place.group;
         view.service = backend.spec.service;
-        view.size = backend.spec.group->size;
-        view.isOpen = view.isOpen && backend.spec.group->isOpen;
-        view.addresses[backend.spec.group->rank] = backend.spec.address;
+        view.size = place.size;
+        view.isOpen = view.isOpen && place.isOpen;
+        view.addresses[place.rank] = backend.spec.address;
     }
+    std::vector<GroupView> groups;
+    for (auto &[key, view] : views) {
+        const auto kept = keepers_.find(view.group);
+        const bool isKept = kept != keepers_.end() && kept->second.size == view.size;
+        if (view.size >= 2 && (isKept || view.isComplete())) {
+            groups.push_back(std::move(view));
+        }
+    }
+    std::stable_sort(groups.begin(), groups.end(),
+                     [](const GroupView &a, const GroupView &b) { return a.size > b.size; });
+    const auto leftOut = groups.size() > options_.maxGroups ? groups.size() - options_.maxGroups : 0;
+    if (leftOut != groupsLeftOut_) {
+        groupsLeftOut_ = leftOut;
+        logEvent(LogLevel::Warning, "map_groups_left_out",
+                 {{"groups", std::to_string(leftOut)}, {"kept", std::to_string(options_.maxGroups)}});
+    }
+    groups.resize(groups.size() - leftOut);
     return groups;
 }
 
@@ -127,26 +148,50 @@
         keepers_.clear();
         keepersToken_ = token_;
     }
-    for (auto &[group, view] : groups()) {
-        const auto engine = hooks_.engineOf(view.service);
-        if (!engine || engine->expertLayers == 0 || view.size < 2) {
-            continue;
-        }
-        auto &keeper = keepers_[group];
-        if (!keeper) {
-            keeper = std::make_unique<GroupMapKeeper>(loop_, hooks_.engines,
-                                                      GroupMapKeeper::Options{.group = group,
-                                                                              .ranks = view.size,
-                                                                              .engine = *engine,
-                                                                              .token = *token_,
-                                                                              .policy = options_.policy});
-        }
+    auto kept = groups();
+    std::erase_if(keepers_, [&kept](const auto &keeper) {
+        return std::none_of(kept.begin(), kept.end(), [&keeper](const GroupView &view) {
+            return view.group == keeper.first && view.size == keeper.second.size;
+        });
+    });
+    for (auto &view : kept) {
+        keepMaps(view);
+    }
+}
+
+bool MapDuty::makeKeeper(const GroupView &view, const EngineModel &engine, Kept &kept)
+{
+    if (kept.keeper) {
+        return true;
+    }
+    if (loop_.now() < kept.pausedUntil) {
+        return false;
+    }
+    kept.size = view.size;
+    kept.keeper = std::make_unique<GroupMapKeeper>(
+        loop_, hooks_.engines,
+        GroupMapKeeper::Options{
+            .group = view.group, .ranks = view.size, .engine = engine, .token = *token_, .policy = options_.policy});
+    return true;
+}
+
+void MapDuty::keepMaps(GroupView &view)
+{
+    const auto engine = hooks_.engineOf(view.service);
+    if (!engine || engine->expertLayers == 0) {
+        return;
+    }
+    auto &kept = keepers_[view.group];
+    const bool isDone = runContained("map_keeper_failed", view.group.name(), [&] {
         // Orders to a group that has lost a rank would have no effect in its next epoch.
-        if (!view.isOpen) {
-            continue;
+        if (makeKeeper(view, *engine, kept) && view.isOpen) {
+            kept.keeper->setRanks(std::move(view.addresses));
+            kept.keeper->tick();
         }
-        keeper->setRanks(std::move(view.addresses));
-        keeper->tick();
+    });
+    if (!isDone) {
+        kept.keeper.reset();
+        kept.pausedUntil = loop_.now() + options_.failedGroupPause;
     }
 }
 
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace hornbeamlane {
 
@@ -32,6 +33,10 @@
         std::chrono::milliseconds watchInterval{150};
         /** A holder whose lease ends because the store is away goes on for this time if nobody else takes over. */
         std::chrono::milliseconds holdWithoutStore{30000};
+        /** Groups whose maps are kept at most, the largest ones first. */
+        std::size_t maxGroups = 32;
+        /** A group whose maps could not be kept, for want of memory, is left alone for this time. */
+        std::chrono::milliseconds failedGroupPause{10000};
         GroupMapKeeper::Policy policy;
     };
 
@@ -63,10 +68,25 @@
 private:
     struct GroupView
     {
+        GroupId group;
         ServiceId service;
+        /** Number of ranks as their rows state it. */
         std::uint32_t size = 0;
         bool isOpen = true;
         std::map<RankIndex, std::string> addresses;
+
+        bool isComplete() const
+        {
+            return addresses.size() == size;
+        }
+    };
+
+    /** The keeper of a group's maps; empty after a failure, until the given time. */
+    struct Kept
+    {
+        std::uint32_t size = 0;
+        std::unique_ptr<GroupMapKeeper> keeper;
+        TimePoint pausedUntil;
     };
 
     void tick();
@@ -74,7 +94,11 @@
     bool isHolderHeard() const;
     std::optional<FencingToken> tokenToActUnder();
     bool mayGoOnWithoutStore() const;
-    std::map<GroupId, GroupView> groups() const;
+    /** The groups whose maps this holder keeps, each with the size that its rows agree on. */
+    std::vector<GroupView> groups();
+    /** Makes the keeper if there is none; false if the group's maps cannot be kept now. */
+    bool makeKeeper(const GroupView &view, const EngineModel &engine, Kept &kept);
+    void keepMaps(GroupView &view);
 
     EventLoop &loop_;
     TableClient &table_;
@@ -89,7 +113,9 @@
     TimePoint tableFailedAt_;
     /** Keepers and the token under which they act. A lease that is regained with its token goes on with them, since
        they know which versions of maps they have used. */
-    std::map<GroupId, std::unique_ptr<GroupMapKeeper>> keepers_;
+    std::map<GroupId, Kept> keepers_;
+    /** Groups left out the last time, for the log. */
+    std::size_t groupsLeftOut_ = 0;
     std::optional<FencingToken> keepersToken_;
     Timer timer_;
 };
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -33,7 +33,10 @@
     , options_(std::move(options))
     , callbacks_(std::move(callbacks))
     , socket_(loop,
-              {.received = [this](std::string_view bytes, const std::string &sender) { receive(bytes, sender); },
+              {.received =
+                   [this](std::string_view bytes, const std::string &sender) {
+                       runContained("peer_message_failed", sender, [&] { receive(bytes, sender); });
+                   },
                .drained = [this] { handleDrained(); }})
     , gossip_({.name = options_.name,
                .address = options_.address,
--- a/modules/hornbeamlane_network/http1/Http1Caller.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Caller.cpp
@@ -12,9 +12,6 @@
 /** Connections kept for each address: calls that wait for long and short ones run side by side. */
 constexpr std::size_t maxIdleConnections = 3;
 
-/** Longest body of a reply; the control interfaces keep theirs well below. */
-constexpr std::size_t maxReplyBytes = 8 * 1024 * 1024;
-
 /** Bytes of all replies together that are not complete. */
 constexpr std::size_t maxHeldBytes = 24 * 1024 * 1024;
 
--- a/modules/hornbeamlane_network/http1/Http1Caller.h
+++ b/modules/hornbeamlane_network/http1/Http1Caller.h
@@ -37,6 +37,9 @@
 
     using Handler = std::function<void(const Reply &)>;
 
+    /** Longest body of a reply; the control interfaces keep theirs well below. */
+    static constexpr std::size_t maxReplyBytes = 8 * 1024 * 1024;
+
     explicit Http1Caller(EventLoop &loop);
     ~Http1Caller();
 
--- a/modules/hornbeamlane_observability/hornbeamlane_observability.h
+++ b/modules/hornbeamlane_observability/hornbeamlane_observability.h
@@ -6,6 +6,7 @@
 */
 #pragma once
 
+#include "hornbeamlane_observability/logging/Containment.h"
 #include "hornbeamlane_observability/logging/Log.h"
 #include "hornbeamlane_observability/metrics/LatencyHistogram.h"
 #include "hornbeamlane_observability/metrics/MetricsRegistry.h"
--- a/tests/gateway/MapDutyTest.cpp
+++ b/tests/gateway/MapDutyTest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+#include <set>
+
 namespace hornbeamlane {
 namespace {
 
@@ -157,5 +160,85 @@
     EXPECT_FALSE(duty_.isHolder());
 }
 
+/** A holder of the lease with groups of ranks that answer nothing; notes which of them are asked. */
+class MapDutyGroupsTest : public ::testing::Test
+{
+protected:
+    MapDutyGroupsTest()
+    {
+        EngineApi engines;
+        engines.sendOrder = [](const auto &, const auto &, auto, auto) {};
+        engines.readReport = [this](const std::string &address, auto, auto) { asked_.insert(address); };
+        engines.readCounts = [](const auto &, auto) {};
+        engines.readPlacement = [](const auto &, auto, auto) {};
+        duty_ = std::make_unique<MapDuty>(
+            loop_, table_, MapDuty::Options{.self = Incarnation(5), .maxGroups = 2},
+            MapDuty::Hooks{.engines = engines,
+                           .servers = [this]() -> const std::map<ServerId, Backend> & { return servers_; },
+                           .engineOf =
+                               [](const ServiceId &) {
+                                   return std::optional(
+                                       EngineModel{.expertLayers = 2, .expertsPerLayer = 8, .placesPerRank = 5});
+                               },
+                           .holderHeardAt = [] { return TimePoint(); }});
+    }
+
+    void addRank(const std::string &group, std::uint32_t rank, std::uint32_t size)
+    {
+        const auto id = group + "-" + std::to_string(rank) + "-" + std::to_string(size);
+        auto &backend = servers_[ServerId(id)];
+        backend.spec.id = ServerId(id);
+        backend.spec.address = id;
+        backend.spec.group =
+            GroupPlace{.group = GroupId(group), .epoch = 1, .rank = rank, .size = size, .isOpen = true};
+    }
+
+    void run()
+    {
+        duty_->start();
+        Timer end(loop_, [this] { loop_.stop(); });
+        end.startOnce(milliseconds(800));
+        loop_.run();
+        ASSERT_TRUE(duty_->isHolder());
+    }
+
+    EventLoop loop_;
+    OneRowTable table_{loop_};
+    std::map<ServerId, Backend> servers_;
+    std::set<std::string> asked_;
+    std::unique_ptr<MapDuty> duty_;
+};
+
+// Guards against a row of another writer that ends every holder of the lease: it states a group of four thousand
+// million ranks, and memory was taken for each of them (review/2). The same number in a row of a sound group hides
+// nothing.
+TEST_F(MapDutyGroupsTest, LeavesOutSizesThatNoRowsBearOut)
+{
+    constexpr std::uint32_t tooMany = 4000000000;
+    addRank("odd", 0, tooMany);
+    addRank("sound", 0, 2);
+    addRank("sound", 1, 2);
+    addRank("sound", 1, tooMany);
+    run();
+    EXPECT_EQ(asked_, (std::set<std::string>{"sound-0-2", "sound-1-2"}));
+}
+
+// Guards against many rows of moderate size which together take more memory than one group may: the largest groups are
+// kept, whatever came first.
+TEST_F(MapDutyGroupsTest, KeepsTheLargestOfManyGroups)
+{
+    for (int group = 0; group < 50; ++group) {
+        const auto name = "a" + std::to_string(group);
+        addRank(name, 0, 2);
+        addRank(name, 1, 2);
+    }
+    for (std::uint32_t rank = 0; rank < 3; ++rank) {
+        addRank("real", rank, 3);
+    }
+    run();
+    EXPECT_TRUE(asked_.contains("real-0-3"));
+    EXPECT_LE(asked_.size(), 3U + 2U);
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/platform/RowDecodersTest.cpp
+++ b/tests/platform/RowDecodersTest.cpp
@@ -78,6 +78,28 @@
     EXPECT_FALSE(decodeServer("i-1", std::string{char(0xff), char(0), char(0x7b)}, reason));
 }
 
+// Guards against a configuration with numbers too large for the experts of an engine, for whose counts memory is taken,
+// and against a division by their number. The rest of the configuration holds.
+TEST(RowDecodersTest, LeavesOutExpertsBeyondWhatARankCanTell)
+{
+    const std::vector<std::pair<std::string, std::string>> odd = {{"\"Sets\":4", "\"Sets\":4000000000"},
+                                                                  {"\"Experts\":64", "\"Experts\":4000000000.0"},
+                                                                  {"\"Experts\":64", "\"Experts\":65536"},
+                                                                  {"\"Experts\":64", "\"Experts\":0"},
+                                                                  {"\"Experts\":64,", ""},
+                                                                  {"\"Placements\":5", "\"Placements\":0"}};
+    for (const auto &[from, to] : odd) {
+        auto text = catalogue;
+        text.replace(text.find(from), from.size(), to);
+        std::string reason;
+        const auto result = decodeCatalogue(text, reason);
+        ASSERT_TRUE(result) << reason;
+        ASSERT_TRUE(result->services.at(0).engine);
+        EXPECT_EQ(result->services.at(0).engine->expertLayers, 0U) << to;
+        EXPECT_EQ(result->services.at(0).engine->slots, 12U);
+    }
+}
+
 /** The server's entry with one part replaced. */
 std::string serverWith(const std::string &from, const std::string &to)
 {
@@ -118,6 +140,11 @@
         serverWith("\"rank\":3", "\"rank\":4294967299"),
         serverWith("\"rank\":3", "\"rank\":16"),
         serverWith(":16}", ":4294967312}"),
+        serverWith(":16}", ":4000000000.0}"),
+        serverWith(":16}", ":4097}"),
+        serverWith("\"pool\"", "\"" + std::string(5000, 'p') + "\""),
+        serverWith("\"a\"", "\"" + std::string(5000, 'a') + "\""),
+        serverWith("\"g\"", "\"" + std::string(5000, 'g') + "\""),
         serverWith("10.0.0.1:80", "10.0.0.1:65536"),
         serverWith("10.0.0.1:80", "10.0.0.1:0"),
         serverWith("10.0.0.1:80", "10.0.0.1:-80"),
