End a request whose connection ends with an answer of another one

Reported by another operator: a server stops in the middle of its answer's head and closes, and clients get a 200 with an empty or short body.

Found on the way: an order whose connection ended with an answer of another request, one without a length, waited until its time was over (504 after 1.5 s). The reader skipped that answer and nothing told that no other could come.

Change: the end of the connection ends the call also behind an answer that is skipped.

--- a/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
@@ -275,8 +275,8 @@
         }
         if ((events & BEV_EVENT_EOF) != 0 && reader.hasHead()) {
             const auto progress = reader.endOfInput();
-            if (progress == Http1Progress::Complete) {
-                deliver(progress);
+            // An answer of another request is skipped, and behind it comes no other.
+            if (progress == Http1Progress::Complete && !deliver(progress)) {
                 return;
             }
         }
--- a/tests/network/HttpCallTest.cpp
+++ b/tests/network/HttpCallTest.cpp
@@ -77,5 +77,33 @@
                                    "X: x\r\n"}),
     [](const auto &param) { return param.param.name; });
 
+// Guards against a success with an empty or short body: the server stops anywhere in its answer's head, or in a body
+// with a length or chunks, and closes.
+TEST(HttpCallCutTest, TakesNoPartOfAnAnswerForTheWhole)
+{
+    const std::vector<std::string> answers = {
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"};
+    for (const auto &whole : answers) {
+        for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+            EventLoop loop;
+            testing::ScriptedServer server(
+                loop, [&](testing::ScriptedServer::Connection &connection, const std::string &, int) {
+                    connection.send(whole.substr(0, cut));
+                    connection.close();
+                });
+            std::optional<HttpCallEnd> result;
+            sendHttpRequest(loop, {.address = server.address(), .totalTime = milliseconds(1500)},
+                            [&](HttpCallEnd end, const HttpResponse &) {
+                                result = end;
+                                loop.stop();
+                            });
+            loop.run();
+            ASSERT_TRUE(result);
+            EXPECT_NE(*result, HttpCallEnd::Complete) << "cut after " << cut << " of " << whole.size();
+        }
+    }
+}
+
 } // namespace
 } // namespace hornbeamlane
