--- a/tests/fault_matrix/LateHoldTest.cpp
+++ b/tests/fault_matrix/LateHoldTest.cpp
@@ -23,7 +23,7 @@
     /** How the hold with this number, from 0, travels. */
     using HoldFault = std::function<void(int number, Delivery &)>;
 
-    HeldSwitchWorld &makeWorld(HoldFault fault)
+    HeldSwitchWorld &makeWorld(const HoldFault &fault)
     {
         world_ = std::make_unique<HeldSwitchWorld>(HeldSwitchWorld::Options{
             .ranks = ranks,
