--- a/tests/gateway/CutHeadTest.cpp
+++ b/tests/gateway/CutHeadTest.cpp
@@ -64,7 +64,7 @@
         });
         resetLater.startRepeating(milliseconds(10));
         addServer(server, "s1");
-        const auto result = send(GetParam().method, GetParam().target);
+        auto result = send(GetParam().method, GetParam().target);
         runUntil([&] { return result->end.has_value(); });
         EXPECT_GE(server.requests(), 1);
         return result;
