Keep one keeper of maps for a group, and keep it while its rows are gone

Cause: found by reading the change before: rows of another writer that name a sound group with fewer ranks, all of them there, were taken for a second view of it, and its keeper sent orders to their addresses; and a keeper ended when the rows of its group were gone for a moment, and with it the numbers of the maps that it had made. Change: a group is kept once, at the largest size that has all its rows; a keeper ends only when its room is needed. Result: KeepsAGroupAtTheLargestSizeWithAllRows failed before (orders to sound-0-2 and sound-1-2) and passes.

--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -3,6 +3,7 @@
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace hornbeamlane {
@@ -99,6 +100,8 @@
     }
     std::stable_sort(groups.begin(), groups.end(),
                      [](const GroupView &a, const GroupView &b) { return a.size > b.size; });
+    std::set<GroupId> named;
+    std::erase_if(groups, [&named](const GroupView &view) { return !named.insert(view.group).second; });
     const auto leftOut = groups.size() > options_.maxGroups ? groups.size() - options_.maxGroups : 0;
     if (leftOut != groupsLeftOut_) {
         groupsLeftOut_ = leftOut;
@@ -148,20 +151,29 @@
         keepers_.clear();
         keepersToken_ = token_;
     }
-    auto kept = groups();
-    std::erase_if(keepers_, [&kept](const auto &keeper) {
-        return std::none_of(kept.begin(), kept.end(), [&keeper](const GroupView &view) {
-            return view.group == keeper.first && view.size == keeper.second.size;
-        });
-    });
-    for (auto &view : kept) {
+    auto views = groups();
+    dropKeepersWithout(views);
+    for (auto &view : views) {
         keepMaps(view);
     }
 }
 
+// A keeper knows which versions of maps it has used, so it outlasts rows that are gone for a moment. Only a keeper that
+// another one needs the room of ends.
+void MapDuty::dropKeepersWithout(const std::vector<GroupView> &views)
+{
+    if (keepers_.size() < options_.maxGroups) {
+        return;
+    }
+    std::erase_if(keepers_, [&views](const auto &keeper) {
+        return std::none_of(views.begin(), views.end(),
+                            [&keeper](const GroupView &view) { return view.group == keeper.first; });
+    });
+}
+
 bool MapDuty::makeKeeper(const GroupView &view, const EngineModel &engine, Kept &kept)
 {
-    if (kept.keeper) {
+    if (kept.keeper && kept.size == view.size) {
         return true;
     }
     if (loop_.now() < kept.pausedUntil) {
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -94,9 +94,10 @@
     bool isHolderHeard() const;
     std::optional<FencingToken> tokenToActUnder();
     bool mayGoOnWithoutStore() const;
-    /** The groups whose maps this holder keeps, each with the size that its rows agree on. */
+    /** The groups whose maps this holder keeps, each once, with the largest size for which it has all rows. */
     std::vector<GroupView> groups();
-    /** Makes the keeper if there is none; false if the group's maps cannot be kept now. */
+    void dropKeepersWithout(const std::vector<GroupView> &views);
+    /** Makes the keeper if there is none of that size; false if the group's maps cannot be kept now. */
     bool makeKeeper(const GroupView &view, const EngineModel &engine, Kept &kept);
     void keepMaps(GroupView &view);
 
--- a/tests/gateway/MapDutyTest.cpp
+++ b/tests/gateway/MapDutyTest.cpp
@@ -160,15 +160,21 @@
     EXPECT_FALSE(duty_.isHolder());
 }
 
-/** A holder of the lease with groups of ranks that answer nothing; notes which of them are asked. */
+/** A holder of the lease with groups of ranks; notes which of them are asked and get orders. */
 class MapDutyGroupsTest : public ::testing::Test
 {
 protected:
     MapDutyGroupsTest()
     {
         EngineApi engines;
-        engines.sendOrder = [](const auto &, const auto &, auto, auto) {};
-        engines.readReport = [this](const std::string &address, auto, auto) { asked_.insert(address); };
+        engines.sendOrder = [this](const std::string &address, const auto &, auto, auto) { ordered_.insert(address); };
+        engines.readReport = [this](const std::string &address, RankIndex rank, auto handler) {
+            asked_.insert(address);
+            if (report_) {
+                report_->rank = rank;
+                loop_.post([handler, report = report_] { handler(report); });
+            }
+        };
         engines.readCounts = [](const auto &, auto) {};
         engines.readPlacement = [](const auto &, auto, auto) {};
         duty_ = std::make_unique<MapDuty>(
@@ -206,6 +212,9 @@
     OneRowTable table_{loop_};
     std::map<ServerId, Backend> servers_;
     std::set<std::string> asked_;
+    std::set<std::string> ordered_;
+    /** What each rank reports; empty while they answer nothing. */
+    std::optional<EngineRankReport> report_;
     std::unique_ptr<MapDuty> duty_;
 };
 
@@ -223,6 +232,26 @@
     EXPECT_EQ(asked_, (std::set<std::string>{"sound-0-2", "sound-1-2"}));
 }
 
+// Guards against rows of another writer that name a sound group with fewer ranks, all of them there: its keeper was
+// given their addresses as those of its own ranks.
+TEST_F(MapDutyGroupsTest, KeepsAGroupAtTheLargestSizeWithAllRows)
+{
+    for (std::uint32_t rank = 0; rank < 3; ++rank) {
+        addRank("sound", rank, 3);
+    }
+    addRank("sound", 0, 2);
+    addRank("sound", 1, 2);
+    // The group stands behind a pass that an earlier holder has held, so that all ranks get orders at once.
+    report_ = EngineRankReport{.epoch = GroupEpoch(1),
+                               .isOpen = true,
+                               .step = StepNumber(4),
+                               .prepared = ExpertMapVersion(7),
+                               .heldStep = StepNumber(5)};
+    run();
+    EXPECT_EQ(asked_, (std::set<std::string>{"sound-0-3", "sound-1-3", "sound-2-3"}));
+    EXPECT_EQ(ordered_, asked_);
+}
+
 // Guards against many rows of moderate size which together take more memory than one group may: the largest groups are
 // kept, whatever came first.
 TEST_F(MapDutyGroupsTest, KeepsTheLargestOfManyGroups)
