--- a/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
+++ b/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
@@ -7,7 +7,7 @@
 */
 
 #include "hornbeamlane_dispatch/catalogue/RouteTable.h"
-#include "hornbeamlane_dispatch/pace/ConcurrencyGovernor.h"
+#include "hornbeamlane_dispatch/pace/PaceBook.h"
 #include "hornbeamlane_dispatch/pace/RateMeter.h"
 #include "hornbeamlane_dispatch/queue/AdmissionQueue.h"
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
--- /dev/null
+++ b/modules/hornbeamlane_dispatch/pace/StreamGovernor.cpp
@@ -0,0 +1,203 @@
+#include "hornbeamlane_dispatch/pace/StreamGovernor.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hornbeamlane {
+
+namespace {
+
+/** Weight of one stream in the moving average of their pauses. */
+constexpr double streamWeight = 0.02;
+
+/** Shortest streams in that average; a stream of one event has no pause. */
+constexpr double fewestPauses = 3;
+
+/** Loads below this say nothing about how pauses grow. */
+constexpr double smallestLoad = 0.05;
+
+/** Distance of two bounds that are compared, as a share of the places. */
+constexpr double shareStep = 0.025;
+
+/** Bounds whose value is this close to the best one count as equal; the largest of them is taken. */
+constexpr double valueTolerance = 0.005;
+
+double ratio(Duration time, std::chrono::milliseconds target)
+{
+    return std::chrono::duration<double>(time) / std::chrono::duration<double>(target);
+}
+
+} // namespace
+
+StreamGovernor::StreamGovernor()
+    : StreamGovernor(Options())
+{
+}
+
+StreamGovernor::StreamGovernor(Options options)
+    : options_(options)
+    , share_(options.largestShare)
+    , usualPauses_(options.usualPauses)
+{
+}
+
+void StreamGovernor::setFixedPassTime(Duration time)
+{
+    options_.fixedPassTime = std::max(Duration::zero(), time);
+}
+
+void StreamGovernor::setLoad(std::uint32_t inFlight, std::uint32_t places)
+{
+    load_ = places == 0 ? 0 : static_cast<double>(inFlight) / places;
+}
+
+void StreamGovernor::onPause(Duration pause, std::chrono::milliseconds target, TimePoint now)
+{
+    if (target <= std::chrono::milliseconds(0) || pause < Duration::zero()) {
+        return;
+    }
+    const double pressure = ratio(pause, target);
+    samples_.push_back({.at = now,
+                        .pressure = pressure,
+                        .fixedPressure = std::min(pressure, ratio(options_.fixedPassTime, target)),
+                        .load = std::max(load_, smallestLoad)});
+    if (samples_.size() > options_.maxSamples) {
+        samples_.pop_front();
+    }
+}
+
+void StreamGovernor::onStreamEnded(std::size_t events)
+{
+    const double pauses = std::max(static_cast<double>(events) - 1, fewestPauses);
+    usualPauses_ += (pauses - usualPauses_) * streamWeight;
+}
+
+double StreamGovernor::weightOf(const Sample &sample, TimePoint now) const
+{
+    const auto age = std::chrono::duration<double>(now - sample.at);
+    return std::exp2(-age / std::chrono::duration<double>(options_.sampleHalfLife));
+}
+
+void StreamGovernor::dropOld(TimePoint now)
+{
+    while (!samples_.empty() && now - samples_.front().at > options_.sampleAge) {
+        samples_.pop_front();
+    }
+}
+
+double StreamGovernor::meanLoad(TimePoint now) const
+{
+    double weights = 0;
+    double loads = 0;
+    for (const auto &sample : samples_) {
+        const double weight = weightOf(sample, now);
+        weights += weight;
+        loads += weight * sample.load;
+    }
+    return weights > 0 ? loads / weights : 0;
+}
+
+// A pass takes a fixed time and a time in proportion to its requests, so each pause that was seen tells how long it
+// would have been at another load. A stream is in time if none of its pauses is too long.
+StreamGovernor::Forecast StreamGovernor::forecast(double share, TimePoint now) const
+{
+    double weights = 0;
+    double tooLong = 0;
+    double pressures = 0;
+    for (const auto &sample : samples_) {
+        const double weight = weightOf(sample, now);
+        const double pressure = sample.fixedPressure + (sample.pressure - sample.fixedPressure) * share / sample.load;
+        weights += weight;
+        pressures += weight * pressure;
+        tooLong += weight / (1 + std::exp(-(pressure - 1) / options_.predictionError));
+    }
+    if (weights <= 0 || pressures <= 0) {
+        return {.inTime = 1, .value = share};
+    }
+    const double inTime = std::pow(1 - tooLong / weights, usualPauses_);
+    const double streams = share * weights / pressures;
+    return {.inTime = inTime, .value = streams * (inTime + options_.lateValue * (1 - inTime))};
+}
+
+double StreamGovernor::bestShare(TimePoint now)
+{
+    isTargetOutOfReach_ = forecast(options_.smallestShare, now).inTime < options_.smallestInTime;
+    double best = options_.largestShare;
+    double bestValue = 0;
+    for (double share = options_.largestShare; share >= options_.smallestShare - shareStep / 2; share -= shareStep) {
+        const double value = forecast(share, now).value;
+        if (value > bestValue * (1 + valueTolerance)) {
+            best = share;
+            bestValue = value;
+        }
+    }
+    return best;
+}
+
+void StreamGovernor::moveTo(double share, double load)
+{
+    if (share < share_) {
+        // A bound that is not reached is lowered to the load at once; below that in steps, as the forecast is of one
+        // moment.
+        const double reached = std::min(share_, std::max(load, share));
+        share_ = std::max(share, reached * options_.largestShrink);
+    } else {
+        // A bound that is not reached says nothing about what would happen far beyond it.
+        const double reachable = load * options_.largestGrowth + 0.1;
+        share_ = std::max(share_, std::min({share, share_ * options_.largestGrowth, reachable}));
+    }
+    share_ = std::clamp(share_, options_.smallestShare, options_.largestShare);
+}
+
+void StreamGovernor::update(TimePoint now)
+{
+    if (now - movedAt_ < options_.window) {
+        return;
+    }
+    dropOld(now);
+    if (samples_.size() < options_.minSamples) {
+        return;
+    }
+    movedAt_ = now;
+    isMeasured_ = true;
+    const double load = meanLoad(now);
+    const auto present = forecast(load, now);
+    inTimeShare_ = present.inTime;
+    meanPressure_ = 0;
+    double weights = 0;
+    for (const auto &sample : samples_) {
+        const double weight = weightOf(sample, now);
+        weights += weight;
+        meanPressure_ += weight * sample.pressure;
+    }
+    meanPressure_ /= weights;
+    moveTo(bestShare(now), std::max(load, load_));
+}
+
+void StreamGovernor::restart(RestartCause cause)
+{
+    // Entries learn of new engines one after the other, and until then tell the bound of the old ones.
+    trustsPeers_ = cause == RestartCause::FirstSight;
+    share_ = std::min(share_, options_.restartShare);
+    isMeasured_ = false;
+    isTargetOutOfReach_ = false;
+    inTimeShare_ = 1;
+    meanPressure_ = 0;
+    samples_.clear();
+}
+
+void StreamGovernor::onPeerShare(std::optional<double> share)
+{
+    if (!share || (!isMeasured_ && !trustsPeers_)) {
+        return;
+    }
+    const double weight = isMeasured_ ? options_.peerWeight : 1.0;
+    share_ = std::clamp(share_ + (*share - share_) * weight, options_.smallestShare, options_.largestShare);
+}
+
+std::uint32_t StreamGovernor::limit(std::uint32_t places) const
+{
+    return static_cast<std::uint32_t>(share_ * places);
+}
+
+} // namespace hornbeamlane
--- /dev/null
+++ b/modules/hornbeamlane_dispatch/pace/StreamGovernor.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "hornbeamlane_base/hornbeamlane_base.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace hornbeamlane {
+
+/**
+    Bounds the requests that all entries together have at servers whose engines batch them in lock-step.
+
+    More requests in a batch make every pass longer, and a stream is late if one of its pauses exceeds the target. The
+    bound is the one with the most value of streams a second: a stream that ends in time counts whole, a late one for
+    a part of that, one that is refused not at all.
+*/
+class StreamGovernor final
+{
+public:
+    struct Options
+    {
+        /** A pause counts half as much after this time. */
+        std::chrono::milliseconds sampleHalfLife{500};
+        /** Pauses older than this are forgotten. */
+        std::chrono::milliseconds sampleAge{2000};
+        /** Pauses kept at most. */
+        std::size_t maxSamples = 384;
+        /** Pauses needed before the bound moves. */
+        std::size_t minSamples = 8;
+        /** Time between two moves of the bound. */
+        std::chrono::milliseconds window{250};
+        /** Part of each pass that does not grow with the requests, from the engine's model. */
+        Duration fixedPassTime{};
+        /** Pauses of a stream while none has ended. */
+        double usualPauses = 18;
+        /** What a late stream is worth to its caller, as a part of one in time. */
+        double lateValue = 0.4;
+        /** Error of a predicted pause, as a part of the target. */
+        double predictionError = 0.04;
+        /** Largest step down and up of the bound in one window. */
+        double largestShrink = 0.8;
+        double largestGrowth = 1.25;
+        /** Smallest and largest bound as a share of the servers' places. */
+        double smallestShare = 0.35;
+        double largestShare = 1.25;
+        /** Bound after a restart, as a share of the servers' places. */
+        double restartShare = 0.45;
+        /** Part of the difference to the other entries' bound by which the own bound moves when it is told. */
+        double peerWeight = 0.1;
+        /** Streams in time below which the target counts as out of reach with the smallest bound. */
+        double smallestInTime = 0.05;
+    };
+
+    StreamGovernor();
+    explicit StreamGovernor(Options options);
+
+    /** Time of a pass that does not depend on the requests in it. */
+    void setFixedPassTime(Duration time);
+
+    /** Requests that the servers have now, of all entries; samples that follow are taken at this load. */
+    void setLoad(std::uint32_t inFlight, std::uint32_t places);
+
+    /** A pause between two events of a stream with this target. */
+    void onPause(Duration pause, std::chrono::milliseconds target, TimePoint now);
+
+    /** A stream has ended after so many events. */
+    void onStreamEnded(std::size_t events);
+
+    /** Moves the bound if a window is over. */
+    void update(TimePoint now);
+
+    /** Why nothing is known of the engines' pace. */
+    enum class RestartCause {
+        NewEngines, ///< They have started anew, with experts placed without regard to demand.
+        FirstSight, ///< This entry sees them for the first time; other entries may know their pace.
+    };
+
+    void restart(RestartCause cause);
+
+    /** Bound that other entries keep, as a share of the places. A governor that sees the engines for the first time
+        takes it over; one that has seen their pauses is drawn to it. */
+    void onPeerShare(std::optional<double> share);
+
+    /** The bound as a share of the places; empty before pauses have been seen. */
+    std::optional<double> measuredShare() const
+    {
+        return isMeasured_ ? std::optional(share_) : std::nullopt;
+    }
+
+    /** Requests that the servers may have at once, of all entries. */
+    std::uint32_t limit(std::uint32_t places) const;
+
+    /** Whether streams are late with however few requests. */
+    bool isTargetOutOfReach() const
+    {
+        return isTargetOutOfReach_;
+    }
+
+    /** Share of streams that end in time at the present load, by the pauses seen lately; 1 before any. */
+    double inTimeShare() const
+    {
+        return inTimeShare_;
+    }
+
+    /** Mean of the pauses seen lately over their targets; 0 before any. */
+    double meanPressure() const
+    {
+        return meanPressure_;
+    }
+
+private:
+    struct Sample
+    {
+        TimePoint at;
+        /** Pause and the part of it that does not grow with requests, over the target. */
+        double pressure = 0;
+        double fixedPressure = 0;
+        /** Requests over places when it was taken. */
+        double load = 0;
+    };
+
+    /** What a bound is expected to bring. */
+    struct Forecast
+    {
+        double inTime = 0;
+        double value = 0;
+    };
+
+    Forecast forecast(double share, TimePoint now) const;
+    double weightOf(const Sample &sample, TimePoint now) const;
+    void dropOld(TimePoint now);
+    double meanLoad(TimePoint now) const;
+    double bestShare(TimePoint now);
+    void moveTo(double share, double load);
+
+    Options options_;
+    /** Bound as a share of the places. */
+    double share_;
+    /** Present requests over places. */
+    double load_ = 0;
+    double usualPauses_;
+    bool isMeasured_ = false;
+    /** Whether bounds of other entries can be of the same engines. */
+    bool trustsPeers_ = true;
+    bool isTargetOutOfReach_ = false;
+    double inTimeShare_ = 1;
+    double meanPressure_ = 0;
+    std::deque<Sample> samples_;
+    TimePoint movedAt_;
+};
+
+} // namespace hornbeamlane
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -34,6 +34,7 @@
         backend.replacedUntil = {};
     }
     backend.spec = spec;
+    backend.paceUnit = spec.group ? paceUnitOf(spec.group->group) : paceUnitOf(spec.id);
     backend.isGone = false;
     backend.lapsesAt.reset();
     backend.coldUntil = std::max(backend.coldUntil, now + spec.warmupLeft);
@@ -191,8 +192,43 @@
     return load + distance + options_.failurePenalty * failureShare(backend, now);
 }
 
+std::map<PaceUnitId, PaceUnitLoad> BackendBook::paceUnits(const ServiceId &service, TimePoint now) const
+{
+    std::map<PaceUnitId, PaceUnitLoad> units;
+    for (const auto &[id, backend] : backends_) {
+        if (backend.spec.service == service && isUsable(backend, now) && now >= pausedUntil(backend)
+            && isGroupOpen(backend, now)) {
+            auto &unit = units[backend.paceUnit];
+            unit.places += backend.spec.slots;
+            unit.inFlight += backend.inFlight();
+        }
+    }
+    return units;
+}
+
+std::map<PaceUnitId, double> BackendBook::paceFills(const ServiceId &service, TimePoint now) const
+{
+    std::map<PaceUnitId, double> fills;
+    for (const auto &[unit, load] : paceUnits(service, now)) {
+        fills.emplace(unit, options_.paceFill(unit, load));
+    }
+    return fills;
+}
+
+double BackendBook::paceScore(const Backend &backend, const Request &request, double fill) const
+{
+    const double slow = options_.isPaceOutOfReach(backend.paceUnit) ? options_.outOfReachPenalty : 0;
+    if (backend.spec.dataCentre != request.dataCentre) {
+        return fill + slow;
+    }
+    const double spill = std::clamp((fill - options_.homeFill) / (options_.spillFill - options_.homeFill), 0.0, 1.0);
+    return fill * spill + slow;
+}
+
 std::optional<ServerId> BackendBook::choose(const Request &request, TimePoint now, RandomSource &random)
 {
+    const auto fills = request.isStream ? paceFills(request.service, now) : std::map<PaceUnitId, double>();
+    bool anyAtPaceBound = false;
     std::vector<Candidate> candidates;
     std::vector<Candidate> avoided;
     /** Ranks of broken groups whose entries say so. */
@@ -236,8 +272,15 @@
             anyRateLimited = true;
             continue;
         }
+        const auto unit = fills.find(backend.paceUnit);
+        const double fill = unit == fills.end() ? 0 : unit->second;
+        if (request.shareOfPaceBound && fill >= *request.shareOfPaceBound) {
+            anyAtPaceBound = true;
+            continue;
+        }
+        const double pace = request.isStream ? paceScore(backend, request, fill) : 0;
         auto &list = now < backend.avoidUntil ? avoided : candidates;
-        list.push_back({.backend = &backend, .score = score(backend, request, now)});
+        list.push_back({.backend = &backend, .score = score(backend, request, now) + pace});
     }
     if (candidates.empty()) {
         candidates = std::move(avoided);
@@ -254,6 +297,8 @@
             lastFailure_ = anyForming ? NoChoice::GroupForming : NoChoice::GroupBroken;
         } else if (anyRateLimited) {
             lastFailure_ = NoChoice::RateLimited;
+        } else if (anyAtPaceBound) {
+            lastFailure_ = NoChoice::AtPaceBound;
         } else if (anyFull) {
             lastFailure_ = NoChoice::AllFull;
         } else {
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamlane_dispatch/catalogue/DispatchCatalogue.h"
+#include "hornbeamlane_dispatch/pace/PaceBook.h"
 #include "hornbeamlane_dispatch/servers/GroupStates.h"
 #include "hornbeamlane_dispatch/servers/GroupWatch.h"
 #include "hornbeamlane_dispatch/servers/ServerNotices.h"
@@ -37,6 +38,8 @@
 struct Backend
 {
     BackendSpec spec;
+    /** Servers whose streams share its pace. */
+    PaceUnitId paceUnit;
     TimePoint coldUntil;
     /** A server whose entry has lapsed is used until then; empty while it is listed. */
     std::optional<TimePoint> lapsesAt;
@@ -93,6 +96,12 @@
         double failurePenalty = 3.0;
         /** Load over slots that a server in another data centre costs. */
         double distancePenalty = 0.02;
+        /** Streams stay in the own data centre while its pace unit is filled up to here; above it, up to the second
+            figure, they go over to others the more the fuller it is. */
+        double homeFill = 0.5;
+        double spillFill = 0.9;
+        /** Load over slots that a unit costs whose streams are late with however few requests. */
+        double outOfReachPenalty = 1.0;
         GroupWatch::Options groups;
         /** Time for which an entry may use its turn at a cold server; turns kept for longer could all be used at once.
          */
@@ -103,6 +112,12 @@
         std::function<double(const ServiceId &)> unseenRequests = [](const auto &) { return 0.0; };
         /** Whether a server has named a limit on requests a second that leaves nothing for this entry now. */
         std::function<bool(const Backend &)> isRateLimited = [](const Backend &) { return false; };
+        /** Requests of a pace unit over its bound. */
+        std::function<double(const PaceUnitId &, const PaceUnitLoad &)> paceFill = [](const auto &, const auto &) {
+            return 0.0;
+        };
+        /** Whether streams of a unit are late with however few requests. */
+        std::function<bool(const PaceUnitId &)> isPaceOutOfReach = [](const PaceUnitId &) { return false; };
     };
 
     struct Request
@@ -113,6 +128,10 @@
         const std::set<DataCentreId> *allowed = nullptr;
         /** Servers that have already been tried for it. */
         const std::vector<ServerId> *excluded = nullptr;
+        /** Streams go to units by their pace. */
+        bool isStream = false;
+        /** Part of the bound of a pace unit up to which the request may fill it; empty: the bound does not apply. */
+        std::optional<double> shareOfPaceBound;
     };
 
     enum class NoChoice {
@@ -120,6 +139,7 @@
         GroupBroken, ///< All servers that could take it are ranks of groups that have lost a rank.
         GroupForming, ///< All ranks of such a group are back; it opens within a second.
         AllFull,
+        AtPaceBound, ///< Each server that is not full has a pace that one more stream would make too slow.
         RateLimited, ///< Each server that is not full has named a limit that leaves nothing for this entry now.
         AllPaused, ///< Each server that could take it has asked this entry for a pause.
         AllExcluded, ///< Each usable server has been tried already.
@@ -211,6 +231,9 @@
 
     Occupancy occupancy(const ServiceId &service, TimePoint now) const;
 
+    /** Loads of the pace units of a service, by what is usable of them. */
+    std::map<PaceUnitId, PaceUnitLoad> paceUnits(const ServiceId &service, TimePoint now) const;
+
     /** Servers of a service that may get requests now, full ones included. */
     std::vector<const Backend *> usable(const ServiceId &service, TimePoint now) const;
 
@@ -243,6 +266,10 @@
     bool isColdFull(Backend &backend, TimePoint now, RandomSource &random) const;
     double failureShare(const Backend &backend, TimePoint now) const;
     double score(const Backend &backend, const Request &request, TimePoint now) const;
+    /** What a unit costs a stream, from its load over its bound. */
+    double paceScore(const Backend &backend, const Request &request, double fill) const;
+    /** Loads over bounds of the units of a service. */
+    std::map<PaceUnitId, double> paceFills(const ServiceId &service, TimePoint now) const;
     struct Candidate
     {
         const Backend *backend = nullptr;
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -31,6 +31,12 @@
 /** Callers' patience differs by some 15 %; one with less time than this share of the longest has come back. */
 constexpr double comeBackShare = 0.8;
 
+/** Time of a pass of an engine without requests. */
+Duration fixedPassTime(const EngineModel &engine)
+{
+    return std::chrono::duration_cast<Duration>(engine.stepTime * engine.stepsPerPass);
+}
+
 } // namespace
 
 Gateway::Gateway(EventLoop &loop, RandomSource &random, GatewaySettings settings, GatewayHooks hooks)
@@ -39,7 +45,10 @@
     , settings_(std::move(settings))
     , backends_({.entryCount = assumedEntries,
                  .unseenRequests = [this](const ServiceId &service) { return unseenRequests(service); },
-                 .isRateLimited = [this](const Backend &backend) { return rateLimits_.isLimited(backend); }})
+                 .isRateLimited = [this](const Backend &backend) { return rateLimits_.isLimited(backend); },
+                 .paceFill = [this](const PaceUnitId &unit,
+                                    const PaceUnitLoad &load) { return queues_.paces().fillOf(unit, load); },
+                 .isPaceOutOfReach = [this](const PaceUnitId &unit) { return queues_.paces().isOutOfReach(unit); }})
     , pool_(loop, {})
     , peers_(loop, {.name = settings_.name, .incarnation = random.incarnation(), .address = settings_.peerAddress},
              {.ownLoad =
@@ -194,7 +203,10 @@
 {
     for (const auto &[id, backend] : backends_.all()) {
         if (backend.spec.group && backend.spec.group->isOpen) {
-            queues_.noteGroupEpoch(backend.spec.service, *backend.spec.group);
+            queues_.noteGroupEpoch(*backend.spec.group);
+        }
+        if (const auto engine = engineOf(backend.spec.service)) {
+            queues_.paces().setFixedPassTime(backend.paceUnit, fixedPassTime(*engine));
         }
     }
     peerLoadsChanged();
@@ -224,7 +236,7 @@
              {{"server", rank.name()}, {"group", place.group.name()}, {"entry_epoch", std::to_string(place.epoch)}});
     // Engines form again in a later epoch, with the uniform map.
     ++place.epoch;
-    queues_.noteGroupEpoch(backend->spec.service, place);
+    queues_.noteGroupEpoch(place);
     loop_.post([this] { queues_.serveAll(); });
 }
 
@@ -259,6 +271,7 @@
     groupProbe_.sweep(now);
     setEntryCount(peers_.entryCount(now));
     queues_.notePeerBounds(peers_.loads());
+    queues_.sweep();
     if (now - stateLoggedAt_ >= stateLogInterval) {
         stateLoggedAt_ = now;
         queues_.logStates();
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -26,7 +26,7 @@
     struct Callbacks
     {
         std::function<std::vector<std::pair<ServerHash, std::uint32_t>>()> ownLoad;
-        std::function<std::vector<std::pair<ServiceHash, std::uint32_t>>()> bounds;
+        std::function<std::vector<std::pair<PaceUnitHash, std::uint32_t>>()> bounds;
         std::function<bool()> isMapHolder;
         std::function<std::vector<std::uint64_t>()> tableVersions;
         std::function<void(const std::vector<std::uint64_t> &)> peerVersions;
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -174,6 +174,11 @@
     return static_cast<ServiceHash>(hash64(service.name()));
 }
 
+PaceUnitHash hashOfPaceUnit(const PaceUnitId &unit)
+{
+    return static_cast<PaceUnitHash>(hash64(unit.name()));
+}
+
 std::string encodeLoadMessage(const LoadMessage &message, TimePoint now)
 {
     auto document = encodeLoad(message, now);
@@ -303,12 +308,12 @@
     return sum;
 }
 
-std::optional<double> PeerLoads::boundFor(ServiceHash service) const
+std::optional<double> PeerLoads::boundFor(PaceUnitHash unit) const
 {
     std::vector<std::uint32_t> bounds;
     for (const auto &[name, peer] : peers_) {
         for (const auto &[told, bound] : peer.last.bounds) {
-            if (told == service) {
+            if (told == unit) {
                 bounds.push_back(bound);
             }
         }
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamlane_dispatch/pace/PaceBook.h"
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
 
 #include <cstdint>
@@ -23,7 +24,12 @@
 
 ServiceHash hashOfService(const ServiceId &service);
 
-/** Bounds are told in thousandths of a service's places, demands in thousandths of a request. */
+/** Short name of a pace unit in load messages. */
+using PaceUnitHash = std::uint32_t;
+
+PaceUnitHash hashOfPaceUnit(const PaceUnitId &unit);
+
+/** Bounds are told in thousandths of a unit's places, demands in thousandths of a request. */
 constexpr double boundScale = 1000;
 constexpr double demandScale = 1000;
 
@@ -41,9 +47,9 @@
     /** Newest row that the sender has seen of each table that all entries follow, in a fixed order. */
     std::vector<std::uint64_t> tableVersions;
     std::vector<std::pair<ServerHash, std::uint32_t>> inFlight;
-    /** Bound on the requests of all entries at a service, in thousandths of its places; only where the sender has seen
-        the pace of the service. */
-    std::vector<std::pair<ServiceHash, std::uint32_t>> bounds;
+    /** Bound on the requests of all entries at a pace unit, in thousandths of its places; only where the sender has
+       seen the pace of the unit. */
+    std::vector<std::pair<PaceUnitHash, std::uint32_t>> bounds;
     /** Digest of what the sender knows of crashes; see CrashEvidence. */
     std::uint64_t crashDigest = 0;
     /** Limits on requests a second that servers have named; the times are on the clock of the process that holds the
@@ -108,8 +114,8 @@
 
     std::uint32_t sumFor(ServerHash server) const;
 
-    /** Median of the bounds that peers keep at a service, as a share of its places; empty if none has told one. */
-    std::optional<double> boundFor(ServiceHash service) const;
+    /** Median of the bounds that peers keep at a pace unit, as a share of its places; empty if none has told one. */
+    std::optional<double> boundFor(PaceUnitHash unit) const;
 
     /** Requests that all peers have to send to a service at once. */
     double demandFor(ServiceHash service) const;
--- a/modules/hornbeamlane_gateway/queue/PlaceWait.cpp
+++ b/modules/hornbeamlane_gateway/queue/PlaceWait.cpp
@@ -51,7 +51,7 @@
     // A request that cannot be on time any more leaves its place to one that can.
     const Duration target = options_.latencyTarget;
     const auto atServer =
-        options_.kind == RequestKind::Stream ? queues_.of(options_.service).governor.firstEventLatency() : target / 2;
+        options_.kind == RequestKind::Stream ? queues_.of(options_.service).firstEventLatency : target / 2;
     return std::max<Duration>(target - atServer, target / 8) - (now - options_.arrivedAt);
 }
 
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -36,6 +36,12 @@
 /** Part of the bound that late requests may fill: entries do not see each other's queues, but they see the load. */
 constexpr double lateShareOfLimit = 0.9;
 
+/** Loads of pace units are sums over all servers; within this time they hardly change. */
+constexpr milliseconds paceUpdateInterval{10};
+
+/** Weight of one first event in the moving average of their latency. */
+constexpr double latencyWeight = 0.08;
+
 /** Requests that wait are started within this time at the present rate; further ones are refused. */
 constexpr milliseconds longestBacklog{1000};
 constexpr double minBacklog = 4;
@@ -153,14 +159,36 @@
     armWaitTimer();
 }
 
-bool ServiceQueues::isAtLimit(const ServiceId &service, bool isLate)
+void ServiceQueues::updatePace(const ServiceId &service)
 {
-    auto &governor = of(service).governor;
+    auto &state = of(service);
     const auto now = loop_.now();
-    const auto occupancy = backends_.occupancy(service, now);
-    governor.update(occupancy.inFlight, occupancy.places, now);
-    const double share = isLate ? lateShareOfLimit : 1.0;
-    return occupancy.inFlight >= share * governor.limit(occupancy.places);
+    if (now - state.paceUpdatedAt < paceUpdateInterval) {
+        return;
+    }
+    state.paceUpdatedAt = now;
+    for (const auto &[unit, load] : backends_.paceUnits(service, now)) {
+        paces_.update(unit, load, now);
+    }
+}
+
+double ServiceQueues::shareOfPaceBound(bool isLate)
+{
+    return isLate ? lateShareOfLimit : 1.0;
+}
+
+void ServiceQueues::onFirstEvent(const ServiceId &service, Duration latency)
+{
+    auto &usual = of(service).firstEventLatency;
+    usual += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(latency - usual) * latencyWeight);
+}
+
+bool ServiceQueues::isTargetOutOfReach(const ServiceId &service) const
+{
+    const auto units = backends_.paceUnits(service, loop_.now());
+    return !units.empty() && std::all_of(units.begin(), units.end(), [this](const auto &entry) {
+        return paces_.isOutOfReach(entry.first);
+    });
 }
 
 bool ServiceQueues::isBacklogTooLong(const ServiceId &service)
@@ -184,7 +212,7 @@
 
 Duration ServiceQueues::drawRetryAfter(GatewayRefusal refusal, const ServiceId &service)
 {
-    const bool isLateForLong = refusal == GatewayRefusal::Overloaded && of(service).governor.isTargetOutOfReach();
+    const bool isLateForLong = refusal == GatewayRefusal::Overloaded && isTargetOutOfReach(service);
     const auto &range = isLateForLong ? afterBrokenGroup : rangeFor(refusal);
     const auto drawn =
         range.from + milliseconds(random_.below(static_cast<std::uint64_t>((range.to - range.from).count())));
@@ -221,15 +249,15 @@
     }
 }
 
-void ServiceQueues::noteGroupEpoch(const ServiceId &service, const GroupPlace &place)
+void ServiceQueues::noteGroupEpoch(const GroupPlace &place)
 {
     const auto [known, isNew] = groupEpochs_.try_emplace(place.group, place.epoch);
     if (!isNew && place.epoch <= known->second) {
         return;
     }
     known->second = place.epoch;
-    of(service).governor.restart(isNew ? ConcurrencyGovernor::RestartCause::FirstSight
-                                       : ConcurrencyGovernor::RestartCause::NewEngines);
+    paces_.restart(paceUnitOf(place.group),
+                   isNew ? StreamGovernor::RestartCause::FirstSight : StreamGovernor::RestartCause::NewEngines);
 }
 
 void ServiceQueues::setEntryCount(std::uint32_t count)
@@ -242,22 +270,23 @@
 
 void ServiceQueues::notePeerBounds(const PeerLoads &loads)
 {
-    for (auto &[service, state] : services_) {
-        state.governor.onPeerShare(loads.boundFor(hashOfService(service)));
-    }
+    paces_.onPeerBounds([&loads](const PaceUnitId &unit) { return loads.boundFor(hashOfPaceUnit(unit)); });
 }
 
-std::vector<std::pair<ServiceHash, std::uint32_t>> ServiceQueues::bounds() const
+std::vector<std::pair<PaceUnitHash, std::uint32_t>> ServiceQueues::bounds() const
 {
-    std::vector<std::pair<ServiceHash, std::uint32_t>> bounds;
-    for (const auto &[service, state] : services_) {
-        if (const auto share = state.governor.measuredShare()) {
-            bounds.emplace_back(hashOfService(service), static_cast<std::uint32_t>(*share * boundScale));
-        }
+    std::vector<std::pair<PaceUnitHash, std::uint32_t>> bounds;
+    for (const auto &[unit, share] : paces_.bounds()) {
+        bounds.emplace_back(hashOfPaceUnit(unit), static_cast<std::uint32_t>(share * boundScale));
     }
     return bounds;
 }
 
+void ServiceQueues::sweep()
+{
+    paces_.sweep(loop_.now());
+}
+
 std::vector<std::pair<ServiceHash, std::uint32_t>> ServiceQueues::demands() const
 {
     std::vector<std::pair<ServiceHash, std::uint32_t>> demands;
@@ -276,17 +305,27 @@
     const auto now = loop_.now();
     for (const auto &[service, state] : services_) {
         const auto occupancy = backends_.occupancy(service, now);
-        logEvent(
-            LogLevel::Info, "service_state",
-            {{"service", service.name()},
-             {"places", std::to_string(occupancy.places)},
-             {"in_flight", std::to_string(occupancy.inFlight)},
-             {"limit", std::to_string(state.governor.limit(occupancy.places))},
-             {"pause_percent", std::to_string(static_cast<int>(state.governor.lastPressure() * 100))},
-             {"first_event_ms",
-              std::to_string(std::chrono::duration_cast<milliseconds>(state.governor.firstEventLatency()).count())},
-             {"waiting", std::to_string(state.queue.size())}});
+        logEvent(LogLevel::Info, "service_state",
+                 {{"service", service.name()},
+                  {"places", std::to_string(occupancy.places)},
+                  {"in_flight", std::to_string(occupancy.inFlight)},
+                  {"first_event_ms",
+                   std::to_string(std::chrono::duration_cast<milliseconds>(state.firstEventLatency).count())},
+                  {"waiting", std::to_string(state.queue.size())}});
     }
+    paces_.forEach([](const PaceUnitId &unit, const StreamGovernor &governor, const PaceUnitLoad &load) {
+        if (!governor.measuredShare()) {
+            return;
+        }
+        logEvent(LogLevel::Info, "pace_unit_state",
+                 {{"unit", unit.name()},
+                  {"places", std::to_string(load.places)},
+                  {"in_flight", std::to_string(load.inFlight)},
+                  {"limit", std::to_string(governor.limit(load.places))},
+                  {"pause_percent", std::to_string(static_cast<int>(governor.meanPressure() * 100))},
+                  {"in_time_percent", std::to_string(static_cast<int>(governor.inTimeShare() * 100))},
+                  {"out_of_reach", governor.isTargetOutOfReach() ? "yes" : "no"}});
+    });
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.h
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.h
@@ -27,8 +27,10 @@
         AdmissionQueue queue;
         std::unordered_map<TicketNumber, std::weak_ptr<ForwardedRequest>> waiting;
         RetryAllowance retries;
-        ConcurrencyGovernor governor;
         RateMeter starts;
+        /** Usual time from sending to the first event of a stream. */
+        Duration firstEventLatency = std::chrono::milliseconds(150);
+        TimePoint paceUpdatedAt;
     };
 
     /** The references must outlive this. */
@@ -46,8 +48,19 @@
     void serve(const ServiceId &service);
     void serveAll();
 
-    /** Whether the service has as many requests as its pace allows; late ones leave room for those that are not. */
-    bool isAtLimit(const ServiceId &service, bool isLate);
+    /** Takes the loads of the service's pace units, before a server is chosen for a stream. */
+    void updatePace(const ServiceId &service);
+
+    /** Part of the bound of a pace unit that a stream may fill; late ones leave room for those that are not. */
+    static double shareOfPaceBound(bool isLate);
+
+    PaceBook &paces()
+    {
+        return paces_;
+    }
+
+    /** A first event came so long after its request was sent. */
+    void onFirstEvent(const ServiceId &service, Duration latency);
 
     /** Whether more requests wait for the service than can start before their callers give up. */
     bool isBacklogTooLong(const ServiceId &service);
@@ -62,8 +75,8 @@
     /** Time after which to come back: callers that were refused together come back spread out. */
     Duration drawRetryAfter(GatewayRefusal refusal, const ServiceId &service);
 
-    /** Restarts the governor of the service when a group has formed again or is seen for the first time. */
-    void noteGroupEpoch(const ServiceId &service, const GroupPlace &place);
+    /** Forgets the pace of a group that has formed again or is seen for the first time. */
+    void noteGroupEpoch(const GroupPlace &place);
 
     /** Entries that share the budgets of retries. */
     void setEntryCount(std::uint32_t count);
@@ -71,16 +84,21 @@
     /** Takes over the bounds that the other entries tell. */
     void notePeerBounds(const PeerLoads &loads);
 
-    /** Bounds that this entry keeps at services whose pace it has seen. */
-    std::vector<std::pair<ServiceHash, std::uint32_t>> bounds() const;
+    /** Bounds that this entry keeps at units whose pace it has seen. */
+    std::vector<std::pair<PaceUnitHash, std::uint32_t>> bounds() const;
 
     /** Requests that this entry has to send to each service at once, while any server may have a limit. */
     std::vector<std::pair<ServiceHash, std::uint32_t>> demands() const;
 
-    /** Writes a line for each service. */
+    /** Forgets pace units that are gone. */
+    void sweep();
+
+    /** Writes a line for each service and each pace unit. */
     void logStates();
 
 private:
+    /** Whether streams of all units of the service are late with however few requests. */
+    bool isTargetOutOfReach(const ServiceId &service) const;
     void armWaitTimer();
     void expireWaiting();
     /** Looks at waiting requests again when the limits of servers may leave room, as long as there are both. */
@@ -93,6 +111,7 @@
     const BackendBook &backends_;
     const RateLimitGuard &rateLimits_;
     std::map<ServiceId, State> services_;
+    PaceBook paces_;
     /** Newest epoch in which each group was seen open. */
     std::map<GroupId, std::uint64_t> groupEpochs_;
     std::uint32_t entryCount_ = assumedEntries;
--- a/modules/hornbeamlane_gateway/request/BackendSend.h
+++ b/modules/hornbeamlane_gateway/request/BackendSend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamlane_dispatch/pace/PaceBook.h"
 #include "hornbeamlane_gateway/crashes/CrashDetector.h"
 #include "hornbeamlane_network/http1/Http1ClientConnection.h"
 
@@ -22,6 +23,8 @@
     bool isStreamed = false;
     /** Epoch of the server's group when the request was sent. */
     std::uint64_t groupEpoch = 0;
+    /** Servers whose streams share the pace of this one. */
+    PaceUnitId paceUnit;
     TimePoint startedAt;
     TimePoint lastEventAt;
 
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -186,9 +186,7 @@
     // Those that wait already come first, unless they have missed their target and this one has not.
     const bool isTrial = gateway_.crashes_.isTrial(number_);
     const bool isBehindOthers = mayQueue && !isTrial && wait_->isBehindOthers(stage());
-    const bool isLimited = mayQueue && !isTrial && route_->kind == RequestKind::Stream
-        && gateway_.queues_.isAtLimit(service_, wait_->isLate());
-    const auto server = chooseServer();
+    const auto server = chooseServer(mayQueue && !isTrial ? PaceBound::Applies : PaceBound::Ignored);
     if (!server && !isWorthWaiting()) {
         refuse(refusalFor(gateway_.backends_.lastFailure()));
         return;
@@ -197,7 +195,7 @@
         hold();
         return;
     }
-    if (server && !isBehindOthers && !isLimited) {
+    if (server && !isBehindOthers) {
         send(*server);
         return;
     }
@@ -211,19 +209,31 @@
     refuse(gateway_.queues_.ownRate(service_) ? GatewayRefusal::RateLimited : GatewayRefusal::Overloaded);
 }
 
-std::optional<ServerId> ForwardedRequest::chooseServer()
+std::optional<ServerId> ForwardedRequest::chooseServer(PaceBound bound)
 {
+    const bool isStream = route_->kind == RequestKind::Stream;
+    if (isStream) {
+        gateway_.queues_.updatePace(service_);
+    }
+    // A stream that has begun was counted already.
+    const bool isBounded = isStream && bound == PaceBound::Applies && !exchange_->isStreaming();
     auto excluded = gateway_.crashes_.serversToAvoid(number_);
     excluded.insert(excluded.end(), tried_.begin(), tried_.end());
-    return gateway_.backends_.choose(
-        {.service = service_, .dataCentre = gateway_.settings_.dataCentre, .excluded = &excluded}, now(),
-        gateway_.random_);
+    return gateway_.backends_.choose({.service = service_,
+                                      .dataCentre = gateway_.settings_.dataCentre,
+                                      .excluded = &excluded,
+                                      .isStream = isStream,
+                                      .shareOfPaceBound = isBounded
+                                          ? std::optional(ServiceQueues::shareOfPaceBound(wait_->isLate()))
+                                          : std::nullopt},
+                                     now(), gateway_.random_);
 }
 
 bool ForwardedRequest::isWorthWaiting() const
 {
     switch (gateway_.backends_.lastFailure()) {
     case BackendBook::NoChoice::AllFull:
+    case BackendBook::NoChoice::AtPaceBound:
     case BackendBook::NoChoice::RateLimited:
     case BackendBook::NoChoice::GroupForming:
         return true;
@@ -249,14 +259,10 @@
         refuse(GatewayRefusal::Stopping);
         return true;
     }
-    const auto server = chooseServer();
+    const auto server = chooseServer(PaceBound::Applies);
     if (!server && isWorthWaiting()) {
         return false;
     }
-    if (server && route_->kind == RequestKind::Stream && !exchange_->isStreaming()
-        && gateway_.queues_.isAtLimit(service_, wait_->isLate())) {
-        return false;
-    }
     wait_->leave();
     if (server) {
         send(*server);
@@ -297,6 +303,7 @@
     auto &sending = send_.emplace();
     sending.start = {.server = server, .incarnation = backend->spec.incarnation, .address = backend->spec.address};
     sending.groupEpoch = gateway_.backends_.groupEpochOf(server);
+    sending.paceUnit = backend->paceUnit;
     sending.startedAt = now();
     sending.connection = gateway_.pool_.acquire(server, sending.start.address);
     sending.isKept = sending.connection->isReusable();
@@ -392,13 +399,13 @@
 void ForwardedRequest::notePace()
 {
     const auto time = now();
-    auto &governor = gateway_.queues_.of(service_).governor;
+    auto &queues = gateway_.queues_;
     if (send_->lastEventAt == TimePoint{}) {
-        governor.onFirstEvent(time - send_->startedAt);
+        queues.onFirstEvent(service_, time - send_->startedAt);
         gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
     } else {
         longestPause_ = std::max(longestPause_, time - send_->lastEventAt);
-        governor.onPause(time - send_->lastEventAt, route_->pauseTarget, time);
+        queues.paces().onPause(send_->paceUnit, time - send_->lastEventAt, route_->pauseTarget, time);
     }
     send_->lastEventAt = time;
 }
@@ -577,6 +584,7 @@
 void ForwardedRequest::finishStream()
 {
     gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
+    gateway_.queues_.paces().onStreamEnded(send_->paceUnit, answers_.events().completeEvents());
     if (!hasCallerLeft_) {
         answers_.finishStream(*send_);
     }
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -71,7 +71,8 @@
     void hold();
     /** No server can take it in time, because they are busy or because of the limits that they name. */
     void refuseForLackOfPlace();
-    std::optional<ServerId> chooseServer();
+    enum class PaceBound { Applies, Ignored };
+    std::optional<ServerId> chooseServer(PaceBound bound);
     /** Whether a place is expected soon after the last choice found none, so that waiting for it makes sense. */
     bool isWorthWaiting() const;
     void send(const ServerId &server);
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
@@ -52,6 +52,7 @@
         return GatewayRefusal::GroupBroken;
     case BackendBook::NoChoice::GroupForming:
     case BackendBook::NoChoice::AllFull:
+    case BackendBook::NoChoice::AtPaceBound:
         return GatewayRefusal::Overloaded;
     case BackendBook::NoChoice::RateLimited:
         return GatewayRefusal::RateLimited;
