--- a/modules/hornbeamlane_dispatch/pace/StreamGovernor.cpp
+++ b/modules/hornbeamlane_dispatch/pace/StreamGovernor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace hornbeamlane {
 
@@ -27,6 +28,12 @@
     return std::chrono::duration<double>(time) / std::chrono::duration<double>(target);
 }
 
+/** Chance that a pause exceeds its target if it is predicted as this part of it, with a normal error. */
+double chanceAboveTarget(double pressure, double standardError)
+{
+    return 0.5 * std::erfc((1 - pressure) / (standardError * std::numbers::sqrt2));
+}
+
 } // namespace
 
 StreamGovernor::StreamGovernor()
@@ -57,9 +64,11 @@
         return;
     }
     const double pressure = ratio(pause, target);
+    const bool hasModel = options_.fixedPassTime > Duration::zero();
+    const double fixed = hasModel ? ratio(options_.fixedPassTime, target) : pressure * options_.fixedShare;
     samples_.push_back({.at = now,
                         .pressure = pressure,
-                        .fixedPressure = std::min(pressure, ratio(options_.fixedPassTime, target)),
+                        .fixedPressure = std::min(pressure, fixed),
                         .load = std::max(load_, smallestLoad)});
     if (samples_.size() > options_.maxSamples) {
         samples_.pop_front();
@@ -75,7 +84,10 @@
 double StreamGovernor::weightOf(const Sample &sample, TimePoint now) const
 {
     const auto age = std::chrono::duration<double>(now - sample.at);
-    return std::exp2(-age / std::chrono::duration<double>(options_.sampleHalfLife));
+    // The further the load has moved, the less sure is what a pause would be at the present one.
+    const double distance = std::abs(std::log(sample.load / std::max(load_, smallestLoad)));
+    return std::exp2(-age / std::chrono::duration<double>(options_.sampleHalfLife)
+                     - distance / options_.sampleLoadRange);
 }
 
 void StreamGovernor::dropOld(TimePoint now)
@@ -99,17 +111,18 @@
 
 // A pass takes a fixed time and a time in proportion to its requests, so each pause that was seen tells how long it
 // would have been at another load. A stream is in time if none of its pauses is too long.
-StreamGovernor::Forecast StreamGovernor::forecast(double share, TimePoint now) const
+StreamGovernor::Forecast StreamGovernor::forecast(double share, PassModel model, TimePoint now) const
 {
     double weights = 0;
     double tooLong = 0;
     double pressures = 0;
     for (const auto &sample : samples_) {
         const double weight = weightOf(sample, now);
-        const double pressure = sample.fixedPressure + (sample.pressure - sample.fixedPressure) * share / sample.load;
+        const double fixed = model == PassModel::PartlyFixed ? sample.fixedPressure : 0;
+        const double pressure = fixed + (sample.pressure - fixed) * share / sample.load;
         weights += weight;
         pressures += weight * pressure;
-        tooLong += weight / (1 + std::exp(-(pressure - 1) / options_.predictionError));
+        tooLong += weight * chanceAboveTarget(pressure, options_.predictionError);
     }
     if (weights <= 0 || pressures <= 0) {
         return {.inTime = 1, .value = share};
@@ -119,13 +132,27 @@
     return {.inTime = inTime, .value = streams * (inTime + options_.lateValue * (1 - inTime))};
 }
 
+// Far above the load that the engines bear, the fixed part is overrated, since it is not known how much of a long pass
+// it is. Out of reach is the target only if pauses in full proportion to the requests would still be too long.
+std::optional<StreamGovernor::PassModel> StreamGovernor::usableModel(TimePoint now) const
+{
+    for (const auto model : {PassModel::PartlyFixed, PassModel::Proportional}) {
+        if (forecast(options_.smallestShare, model, now).inTime >= options_.smallestInTime) {
+            return model;
+        }
+    }
+    return std::nullopt;
+}
+
 double StreamGovernor::bestShare(TimePoint now)
 {
-    isTargetOutOfReach_ = forecast(options_.smallestShare, now).inTime < options_.smallestInTime;
+    const auto usable = usableModel(now);
+    isTargetOutOfReach_ = !usable;
+    const auto model = usable.value_or(PassModel::PartlyFixed);
     double best = options_.largestShare;
     double bestValue = 0;
     for (double share = options_.largestShare; share >= options_.smallestShare - shareStep / 2; share -= shareStep) {
-        const double value = forecast(share, now).value;
+        const double value = forecast(share, model, now).value;
         if (value > bestValue * (1 + valueTolerance)) {
             best = share;
             bestValue = value;
@@ -161,7 +188,7 @@
     movedAt_ = now;
     isMeasured_ = true;
     const double load = meanLoad(now);
-    const auto present = forecast(load, now);
+    const auto present = forecast(load, PassModel::PartlyFixed, now);
     inTimeShare_ = present.inTime;
     meanPressure_ = 0;
     double weights = 0;
--- a/modules/hornbeamlane_dispatch/pace/StreamGovernor.h
+++ b/modules/hornbeamlane_dispatch/pace/StreamGovernor.h
@@ -22,6 +22,8 @@
     {
         /** A pause counts half as much after this time. */
         std::chrono::milliseconds sampleHalfLife{500};
+        /** A pause taken at a load that differs by this part from the present one counts half as much. */
+        double sampleLoadRange = 0.15;
         /** Pauses older than this are forgotten. */
         std::chrono::milliseconds sampleAge{2000};
         /** Pauses kept at most. */
@@ -32,12 +34,14 @@
         std::chrono::milliseconds window{250};
         /** Part of each pass that does not grow with the requests, from the engine's model. */
         Duration fixedPassTime{};
+        /** The same as a part of the pass, where the engine has no model. */
+        double fixedShare = 0.25;
         /** Pauses of a stream while none has ended. */
         double usualPauses = 18;
         /** What a late stream is worth to its caller, as a part of one in time. */
         double lateValue = 0.4;
-        /** Error of a predicted pause, as a part of the target. */
-        double predictionError = 0.04;
+        /** Standard error of a predicted pause, as a part of the target. */
+        double predictionError = 0.03;
         /** Largest step down and up of the bound in one window. */
         double largestShrink = 0.8;
         double largestGrowth = 1.25;
@@ -127,7 +131,15 @@
         double value = 0;
     };
 
-    Forecast forecast(double share, TimePoint now) const;
+    /** How a pass is taken to grow with its requests. */
+    enum class PassModel {
+        PartlyFixed, ///< By the engine's model, or by the usual part.
+        Proportional, ///< All of it grows; the best that a smaller bound can bring.
+    };
+
+    Forecast forecast(double share, PassModel model, TimePoint now) const;
+    /** The model by which a smaller bound helps; empty if none does. */
+    std::optional<PassModel> usableModel(TimePoint now) const;
     double weightOf(const Sample &sample, TimePoint now) const;
     void dropOld(TimePoint now);
     double meanLoad(TimePoint now) const;
