Share a short capacity by priority and team on arrival

Cause: priority ordered only requests that waited at the same entry. A place that became free went to whichever entry asked first, so a burst of the least urgent kind took places of all kinds, and rejections came after a wait.

Change: ArrivalMeter measures arrivals by priority, lateness and team; load messages carry them under the CBOR key "k". PriorityShares divides the capacity: a floor for each priority, then by urgency, teams max-min within a priority, late requests last. ArrivalAdmission decides on arrival and draws Retry-After within a third of the caller's time.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -71,6 +71,7 @@
                                         std::uint64_t digest) { crashes_.exchange().onPeerDigest(address, digest); },
               .rateLimits = [this](bool all) { return rateLimits_.reports(all); },
               .demands = [this] { return queues_.demands(); },
+              .arrivals = [this] { return queues_.arrivals(); },
               .peerRateLimits = [this](Incarnation sender,
                                        const auto &reports) { rateLimits_.onPeerReports(sender, reports); },
               .otherMessage = [this](std::string_view bytes) { return crashes_.exchange().onMessage(bytes); }})
@@ -398,6 +399,7 @@
     metrics_.setGauge("crashes_known", {}, static_cast<double>(crashes_.crashCount()));
     metrics_.setGauge("culprits_quarantined", {}, static_cast<double>(crashes_.culpritCount()));
     metrics_.setGauge("peers_active", {}, static_cast<double>(peers_.loads().activePeers()));
+    queues_.setGauges(metrics_);
     return metrics_.renderPrometheus();
 }
 
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -28,6 +28,8 @@
     std::string key = "X-Api-Key";
     /** Name of the key's team; set by the gateway only. */
     std::string team = "X-Hornbeamlane-Team";
+    /** Priority of the request, 0 to 9, 0 first; set by the gateway only, towards servers that run an engine. */
+    std::string priority = "X-Request-Priority";
     /** Server for which the request is meant; another one rejects it. */
     std::string expectedServer = "X-Expected-Server";
     /** Signature of a server; a success without it is not the server's answer. */
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -19,6 +19,9 @@
 /** Time between two tellings of all limits that servers have named. */
 constexpr milliseconds allLimitsInterval{300};
 
+/** Time between two tellings of the arrivals, which change within about a second. */
+constexpr milliseconds arrivalsInterval{200};
+
 /** Peers that hear of something urgent at once; they tell the others that they know more. */
 constexpr std::size_t urgentFanOut = 48;
 
@@ -154,6 +157,9 @@
 {
     const bool tellsAllLimits = gossip_.isRelaying() || now - rateLimitsToldAt_ >= allLimitsInterval;
     rateLimitsToldAt_ = tellsAllLimits ? now : rateLimitsToldAt_;
+    // Of an entry's words that are passed on the last one stands for all.
+    const bool tellsArrivals = gossip_.isRelaying() || now - arrivalsToldAt_ >= arrivalsInterval;
+    arrivalsToldAt_ = tellsArrivals ? now : arrivalsToldAt_;
     return {.sender = options_.name,
             .sequence = ++sequence_,
             .incarnation = options_.incarnation,
@@ -161,7 +167,8 @@
             .inFlight = callbacks_.ownLoad(),
             .bounds = callbacks_.bounds(),
             .rateLimits = callbacks_.rateLimits(tellsAllLimits),
-            .demands = callbacks_.demands()};
+            .demands = callbacks_.demands(),
+            .arrivals = tellsArrivals ? std::optional(callbacks_.arrivals()) : std::nullopt};
 }
 
 void PeerExchange::tick()
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -43,6 +43,8 @@
         std::function<std::vector<std::pair<ServiceHash, std::uint32_t>>()> demands = [] {
             return std::vector<std::pair<ServiceHash, std::uint32_t>>();
         };
+        /** Requests of callers that come to this entry. */
+        std::function<std::vector<ServiceArrivals>()> arrivals = [] { return std::vector<ServiceArrivals>(); };
         std::function<void(Incarnation sender, const std::vector<RateLimitReport> &)> peerRateLimits =
             [](auto, const auto &) {};
         /** Takes a message that tells no load; false if it is of no known kind. */
@@ -113,6 +115,7 @@
     /** The own load as it was told last. */
     LoadMessage told_;
     TimePoint rateLimitsToldAt_;
+    TimePoint arrivalsToldAt_;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -1,5 +1,6 @@
 #include "hornbeamlane_gateway/peers/PeerLoads.h"
 
+#include "hornbeamlane_gateway/peers/ArrivalCodec.h"
 #include "hornbeamlane_messages/codec/CborBounds.h"
 
 #include <nlohmann/json.hpp>
@@ -108,6 +109,9 @@
     if (!message.demands.empty()) {
         document["d"] = flatten(message.demands);
     }
+    if (message.arrivals) {
+        document["k"] = nlohmann::json::binary(encodeArrivals(*message.arrivals));
+    }
     return document;
 }
 
@@ -144,6 +148,9 @@
     if (const auto demands = document.find("d"); demands != document.end()) {
         message.demands = pairsFrom(*demands).value_or(NumberPairs());
     }
+    if (const auto arrivals = document.find("k"); arrivals != document.end() && arrivals->is_binary()) {
+        message.arrivals = decodeArrivals(arrivals->get_binary());
+    }
     return message;
 }
 
@@ -243,7 +250,11 @@
         || peer.last.demands != message.demands || !message.rateLimits.empty()
         || peer.last.isMapHolder != message.isMapHolder || message.isMapHolder;
     subtract(peer.last);
+    // Arrivals are told less often than loads.
+    auto arrivals = message.arrivals || peer.last.incarnation != message.incarnation ? message.arrivals
+                                                                                     : std::move(peer.last.arrivals);
     peer.last = message;
+    peer.last.arrivals = std::move(arrivals);
     peer.last.relayed.clear();
     peer.address = origin.address;
     peer.heardAt = origin.heardAt;
@@ -308,6 +319,21 @@
     return sum;
 }
 
+std::vector<const std::vector<ArrivalRate> *> PeerLoads::arrivalsFor(ServiceHash service) const
+{
+    static const std::vector<ArrivalRate> none;
+    std::vector<const std::vector<ArrivalRate> *> arrivals;
+    for (const auto &[name, peer] : peers_) {
+        if (!peer.last.arrivals) {
+            continue;
+        }
+        const auto found = std::find_if(peer.last.arrivals->begin(), peer.last.arrivals->end(),
+                                        [service](const auto &told) { return told.service == service; });
+        arrivals.push_back(found == peer.last.arrivals->end() ? &none : &found->rates);
+    }
+    return arrivals;
+}
+
 std::optional<double> PeerLoads::boundFor(PaceUnitHash unit) const
 {
     std::vector<std::uint32_t> bounds;
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamlane_dispatch/pace/PaceBook.h"
+#include "hornbeamlane_dispatch/queue/ArrivalRates.h"
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
 
 #include <cstdint>
@@ -35,6 +36,15 @@
 
 struct RelayedLoad;
 
+/** Requests of callers for one service at one entry. */
+struct ServiceArrivals
+{
+    ServiceHash service = 0;
+    std::vector<ArrivalRate> rates;
+
+    bool operator==(const ServiceArrivals &) const = default;
+};
+
 /** What one entry tells the others about its requests at the servers. */
 struct LoadMessage
 {
@@ -57,6 +67,8 @@
     std::vector<RateLimitReport> rateLimits;
     /** Requests that the sender has to send at once to a service some of whose servers have limits, in thousandths. */
     std::vector<std::pair<ServiceHash, std::uint32_t>> demands;
+    /** Requests of callers that come to the sender; empty if it does not tell them this time. */
+    std::optional<std::vector<ServiceArrivals>> arrivals;
     /** Loads of other entries that the sender passes on. */
     std::vector<RelayedLoad> relayed;
 };
@@ -120,6 +132,9 @@
     /** Requests that all peers have to send to a service at once. */
     double demandFor(ServiceHash service) const;
 
+    /** Requests of callers for a service at each peer that has told any; valid until the next message. */
+    std::vector<const std::vector<ArrivalRate> *> arrivalsFor(ServiceHash service) const;
+
     /** When a peer last said that it holds the lease of the expert maps. */
     TimePoint mapHolderHeardAt() const
     {
--- a/modules/hornbeamlane_gateway/queue/PlaceWait.cpp
+++ b/modules/hornbeamlane_gateway/queue/PlaceWait.cpp
@@ -12,6 +12,9 @@
 /** Longest wait of a request that has missed its target; callers give up two seconds after their request. */
 constexpr milliseconds lateWait{1400};
 
+/** Larger priorities rank alike, so that the rank does not overflow. */
+constexpr std::uint32_t largestPriority = 1000000;
+
 /** Wait for a place for the rest of a stream that broke off; callers give up after a pause of about two seconds. */
 constexpr milliseconds resumeWait{1200};
 
@@ -34,7 +37,7 @@
     if (stage == Stage::Streaming) {
         return 0;
     }
-    return 1 + options_.priority * 2 + (options_.isLate ? 1 : 0);
+    return 1 + std::min(options_.priority, largestPriority) * 2 + (options_.isLate ? 1 : 0);
 }
 
 bool PlaceWait::isBehindOthers(Stage stage) const
--- a/modules/hornbeamlane_gateway/queue/PlaceWait.h
+++ b/modules/hornbeamlane_gateway/queue/PlaceWait.h
@@ -50,6 +50,12 @@
         return options_.isLate;
     }
 
+    /** 0 is the most urgent. */
+    std::uint32_t priority() const
+    {
+        return options_.priority;
+    }
+
     /** Whether others wait that come first. */
     bool isBehindOthers(Stage stage) const;
 
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -4,6 +4,7 @@
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hornbeamlane {
 
@@ -39,6 +40,9 @@
 /** Loads of pace units are sums over all servers; within this time they hardly change. */
 constexpr milliseconds paceUpdateInterval{10};
 
+/** The same for the places that shares of the capacity are computed from. */
+constexpr milliseconds placesInterval{20};
+
 /** Weight of one first event in the moving average of their latency. */
 constexpr double latencyWeight = 0.08;
 
@@ -58,6 +62,27 @@
     }
 }
 
+void logShares(const ServiceId &service, const ServiceQueues::State &state)
+{
+    const auto &admission = state.admission;
+    const auto &shares = admission.shares();
+    std::string admitted;
+    std::string demand;
+    for (std::uint32_t priority = 0; priority <= leastUrgentPriority; ++priority) {
+        if (const double perSecond = shares.demandOf(priority); perSecond > 0) {
+            const auto name = (admitted.empty() ? "" : ",") + std::to_string(priority) + ":";
+            demand += name + std::to_string(std::llround(perSecond));
+            admitted += name + std::to_string(std::llround(shares.admittedPartOf(priority) * 100));
+        }
+    }
+    logEvent(LogLevel::Info, "capacity_short",
+             {{"service", service.name()},
+              {"capacity_per_second", std::to_string(std::llround(admission.capacityPerSecond()))},
+              {"demand_per_second", demand},
+              {"admitted_percent", admitted},
+              {"fill_percent", std::to_string(std::llround(state.places.fill() * 100))}});
+}
+
 } // namespace
 
 ServiceQueues::ServiceQueues(EventLoop &loop, RandomSource &random, const GatewaySettings &settings,
@@ -172,6 +197,57 @@
     }
 }
 
+const ArrivalAdmission::Places &ServiceQueues::placesOf(const ServiceId &service)
+{
+    auto &state = of(service);
+    const auto now = loop_.now();
+    if (now - state.placesAt < placesInterval) {
+        return state.places;
+    }
+    state.placesAt = now;
+    state.places = {};
+    for (const auto &[unit, load] : backends_.paceUnits(service, now)) {
+        state.places.bound += paces_.limitOf(unit, load.places).value_or(load.places);
+        state.places.inFlight += load.inFlight;
+    }
+    return state.places;
+}
+
+std::optional<Duration> ServiceQueues::rejectionOf(const ServiceId &service, const ArrivalClass &arrivals,
+                                                   Duration timeLeft, const PeerLoads &loads)
+{
+    auto &admission = of(service).admission;
+    const auto now = loop_.now();
+    admission.onArrival(arrivals, now);
+    if (admission.isUpdateDue(now)) {
+        admission.update(placesOf(service),
+                         {.arrivals = loads.arrivalsFor(hashOfService(service)),
+                          .heard = loads.activePeers(),
+                          .entryCount = entryCount_},
+                         now);
+    }
+    if (!admission.shares().isShort()) {
+        return std::nullopt;
+    }
+    return admission.rejectionOf(arrivals, placesOf(service).fill(), timeLeft, now, random_);
+}
+
+void ServiceQueues::onPlaceFreed(const ServiceId &service, Duration taken)
+{
+    of(service).admission.onPlaceFreed(taken);
+}
+
+std::vector<ServiceArrivals> ServiceQueues::arrivals()
+{
+    std::vector<ServiceArrivals> arrivals;
+    for (auto &[service, state] : services_) {
+        if (auto rates = state.admission.ratesToTell(loop_.now()); !rates.empty()) {
+            arrivals.push_back({.service = hashOfService(service), .rates = std::move(rates)});
+        }
+    }
+    return arrivals;
+}
+
 double ServiceQueues::shareOfPaceBound(bool isLate)
 {
     return isLate ? lateShareOfLimit : 1.0;
@@ -313,6 +389,11 @@
                    std::to_string(std::chrono::duration_cast<milliseconds>(state.firstEventLatency).count())},
                   {"waiting", std::to_string(state.queue.size())}});
     }
+    for (const auto &[service, state] : services_) {
+        if (state.admission.shares().isShort()) {
+            logShares(service, state);
+        }
+    }
     paces_.forEach([](const PaceUnitId &unit, const StreamGovernor &governor, const PaceUnitLoad &load) {
         if (!governor.measuredShare()) {
             return;
@@ -328,4 +409,19 @@
     });
 }
 
+void ServiceQueues::setGauges(MetricsRegistry &metrics) const
+{
+    for (const auto &[service, state] : services_) {
+        const auto &shares = state.admission.shares();
+        metrics.setGauge("capacity_per_second", {{"service", service.name()}}, state.admission.capacityPerSecond());
+        metrics.setGauge("demand_per_second", {{"service", service.name()}}, shares.demandPerSecond());
+        for (std::uint32_t priority = 0; priority <= leastUrgentPriority; ++priority) {
+            if (shares.demandOf(priority) > 0) {
+                metrics.setGauge("admitted_part", {{"service", service.name()}, {"priority", std::to_string(priority)}},
+                                 shares.admittedPartOf(priority));
+            }
+        }
+    }
+}
+
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.h
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.h
@@ -31,6 +31,10 @@
         /** Usual time from sending to the first event of a stream. */
         Duration firstEventLatency = std::chrono::milliseconds(150);
         TimePoint paceUpdatedAt;
+        ArrivalAdmission admission;
+        /** What the servers offered when it was last looked at. */
+        ArrivalAdmission::Places places;
+        TimePoint placesAt;
     };
 
     /** The references must outlive this. */
@@ -65,6 +69,20 @@
     /** Whether more requests wait for the service than can start before their callers give up. */
     bool isBacklogTooLong(const ServiceId &service);
 
+    /** Counts a request that has come; a time to come back if it is beyond the share of its priority and team while the
+        capacity of the service does not suffice. */
+    std::optional<Duration> rejectionOf(const ServiceId &service, const ArrivalClass &arrivals, Duration timeLeft,
+                                        const PeerLoads &loads);
+
+    /** A request has left its place at a server after that time. */
+    void onPlaceFreed(const ServiceId &service, Duration taken);
+
+    /** Requests that come to this entry, for the others. */
+    std::vector<ServiceArrivals> arrivals();
+
+    /** Sets gauges of the services whose capacity does not suffice, and of their shares. */
+    void setGauges(MetricsRegistry &metrics) const;
+
     /** Requests a second that this entry may send to a service all of whose servers name limits; empty if one does not.
      */
     std::optional<double> ownRate(const ServiceId &service) const;
@@ -99,6 +117,8 @@
 private:
     /** Whether streams of all units of the service are late with however few requests. */
     bool isTargetOutOfReach(const ServiceId &service) const;
+    /** Takes the places of the service's servers, at most once in a short time. */
+    const ArrivalAdmission::Places &placesOf(const ServiceId &service);
     void armWaitTimer();
     void expireWaiting();
     /** Looks at waiting requests again when the limits of servers may leave room, as long as there are both. */
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -61,7 +61,28 @@
     timer_.startOnce(deadline_ - arrivedAt_);
     gateway_.queues_.of(service_).retries.countRequest(arrivedAt_);
     gateway_.rateLimits_.onRequest(service_);
-    dispatch(true);
+    if (admitToShare()) {
+        dispatch(true);
+    }
+}
+
+bool ForwardedRequest::admitToShare()
+{
+    const ArrivalClass arrivals{.priority = wait_->priority(),
+                                .isLate = wait_->isLate(),
+                                .team = team_ == nullptr ? 0 : hashOfTeam(team_->name)};
+    const auto retryAfter =
+        gateway_.queues_.rejectionOf(service_, arrivals, deadline_ - arrivedAt_, gateway_.peers_.loads());
+    // An entry that stops sends the caller to another one at once.
+    if (!retryAfter || !canEndBeforeStop()) {
+        return true;
+    }
+    shareRetryAfter_ = *retryAfter;
+    gateway_.metrics_.addToCounter(
+        "requests_over_share_total",
+        {{"priority", std::to_string(boundedPriority(arrivals.priority))}, {"late", arrivals.isLate ? "yes" : "no"}});
+    refuse(GatewayRefusal::OverShare);
+    return false;
 }
 
 void ForwardedRequest::refuseAsQuarantined()
@@ -290,6 +311,9 @@
     if (team_ != nullptr) {
         headers.emplace_back(names.team, team_->name.name());
     }
+    if (const auto *service = table_->findService(service_); service != nullptr && service->engine) {
+        headers.emplace_back(names.priority, std::to_string(boundedPriority(wait_->priority())));
+    }
     if (const auto &position = answers_.events().lastEventId()) {
         headers.emplace_back(names.lastEventId, *position);
     }
@@ -622,6 +646,10 @@
     send_.reset();
     answers_.dropSend();
     gateway_.backends_.onEnded(sending.start.server, outcome, now());
+    if (outcome == BackendOutcome::Served || outcome == BackendOutcome::Failed
+        || outcome == BackendOutcome::Cancelled) {
+        gateway_.queues_.onPlaceFreed(service_, now() - sending.startedAt);
+    }
     gateway_.peers_.markChanged();
     gateway_.pool_.release(sending.start.server, sending.start.address, std::move(sending.connection));
     // On the next turn, so that a chain of ends does not nest.
@@ -650,15 +678,25 @@
     HttpHeaders headers;
     const auto status = statusOf(refusal);
     if (status == statusUnavailable) {
-        const auto wait = refusal == GatewayRefusal::Quarantined ? gateway_.crashes_.quarantineOf(traits_).left
-                                                                 : gateway_.queues_.drawRetryAfter(refusal, service_);
-        headers.emplace_back("Retry-After", formatSeconds(wait));
+        headers.emplace_back("Retry-After", formatSeconds(retryAfter(refusal)));
     }
     headers.emplace_back("Content-Type", "text/plain");
     exchange_->reply(status, headers, std::string(toString(refusal)) + "\n");
     finish(toString(refusal));
 }
 
+Duration ForwardedRequest::retryAfter(GatewayRefusal refusal)
+{
+    switch (refusal) {
+    case GatewayRefusal::Quarantined:
+        return gateway_.crashes_.quarantineOf(traits_).left;
+    case GatewayRefusal::OverShare:
+        return shareRetryAfter_;
+    default:
+        return gateway_.queues_.drawRetryAfter(refusal, service_);
+    }
+}
+
 void ForwardedRequest::onTimeout()
 {
     giveUp(GatewayRefusal::TimedOutWaiting, GatewayRefusal::TimedOut);
@@ -719,6 +757,7 @@
                     .server = tried_.empty() ? "" : tried_.back().name(),
                     .sends = sends_,
                     .timeLeft = deadline_ - arrivedAt_,
+                    .priority = wait_ ? std::optional(wait_->priority()) : std::nullopt,
                     .isLate = wait_ && wait_->isLate(),
                     .events = answers_.events().completeEvents(),
                     .firstByte = firstByteAt_ == TimePoint{} ? std::nullopt : std::optional(firstByteAt_ - arrivedAt_),
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -61,6 +61,8 @@
 
 private:
     bool admit();
+    /** Whether the request is within the share of its priority and team; rejects it otherwise. */
+    bool admitToShare();
     PlaceWait::Stage stage() const;
     /** Whether the entry runs on for as long as the request may need. */
     bool canEndBeforeStop() const;
@@ -102,6 +104,8 @@
     void finishStream();
     void endSend(BackendOutcome outcome);
     void refuse(GatewayRefusal refusal);
+    /** When the caller should come back. */
+    Duration retryAfter(GatewayRefusal refusal);
     void onTimeout();
     /** Ends the request for the caller, wherever it is. */
     void giveUp(GatewayRefusal beforeSending, GatewayRefusal atServer);
@@ -132,6 +136,8 @@
     std::uint32_t runs_ = 0;
     std::uint32_t sends_ = 0;
     bool isHeld_ = false;
+    /** When a caller that is beyond its share should come back. */
+    Duration shareRetryAfter_{};
     /** Until when it waits as a suspect, from its first such wait on. */
     std::optional<TimePoint> holdsUntil_;
     TimePoint firstByteAt_;
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.cpp
@@ -6,10 +6,10 @@
 
 std::string_view toString(GatewayRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 17> names = {
-        "not_ready",     "no_route",     "unknown_key",       "bad_request", "no_server",      "group_broken",
-        "overloaded",    "rate_limited", "servers_paused",    "quarantined", "suspected",      "retries_used_up",
-        "server_failed", "timed_out",    "timed_out_waiting", "stopping",    "cut_off_by_stop"};
+    static constexpr std::array<std::string_view, 18> names = {
+        "not_ready",       "no_route",      "unknown_key",  "bad_request",       "no_server",   "group_broken",
+        "overloaded",      "over_share",    "rate_limited", "servers_paused",    "quarantined", "suspected",
+        "retries_used_up", "server_failed", "timed_out",    "timed_out_waiting", "stopping",    "cut_off_by_stop"};
     return names[static_cast<std::size_t>(refusal)];
 }
 
@@ -31,6 +31,7 @@
     case GatewayRefusal::NoServer:
     case GatewayRefusal::GroupBroken:
     case GatewayRefusal::Overloaded:
+    case GatewayRefusal::OverShare:
     case GatewayRefusal::RateLimited:
     case GatewayRefusal::ServersPaused:
     case GatewayRefusal::Quarantined:
--- a/modules/hornbeamlane_gateway/request/GatewayRefusal.h
+++ b/modules/hornbeamlane_gateway/request/GatewayRefusal.h
@@ -15,6 +15,7 @@
     NoServer, ///< No server of the service can be used now.
     GroupBroken, ///< The group that serves the model has lost a rank.
     Overloaded, ///< No place became free in time.
+    OverShare, ///< The capacity does not suffice, and its priority and team have used their share of it.
     RateLimited, ///< The servers have named limits on requests a second that leave no room for it in time.
     ServersPaused, ///< The servers have asked this entry for a pause.
     Quarantined, ///< Requests like it have crashed servers.
--- a/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
+++ b/modules/hornbeamlane_gateway/request/RequestHeaders.cpp
@@ -69,7 +69,7 @@
     std::erase_if(result, [&names](const auto &header) {
         return isSameHeader(header.first, names.key) || isSameHeader(header.first, names.timeLeft)
             || isSameHeader(header.first, names.team) || isSameHeader(header.first, names.expectedServer)
-            || isSameHeader(header.first, names.lastEventId);
+            || isSameHeader(header.first, names.lastEventId) || isSameHeader(header.first, names.priority);
     });
     return result;
 }
--- a/modules/hornbeamlane_gateway/request/RequestLog.cpp
+++ b/modules/hornbeamlane_gateway/request/RequestLog.cpp
@@ -28,6 +28,7 @@
               {"server", orDash(summary.server)},
               {"sends", std::to_string(summary.sends)},
               {"time_left_ms", formatMilliseconds(summary.timeLeft)},
+              {"priority", summary.priority ? std::to_string(*summary.priority) : "-"},
               {"late", summary.isLate ? "yes" : "no"},
               {"events", std::to_string(summary.events)},
               {"first_ms", summary.firstByte ? formatMilliseconds(*summary.firstByte) : "-"},
--- a/modules/hornbeamlane_gateway/request/RequestLog.h
+++ b/modules/hornbeamlane_gateway/request/RequestLog.h
@@ -20,6 +20,8 @@
     std::string server;
     std::uint32_t sends = 0;
     Duration timeLeft{};
+    /** Empty if the request was not admitted. */
+    std::optional<std::uint32_t> priority;
     bool isLate = false;
     std::size_t events = 0;
     /** Time to the first byte of an answer. */
--- a/modules/hornbeamlane_gateway/request/RequestMatch.h
+++ b/modules/hornbeamlane_gateway/request/RequestMatch.h
@@ -16,7 +16,7 @@
     /** Null for a public route without a known key. */
     const TeamSpec *team = nullptr;
 
-    /** 0 is the most urgent. */
+    /** 0 is the most urgent; the team's takes precedence over the route's. */
     std::uint32_t priority() const;
 };
 
--- a/tests/gateway/PeerLoadsTest.cpp
+++ b/tests/gateway/PeerLoadsTest.cpp
@@ -1,7 +1,11 @@
 #include "hornbeamlane_gateway/hornbeamlane_gateway.h"
 
+#include "hornbeamlane_gateway/peers/ArrivalCodec.h"
+
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace hornbeamlane {
 namespace {
 
@@ -29,6 +33,9 @@
                        {.server = 10, .perSecond = 0, .shownAt = start, .sent = 0},
                        {.server = 11, .perSecond = std::nullopt, .shownAt = start, .sent = 1}};
     sent.demands = {{ServiceHash(8), 1500}};
+    const ArrivalRate urgent{.arrivals = {.priority = 0, .isLate = true, .team = 0xABCDEF}, .perSecond = 2.5};
+    const ArrivalRate other{.arrivals = {.priority = 9, .team = 7}, .perSecond = 123.25};
+    sent.arrivals = {{.service = 8, .rates = {urgent, other}}, {.service = 9, .rates = {}}};
     sent.relayed = {{.load = message("other", 7, 2, 98), .address = "10.0.0.1:7", .heardAt = start - milliseconds(70)}};
     sent.relayed[0].load.isMapHolder = true;
     // The clocks of two hosts differ; what passes is the age.
@@ -44,6 +51,7 @@
     EXPECT_EQ(received->inFlight, sent.inFlight);
     EXPECT_EQ(received->bounds, sent.bounds);
     EXPECT_EQ(received->demands, sent.demands);
+    EXPECT_EQ(received->arrivals, sent.arrivals);
     ASSERT_EQ(received->relayed.size(), 1U);
     EXPECT_EQ(received->relayed[0].load.sender, "other");
     EXPECT_EQ(received->relayed[0].load.sequence, 7U);
@@ -67,6 +75,7 @@
     auto full = message("entry", 3, 5);
     full.rateLimits = {{.server = 9, .perSecond = 2.5, .shownAt = start, .sent = 7}};
     full.demands = {{ServiceHash(8), 1500}};
+    full.arrivals = {{.service = 8, .rates = {{.arrivals = {.priority = 1, .team = 7}, .perSecond = 3}}}};
     full.relayed = {{.load = message("other", 7, 2, 98), .address = "10.0.0.1:7", .heardAt = start}};
     const auto good = encodeLoadMessage(full, start);
     EXPECT_FALSE(decodeLoadMessage("", start));
@@ -119,6 +128,51 @@
     EXPECT_EQ(loads.sumFor(ServerHash(7)), 4U);
 }
 
+// Guards against arrivals that are lost when a message does not tell them, and that outlive their peer.
+TEST(PeerLoadsTest, KeepsArrivalsUntilThePeerIsSilent)
+{
+    PeerLoads loads;
+    const std::vector<ArrivalRate> rates{{.arrivals = {.priority = 1, .team = 7}, .perSecond = 3}};
+    auto telling = message("a", 1, 5);
+    telling.arrivals = {{.service = 8, .rates = rates}};
+    loads.take(telling, {.heardAt = start});
+    loads.take(message("a", 2, 5), {.heardAt = start + milliseconds(100)});
+    loads.take(message("of-an-earlier-release", 1, 5), {.heardAt = start});
+    ASSERT_EQ(loads.arrivalsFor(8).size(), 1U);
+    EXPECT_EQ(*loads.arrivalsFor(8)[0], rates);
+    // It tells that nothing comes to it for another service.
+    ASSERT_EQ(loads.arrivalsFor(9).size(), 1U);
+    EXPECT_TRUE(loads.arrivalsFor(9)[0]->empty());
+    loads.expire(start + milliseconds(1600), milliseconds(1500));
+    EXPECT_TRUE(loads.arrivalsFor(8).empty());
+    // Another start has told nothing yet.
+    loads.take(telling, {.heardAt = start});
+    loads.take(message("a", 1, 5, 2), {.heardAt = start});
+    EXPECT_TRUE(loads.arrivalsFor(8).empty());
+}
+
+// Guards against figures that do not fit their form, and against bytes that end early.
+TEST(ArrivalCodecTest, BoundsOddFigures)
+{
+    constexpr double huge = 1e300;
+    const std::vector<ServiceArrivals> odd{
+        {.service = 8,
+         .rates = {{.arrivals = {.priority = 4000000000U, .team = 1}, .perSecond = huge},
+                   {.arrivals = {.priority = 1, .team = 2}, .perSecond = std::numeric_limits<double>::quiet_NaN()},
+                   {.arrivals = {.priority = 1, .team = 3}, .perSecond = -4}}}};
+    auto bytes = encodeArrivals(odd);
+    const auto decoded = decodeArrivals(bytes);
+    ASSERT_TRUE(decoded);
+    ASSERT_EQ(decoded->at(0).rates.size(), 3U);
+    EXPECT_EQ(decoded->at(0).rates[0].arrivals.priority, leastUrgentPriority);
+    EXPECT_DOUBLE_EQ(decoded->at(0).rates[0].perSecond, 10000);
+    EXPECT_EQ(decoded->at(0).rates[1].perSecond, 0);
+    EXPECT_EQ(decoded->at(0).rates[2].perSecond, 0);
+    bytes.pop_back();
+    EXPECT_FALSE(decodeArrivals(bytes));
+    EXPECT_TRUE(decodeArrivals({})->empty());
+}
+
 // Guards against the load of a peer that has gone, which would keep its servers empty.
 TEST(PeerLoadsTest, ForgetsSilentPeers)
 {
