Take no row of another writer for a server

Cause: decodeServer() demanded five of the nine fields of a server's row and read each state of a group but "open" as "broken".

Change: Version, WarmupLeftMs, Sequence and born have to be there with their types as well, a size that is given has to be a whole number, and the state of a group has to be open or broken.

--- a/modules/hornbeamlane_observability/hornbeamlane_observability.h
+++ b/modules/hornbeamlane_observability/hornbeamlane_observability.h
@@ -8,5 +8,6 @@
 
 #include "hornbeamlane_observability/logging/Containment.h"
 #include "hornbeamlane_observability/logging/Log.h"
+#include "hornbeamlane_observability/logging/LogThrottle.h"
 #include "hornbeamlane_observability/metrics/LatencyHistogram.h"
 #include "hornbeamlane_observability/metrics/MetricsRegistry.h"
--- a/tests/platform/RowDecodersTest.cpp
+++ b/tests/platform/RowDecodersTest.cpp
@@ -6,12 +6,13 @@
 #include "standins/ScriptedServer.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace hornbeamlane::platform {
 namespace {
 
-const std::string server = R"({"Service":"pool","Address":"10.0.0.1:80","Zone":"a","Slots":12,"Phase":"ready",
-    "WarmupLeftMs":250,"born":17,"group":{"Name":"g","epoch":2,"rank":3,"Phase":"open"},"size":16})";
+const std::string server = R"({"Service":"pool","Address":"10.0.0.1:80","Zone":"a","Version":"v1","Slots":12,
+    "Phase":"ready","WarmupLeftMs":250,"Sequence":4,"born":17,"group":{"Name":"g","epoch":2,"rank":3,"Phase":"open"},"size":16})";
 
 const std::string catalogue = R"({"Version":7,"Routes":[{"Name":"r","Hostname":"h","Prefix":"/a/","Type":"streaming",
     "TimeoutMs":8000,"TargetLatencyMs":400,"Priority":1,"Backends":[{"Service":"x","Weight":9},{"Service":"y","Weight":1}],
@@ -78,6 +79,53 @@
     EXPECT_FALSE(decodeServer("i-1", std::string{char(0xff), char(0), char(0x7b)}, reason));
 }
 
+// Guards against an entry of another writer that lacks one field, or has it of another type, and is used as a server:
+// its address may be another program's, which answers requests that it does not know.
+TEST(RowDecodersTest, DemandsEachFieldOfAServer)
+{
+    const auto whole = nlohmann::json::parse(server);
+    const std::vector<std::string> fields = {"Service", "Address",      "Zone",     "Version", "Slots",
+                                             "Phase",   "WarmupLeftMs", "Sequence", "born"};
+    std::string reason;
+    ASSERT_TRUE(decodeServer("i-1", whole.dump(), reason)) << reason;
+    for (const auto &field : fields) {
+        auto lacking = whole;
+        lacking.erase(field);
+        EXPECT_FALSE(decodeServer("i-1", lacking.dump(), reason)) << field;
+        for (const auto &odd : {nlohmann::json(nullptr), nlohmann::json(true), nlohmann::json::array({1})}) {
+            auto changed = whole;
+            changed[field] = odd;
+            EXPECT_FALSE(decodeServer("i-1", changed.dump(), reason)) << changed.dump();
+        }
+    }
+    for (const auto &field : {"Name", "epoch", "rank", "Phase"}) {
+        auto lacking = whole;
+        lacking["group"].erase(field);
+        EXPECT_FALSE(decodeServer("i-1", lacking.dump(), reason)) << field;
+    }
+    auto sizeOnly = whole;
+    sizeOnly.erase("group");
+    EXPECT_TRUE(decodeServer("i-1", sizeOnly.dump(), reason)) << reason;
+    sizeOnly["size"] = "16";
+    EXPECT_FALSE(decodeServer("i-1", sizeOnly.dump(), reason));
+}
+
+// Guards against an unknown state of a group that is taken for "broken", by which one entry closes a healthy group.
+TEST(RowDecodersTest, RejectsAnUnknownStateOfAGroup)
+{
+    std::string reason;
+    auto entry = nlohmann::json::parse(server);
+    for (const auto &[state, isUsable] :
+         std::vector<std::pair<std::string, bool>>{{"open", true}, {"broken", true}, {"resting", false}, {"", false}}) {
+        entry["group"]["Phase"] = state;
+        const auto spec = decodeServer("i-1", entry.dump(), reason);
+        EXPECT_EQ(spec.has_value(), isUsable) << state;
+        if (spec) {
+            EXPECT_EQ(spec->group->isOpen, state == "open");
+        }
+    }
+}
+
 // Guards against a configuration with numbers too large for the experts of an engine, for whose counts memory is taken,
 // and against a division by their number. The rest of the configuration holds.
 TEST(RowDecodersTest, LeavesOutExpertsBeyondWhatARankCanTell)
