Forward no response that nothing proves to be the server's

Cause: handleCompleteAnswer() doubted only successes and promises of "not run".

Change: a response with neither the attempt's id nor a signature is not forwarded, whatever its status. The send counts as failed: an order ends with 502, a repeatable request goes to another server within its budget. A refusal with the header that promises "not run" is handled as before; it is neither forwarded nor counted as served.

--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -483,7 +483,9 @@
     }
     ++runs_;
     const bool isSuccess = head.status / 100 == 2;
-    if ((isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
+    // Another program may listen at the address that an entry names, and answer any status.
+    const bool isUnproven = head.header(names.attemptId) == nullptr && head.header(names.signature) == nullptr;
+    if (isUnproven || (isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
         dropDoubtfulConnection();
         endSend(BackendOutcome::Failed);
         retryOrRefuse(GatewayRefusal::ServerFailed);
