Reject a stream that comes late in a planned stop and cannot end before it

Cause: canEndBeforeStop() asked of a stream only that half of its caller's time is left before the stop, however late it came.

Change: a stream that is read in full later than stopNoticeTime (3 s) after the start of the stop needs all of its time, as an order does, or is rejected at once with 503. Earlier ones are served as before.

--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -287,6 +287,7 @@
     peers_.stop();
     const auto startedAt = loop_.now();
     const auto stop = std::min<milliseconds>(acceptAfterStop, settings_.shutdownBound / 2);
+    stopKnownAt_ = startedAt + settings_.stopNoticeTime;
     stopAcceptingAt_ = startedAt + stop;
     cutOffAt_ = startedAt + settings_.shutdownBound - shutdownMargin;
     drainTimer_.startRepeating(drainCheckInterval);
@@ -317,6 +318,11 @@
     return isStopping_ ? std::optional(cutOffAt_) : std::nullopt;
 }
 
+bool Gateway::isStopKnownAt(TimePoint time) const
+{
+    return isStopping_ && time >= stopKnownAt_;
+}
+
 void Gateway::cutOff()
 {
     logEvent(LogLevel::Warning, "cut_off", {{"requests", std::to_string(callers_.openExchanges())}});
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -86,6 +86,8 @@
     void setEntryCount(std::uint32_t count);
     /** When what still runs is cut off; empty while no stop is planned. */
     std::optional<TimePoint> cutOffAt() const;
+    /** Whether callers knew of the planned stop by then. */
+    bool isStopKnownAt(TimePoint time) const;
     void checkDrained();
     /** Answers all that has not ended, so that nothing ends with a closed connection only. */
     void cutOff();
@@ -130,6 +132,7 @@
     bool isStopping_ = false;
     bool hasStoppedAccepting_ = false;
     bool hasCutOff_ = false;
+    TimePoint stopKnownAt_;
     TimePoint stopAcceptingAt_;
     TimePoint cutOffAt_;
     TimePoint stateLoggedAt_;
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -85,6 +85,9 @@
     std::chrono::milliseconds retryWindow{10000};
     /** A planned stop ends after this time at the latest. */
     std::chrono::milliseconds shutdownBound{8000};
+    /** Callers know of a planned stop after this time; a stream that is read in full later has to be able to end before
+        the process does. */
+    std::chrono::milliseconds stopNoticeTime{3000};
     std::size_t maxConnections = 3000;
     /** Longest time from the first request on for which requests wait for what the table and other entries know of
         crashes. */
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -161,8 +161,10 @@
         return true;
     }
     const std::chrono::duration<double> left = *stop - now();
-    // What an order has come to stays unknown if the entry stops before its answer, so it gets all of its time.
-    const auto share = route_->kind == RequestKind::Stream ? streamShareBeforeStop : 1.0;
+    // What an order has come to stays unknown if the entry stops before its answer, so it gets all of its time. So does
+    // a stream that comes when its caller could know of the stop: there is no excuse for cutting it off.
+    const bool isEarlyStream = route_->kind == RequestKind::Stream && !gateway_.isStopKnownAt(arrivedAt_);
+    const auto share = isEarlyStream ? streamShareBeforeStop : 1.0;
     return left >= (deadline_ - now()) * share;
 }
 
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -30,6 +30,7 @@
         settings.retryRatio = 1;
         settings.retryAllowance = 100;
         settings.shutdownBound = shutdownBound_;
+        settings.stopNoticeTime = stopNoticeTime_;
         gateway_ = std::make_unique<Gateway>(loop_, random_, settings,
                                              GatewayHooks{.isMapHolder = [] { return false; },
                                                           .tableVersions = [] { return std::vector<std::uint64_t>(); },
@@ -120,6 +121,7 @@
 
     /** Read by SetUp(). */
     milliseconds shutdownBound_{8000};
+    milliseconds stopNoticeTime_{3000};
     milliseconds routeTimeout_{1500};
     EventLoop loop_;
     RandomSource random_{3};
--- a/tests/gateway/PlannedStopTest.cpp
+++ b/tests/gateway/PlannedStopTest.cpp
@@ -145,5 +145,47 @@
     EXPECT_TRUE(caller.received().starts_with("HTTP/1.1 503 ")) << caller.received();
 }
 
+/** The same with a shorter time within which callers know of the stop. */
+class LateStreamTest : public PlannedStopTest
+{
+protected:
+    LateStreamTest()
+    {
+        stopNoticeTime_ = milliseconds(800);
+    }
+};
+
+// Guards against a stream that is read whole late in the grace, passed on, and cut off with half of its time left.
+TEST_F(LateStreamTest, RefusesAStreamWhoseBodyEndsLate)
+{
+    ScriptedServer server(loop_, [](Connection &connection, const std::string &head, int) {
+        connection.send(streamHead(head) + chunk(event(1)));
+    });
+    addServer(server, "s1");
+    SlowCaller caller(loop_, gateway_->callerPort());
+    caller.send("POST /chat/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: slow\r\nX-Api-Key: key\r\nX-Time-Left-Ms: 2000\r\n"
+                "Content-Length: 4\r\n\r\nab");
+    runFor(milliseconds(50));
+    stop();
+    // The cut-off comes 1.4 s later: enough for half of the caller's time, not for all of it.
+    runFor(milliseconds(1200));
+    caller.send("cd");
+    runUntil([&] { return caller.received().find("\r\n\r\n") != std::string::npos; });
+    EXPECT_TRUE(caller.received().starts_with("HTTP/1.1 503 ")) << caller.received();
+    EXPECT_EQ(server.requests(), 0);
+}
+
+// Guards against refusals of streams that come early in the grace: most end well before their callers' time is over.
+TEST_F(LateStreamTest, StillSendsAStreamThatComesEarly)
+{
+    ScriptedServer server(loop_, [](Connection &connection, const std::string &head, int) {
+        connection.send(streamHead(head) + chunk(event(1)) + "0\r\n\r\n");
+    });
+    addServer(server, "s1");
+    stop();
+    runFor(milliseconds(200));
+    expectAnswered(send("GET", "/chat/", "key", "4000"), 200);
+}
+
 } // namespace
 } // namespace hornbeamlane
