--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -182,8 +182,10 @@
         return true;
     }
     const std::chrono::duration<double> left = *stop - now();
-    // What an order has come to stays unknown if the entry stops before its answer, so it gets all of its time.
-    const auto share = route_->kind == RequestKind::Stream ? streamShareBeforeStop : 1.0;
+    // What an order has come to stays unknown if the entry stops before its answer, so it gets all of its time. So does
+    // a stream that comes when its caller could know of the stop: there is no excuse for cutting it off.
+    const bool isEarlyStream = route_->kind == RequestKind::Stream && !gateway_.isStopKnownAt(arrivedAt_);
+    const auto share = isEarlyStream ? streamShareBeforeStop : 1.0;
     return left >= (deadline_ - now()) * share;
 }
 
@@ -514,7 +516,9 @@
     }
     ++runs_;
     const bool isSuccess = head.status / 100 == 2;
-    if ((isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
+    // Another program may listen at the address that an entry names, and answer any status.
+    const bool isUnproven = head.header(names.attemptId) == nullptr && head.header(names.signature) == nullptr;
+    if (isUnproven || (isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
         dropDoubtfulConnection();
         endSend(BackendOutcome::Failed);
         retryOrRefuse(GatewayRefusal::ServerFailed);
