Bound what a stand-alone entry holds for its callers

Cause: evhttp shows a body only once it is whole, so 200 connections that stopped just short of the end of 500 kB kept 100 MB.

Change: HttpConnectionWatch counts the bytes that come in on each stream in a MemoryAccount until the request is handed out, and ends a connection by ending its socket, with 503 or 408 written to it. A request has 33 s as a whole. The settings hostMemoryMegabytes and maxConnections; the metrics and log line of the gateway. The tests set hostMemoryMegabytes to 80, as those of the gateway do.

--- a/modules/hornbeamlane_entry/Entry.cpp
+++ b/modules/hornbeamlane_entry/Entry.cpp
@@ -13,6 +13,8 @@
 
 using namespace std::chrono_literals;
 
+constexpr std::size_t megabyte = 1024 * 1024;
+
 constexpr auto housekeepingInterval = 200ms;
 constexpr auto hostListInterval = 2s;
 constexpr auto reselectTeamsInterval = 60s;
@@ -54,7 +56,13 @@
     : loop_(loop)
     , settings_(std::move(settings))
     , incarnation_(random.incarnation())
-    , server_(loop, {.refusalPage = &makeLibraryRefusal}, [this](const Exchange &exchange) { handleHttp(exchange); })
+    , memory_({.limit = memoryLimitOf(std::size_t{settings_.hostMemoryMegabytes} * megabyte)})
+    , server_(loop,
+              {.maxConnections = settings_.maxConnections,
+               .memory = &memory_,
+               .onRefused = [this](int status, std::string_view cause) { refusedConnections_.note(status, cause); },
+               .refusalPage = &makeLibraryRefusal},
+              [this](const Exchange &exchange) { handleHttp(exchange); })
     , table_(loop, {.address = settings_.platformAddress})
     , agents_(
           loop, random,
@@ -97,6 +105,7 @@
                    }
                })
     , contact_({}, loop.now())
+    , refusedConnections_(metrics_, memory_, "hornbeamlane_")
     , housekeepingTimer_(loop, [this] { housekeep(); })
     , hostsTimer_(loop, [this] { pollHosts(); })
     , flowTimer_(loop, [this] { wakeFlows(); })
@@ -622,6 +631,7 @@
     shareQuarantine();
     routing_.crashes().sweep(loop_.now());
     const auto now = loop_.now();
+    refusedConnections_.report(now);
     metrics_.setGauge("hornbeamlane_requests_running", {}, static_cast<double>(flows_.size()));
     metrics_.setGauge("hornbeamlane_catalogue_version", {}, static_cast<double>(membership_.version().value()));
     if (now >= reselectTeamsAt_) {
--- a/modules/hornbeamlane_entry/Entry.h
+++ b/modules/hornbeamlane_entry/Entry.h
@@ -8,6 +8,7 @@
 #include "hornbeamlane_entry/EntrySettings.h"
 #include "hornbeamlane_entry/PeerLinks.h"
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
+#include "hornbeamlane_observability/logging/RefusedConnections.h"
 
 #include <functional>
 #include <map>
@@ -72,6 +73,8 @@
     EventLoop &loop_;
     EntrySettings settings_;
     Incarnation incarnation_;
+    /** What is held for all callers; outlives their connections. */
+    MemoryAccount memory_;
     HttpServer server_;
     HttpTableClient table_;
     AgentLinks agents_;
@@ -81,6 +84,7 @@
     ContactWatch contact_;
     RetryBudget retryBudget_;
     MetricsRegistry metrics_;
+    RefusedConnections refusedConnections_;
     PrefixHasher prefixHasher_;
     Timer housekeepingTimer_;
     Timer hostsTimer_;
--- a/modules/hornbeamlane_entry/EntrySettings.cpp
+++ b/modules/hornbeamlane_entry/EntrySettings.cpp
@@ -20,6 +20,8 @@
             reader.optional("linkAddress", settings.linkAddress);
             reader.required("platformAddress", settings.platformAddress);
             reader.optional("logLevel", settings.logLevel, detail::logLevelNames);
+            reader.optional("hostMemoryMegabytes", settings.hostMemoryMegabytes, 64, 1024 * 1024);
+            reader.optional("maxConnections", settings.maxConnections, 1, 1024 * 1024);
             reader.optional("shutdownDelayMilliseconds", settings.shutdownDelay, 0ms, 10min);
             reader.optional("shutdownBoundMilliseconds", settings.shutdownBound, 1ms, 24h);
         },
--- a/modules/hornbeamlane_entry/EntrySettings.h
+++ b/modules/hornbeamlane_entry/EntrySettings.h
@@ -5,6 +5,7 @@
 #include "hornbeamlane_observability/hornbeamlane_observability.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,10 @@
     /** "<ip>:<port>" of the platform's table service and host list. */
     std::string platformAddress;
     LogLevel logLevel = LogLevel::Info;
+    /** Memory of the host, in megabytes; memoryLimitOf() says how much of it may be held for callers. */
+    std::uint32_t hostMemoryMegabytes = 260;
+    /** Connections of callers that are open at the same time. */
+    std::uint32_t maxConnections = 3000;
     /** Time between the failing /readyz and the end of accepting at a planned stop. */
     std::chrono::milliseconds shutdownDelay{5'000};
     /** Longest wait for running requests at a planned stop. */
--- a/modules/hornbeamlane_network/http/HttpServer.cpp
+++ b/modules/hornbeamlane_network/http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "hornbeamlane_network/http/HttpServer.h"
 
+#include "hornbeamlane_network/http/HttpConnectionWatch.h"
 #include "hornbeamlane_network/socket/SocketAddress.h"
 
 #include <arpa/inet.h>
@@ -18,6 +19,7 @@
 {
     HttpRequest request;
     evhttp_request *handle = nullptr;
+    HttpConnectionWatch *watch = nullptr;
     bool isStreaming = false;
     std::function<void()> closedHandler;
     std::function<void()> drainedHandler;
@@ -34,6 +36,7 @@
     {
         if (auto *connectionHandle = connection()) {
             evhttp_connection_set_closecb(connectionHandle, nullptr, nullptr);
+            watch->requestEnded(evhttp_connection_get_bufferevent(connectionHandle));
         }
         handle = nullptr;
         closedHandler = nullptr;
@@ -244,6 +247,7 @@
 {
     EventLoop *loop = nullptr;
     Options options;
+    std::unique_ptr<HttpConnectionWatch> watch;
     bool isReplacingPage = false;
     evhttp *server = nullptr;
     evhttp_bound_socket *socket = nullptr;
@@ -253,7 +257,9 @@
     /** Makes the stream of a new connection and watches what the library writes to it. */
     bufferevent *makeStream()
     {
-        auto *stream = bufferevent_socket_new(loop->base(), -1, 0);
+        // The watch keeps a reference, so the socket must not be closed before the stream and its events are gone.
+        auto *stream = bufferevent_socket_new(loop->base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        watch->add(stream);
         evbuffer_add_cb(
             bufferevent_get_output(stream),
             [](evbuffer *output, const evbuffer_cb_info *change, void *context) {
@@ -302,6 +308,7 @@
     {
         auto state = std::make_unique<HttpExchange::Implementation>();
         state->handle = handle;
+        state->watch = watch.get();
         state->request = readRequest(handle);
         auto *raw = state.get();
         const auto exchange = std::make_shared<HttpExchange>(std::move(state));
@@ -313,6 +320,7 @@
                 static_cast<HttpExchange::Implementation *>(context)->handleClose();
             },
             raw);
+        watch->requestStarted(evhttp_connection_get_bufferevent(connection), exchange->request().body.size());
         // The library stops reading once a request is complete; reading on is what shows a caller's hang-up.
         bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
         if (options.refusalPage && headerBytes(exchange->request()) > options.maxHeaderBytes) {
@@ -329,6 +337,12 @@
     implementation_->loop = &loop;
     implementation_->options = options;
     implementation_->handler = std::move(handler);
+    implementation_->watch =
+        std::make_unique<HttpConnectionWatch>(loop,
+                                              HttpConnectionWatch::Options{.memory = options.memory,
+                                                                           .requestTimeout = options.requestTimeout,
+                                                                           .maxConnections = options.maxConnections,
+                                                                           .onRefused = options.onRefused});
     implementation_->server = evhttp_new(loop.base());
     HORNBEAMLANE_ASSERT(implementation_->server != nullptr);
     evhttp_set_max_body_size(implementation_->server, static_cast<ev_ssize_t>(options.maxBodyBytes));
@@ -352,6 +366,7 @@
 
 HttpServer::~HttpServer()
 {
+    implementation_->watch->setListener(nullptr);
     evhttp_free(implementation_->server);
 }
 
@@ -361,6 +376,7 @@
     if (implementation_->socket == nullptr) {
         return false;
     }
+    implementation_->watch->setListener(evhttp_bound_socket_get_listener(implementation_->socket));
     implementation_->port = boundPort(evhttp_bound_socket_get_fd(implementation_->socket));
     return true;
 }
@@ -373,6 +389,7 @@
 void HttpServer::stopAccepting()
 {
     if (implementation_->socket != nullptr) {
+        implementation_->watch->setListener(nullptr);
         evhttp_del_accept_socket(implementation_->server, implementation_->socket);
         implementation_->socket = nullptr;
     }
--- a/modules/hornbeamlane_network/http/HttpServer.h
+++ b/modules/hornbeamlane_network/http/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamlane_base/memory/MemoryAccount.h"
 #include "hornbeamlane_network/http/HttpMessages.h"
 #include "hornbeamlane_network/loop/EventLoop.h"
 
@@ -63,6 +64,14 @@
         std::size_t maxHeaderBytes = 16 * 1024;
         /** Time without any byte after which a connection is closed. */
         std::chrono::seconds idleTimeout{600};
+        /** From the first byte of a request to its end; see Http1Server::Limits for the parts. */
+        std::chrono::milliseconds requestTimeout{33000};
+        /** Connections open at the same time; further ones wait in the listen queue. */
+        std::size_t maxConnections = 3000;
+        /** Counts what is held for callers; must outlive the server. None: there is no limit. */
+        MemoryAccount *memory = nullptr;
+        /** Called for each request that is refused for lack of memory or time, with the status of the answer. */
+        std::function<void(int status, std::string_view cause)> onRefused;
         /** Makes the answer to a request that the library refuses itself; empty keeps the library's HTML page. */
         std::function<HttpResponse(int status)> refusalPage;
     };
--- a/tests/hostile/HostileEntryTest.cpp
+++ b/tests/hostile/HostileEntryTest.cpp
@@ -34,7 +34,8 @@
     std::string settings() const
     {
         return R"({"name":"entry","dataCentre":"a","httpAddress":"127.0.0.1:)" + std::to_string(entryPort)
-            + R"(","platformAddress":"127.0.0.1:)" + std::to_string(platform_.port()) + R"("})";
+            + R"(","platformAddress":"127.0.0.1:)" + std::to_string(platform_.port())
+            + R"(","hostMemoryMegabytes":80})";
     }
 
     static constexpr Bounds bounds{.memoryGrowth = 48 * megabyte, .descriptors = crowdSize + 60};
