Learn what each server of a plain service takes well

Cause: servers of one service differ in speed, and some slow down long before their slots are taken; a choice by requests over slots treats them alike.

Change: LearnedLimit learns a limit for each start of a server from the latency of its answers against the requests that it had, and ServerLimits compares the servers of a service. BackendBook divides requests by the limit, holds to it, and adds the extra latency over the route's target; streams follow the pace of their unit as before. Entries tell each other answers in LoadMessage (CBOR key "e"). The steps of the limit are GradientLimit in hornbeamlane_base, which AdaptiveConcurrency uses too.

--- a/modules/hornbeamlane_admission/concurrency/AdaptiveConcurrency.cpp
+++ b/modules/hornbeamlane_admission/concurrency/AdaptiveConcurrency.cpp
@@ -1,7 +1,6 @@
 #include "hornbeamlane_admission/concurrency/AdaptiveConcurrency.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace hornbeamlane {
 
@@ -10,40 +9,23 @@
 // A percentile of fewer samples follows single requests.
 constexpr std::uint32_t minFirstTokens = 8;
 constexpr std::uint32_t minIntervals = 40;
-// Bounds of one change: a single bad window must not empty the engine.
-constexpr double smallestGradient = 0.7;
-constexpr double largestGradient = 1.1;
-
-double followGradient(double limit, double gradient)
-{
-    const double bounded = std::clamp(gradient, smallestGradient, largestGradient);
-    // A step of at least 1, or small limits would never grow after truncation.
-    return bounded < 1 ? limit * bounded : limit + std::max(1.0, limit * (bounded - 1));
-}
 
 } // namespace
 
 AdaptiveConcurrency::AdaptiveConcurrency(Options options)
     : options_(std::move(options))
+    , limit_({.minimum = options_.minimum, .maximum = options_.maximum, .adapt = options_.adapt})
 {
-    if (!options_.adapt) {
-        options_.adapt = followGradient;
-    }
-    limit_ = options_.maximum;
 }
 
 void AdaptiveConcurrency::setBounds(std::uint32_t minimum, std::uint32_t maximum)
 {
-    // A limit that no latency has lowered follows the maximum.
-    const bool isUnbounded = limit_ >= options_.maximum;
-    options_.maximum = std::max(maximum, 1U);
-    options_.minimum = std::clamp(minimum, 1U, options_.maximum);
-    limit_ = isUnbounded ? options_.maximum : std::clamp<double>(limit_, options_.minimum, options_.maximum);
+    limit_.setBounds(minimum, maximum);
 }
 
 std::uint32_t AdaptiveConcurrency::limit() const
 {
-    return static_cast<std::uint32_t>(limit_);
+    return static_cast<std::uint32_t>(limit_.value());
 }
 
 void AdaptiveConcurrency::firstToken(Duration time, Duration target, std::uint32_t running, TimePoint now)
@@ -75,11 +57,7 @@
     if (hasIntervals) {
         worst = std::max(worst, intervals_.percentile95());
     }
-    const double gradient = options_.targetFraction / std::max(worst, 0.01);
-    // Good latencies below the limit say nothing about a higher limit.
-    if (gradient < 1 || highestRunning_ + 1 >= limit()) {
-        limit_ = std::clamp<double>(options_.adapt(limit_, gradient), options_.minimum, options_.maximum);
-    }
+    limit_.follow(options_.targetFraction / std::max(worst, 0.01), highestRunning_);
     firstTokens_.clear();
     intervals_.clear();
     highestRunning_ = running;
--- a/modules/hornbeamlane_admission/concurrency/AdaptiveConcurrency.h
+++ b/modules/hornbeamlane_admission/concurrency/AdaptiveConcurrency.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hornbeamlane_base/concurrency/GradientLimit.h"
 #include "hornbeamlane_base/hornbeamlane_base.h"
 
 #include <array>
@@ -66,7 +67,7 @@
     void adapt(std::uint32_t running, TimePoint now);
 
     Options options_;
-    double limit_ = 0;
+    GradientLimit limit_;
     RatioWindow firstTokens_;
     RatioWindow intervals_;
     std::uint32_t highestRunning_ = 0;
--- a/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
+++ b/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
@@ -15,5 +15,6 @@
 #include "hornbeamlane_dispatch/servers/BackendBook.h"
 #include "hornbeamlane_dispatch/servers/GroupWatch.h"
 #include "hornbeamlane_dispatch/servers/LapseWindow.h"
+#include "hornbeamlane_dispatch/servers/ServerLimits.h"
 #include "hornbeamlane_dispatch/servers/ServerNotices.h"
 #include "hornbeamlane_dispatch/stream/EventStreamFilter.h"
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -34,6 +34,7 @@
         backend.replacedUntil = {};
     }
     backend.spec = spec;
+    backend.start = hashOfStart(spec.id, spec.incarnation);
     backend.paceUnit = spec.group ? paceUnitOf(spec.group->group) : paceUnitOf(spec.id);
     backend.isGone = false;
     backend.lapsesAt.reset();
@@ -144,9 +145,17 @@
     return !backend.spec.group || groups_.isOpen(placeOf(backend), now);
 }
 
-bool BackendBook::isFull(const Backend &backend) const
+double BackendBook::takesWell(const Backend &backend, const Request &request) const
 {
-    const auto places = backend.spec.slots * (1.0 + options_.queueShare);
+    const double slots = std::max(1U, backend.spec.slots);
+    const auto *finding = request.isStream ? nullptr : options_.findingOf(backend);
+    return finding == nullptr ? slots : std::max(1.0, std::min(finding->takesWell, slots));
+}
+
+bool BackendBook::isFull(const Backend &backend, const Request &request) const
+{
+    const auto stated = backend.spec.slots * (1.0 + options_.queueShare);
+    const auto places = std::min(stated, takesWell(backend, request) * (1.0 + options_.queueShare));
     return backend.inFlight() >= places;
 }
 
@@ -185,11 +194,22 @@
     return backend.failureShare * std::exp2(-age / std::chrono::duration<double>(options_.failureHalfLife));
 }
 
+// A server whose answers come late by the whole of their target is worth as little as a full one.
+double BackendBook::latencyScore(const Backend &backend, const Request &request) const
+{
+    const auto *finding = request.isStream ? nullptr : options_.findingOf(backend);
+    if (finding == nullptr) {
+        return 0;
+    }
+    const std::chrono::duration<double> target(std::max(request.latencyTarget, std::chrono::milliseconds(1)));
+    return std::clamp(finding->extraLatency / target, 0.0, 1.0);
+}
+
 double BackendBook::score(const Backend &backend, const Request &request, TimePoint now) const
 {
-    const double load = (backend.inFlight() + 1.0) / std::max(1U, backend.spec.slots);
+    const double load = (backend.inFlight() + 1.0) / takesWell(backend, request);
     const double distance = backend.spec.dataCentre == request.dataCentre ? 0 : options_.distancePenalty;
-    return load + distance + options_.failurePenalty * failureShare(backend, now);
+    return load + distance + latencyScore(backend, request) + options_.failurePenalty * failureShare(backend, now);
 }
 
 std::map<PaceUnitId, PaceUnitLoad> BackendBook::paceUnits(const ServiceId &service, TimePoint now) const
@@ -264,7 +284,7 @@
             anyPaused = true;
             continue;
         }
-        if (isFull(backend) || isColdFull(backend, now, random)) {
+        if (isFull(backend, request) || isColdFull(backend, now, random)) {
             anyFull = true;
             continue;
         }
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -4,6 +4,7 @@
 #include "hornbeamlane_dispatch/pace/PaceBook.h"
 #include "hornbeamlane_dispatch/servers/GroupStates.h"
 #include "hornbeamlane_dispatch/servers/GroupWatch.h"
+#include "hornbeamlane_dispatch/servers/ServerLimits.h"
 #include "hornbeamlane_dispatch/servers/ServerNotices.h"
 
 #include <cstdint>
@@ -38,6 +39,8 @@
 struct Backend
 {
     BackendSpec spec;
+    /** Name of this start of the server. */
+    ServerStartHash start = 0;
     /** Servers whose streams share its pace. */
     PaceUnitId paceUnit;
     TimePoint coldUntil;
@@ -118,6 +121,8 @@
         };
         /** Whether streams of a unit are late with however few requests. */
         std::function<bool(const PaceUnitId &)> isPaceOutOfReach = [](const PaceUnitId &) { return false; };
+        /** What has been learned of a server of a plain service; null: it takes what it states, as fast as others. */
+        std::function<const ServerFinding *(const Backend &)> findingOf = [](const Backend &) { return nullptr; };
     };
 
     struct Request
@@ -132,6 +137,8 @@
         bool isStream = false;
         /** Part of the bound of a pace unit up to which the request may fill it; empty: the bound does not apply. */
         std::optional<double> shareOfPaceBound;
+        /** Time within which the answer of a request that is no stream is on time. */
+        std::chrono::milliseconds latencyTarget{400};
     };
 
     enum class NoChoice {
@@ -257,7 +264,9 @@
     bool isGroupOpen(const Backend &backend, TimePoint now) const;
     /** Takes the states of groups from the entries of their ranks. */
     void refreshGroups(TimePoint now);
-    bool isFull(const Backend &backend) const;
+    /** Requests that the server takes well: its slots, or fewer as learned for requests that are no streams. */
+    double takesWell(const Backend &backend, const Request &request) const;
+    bool isFull(const Backend &backend, const Request &request) const;
     bool isExcluded(const Request &request, const ServerId &server) const;
     /** A rank of a group that should have formed again; empty if there is none to try now. */
     std::optional<ServerId> chooseTrial(const Request &request, TimePoint now, RandomSource &random);
@@ -265,6 +274,8 @@
     Duration coldPeriod(const Backend &backend) const;
     bool isColdFull(Backend &backend, TimePoint now, RandomSource &random) const;
     double failureShare(const Backend &backend, TimePoint now) const;
+    /** What its longer answers cost, by their part of the latency target. */
+    double latencyScore(const Backend &backend, const Request &request) const;
     double score(const Backend &backend, const Request &request, TimePoint now) const;
     /** What a unit costs a stream, from its load over its bound. */
     double paceScore(const Backend &backend, const Request &request, double fill) const;
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -48,7 +48,8 @@
                  .isRateLimited = [this](const Backend &backend) { return rateLimits_.isLimited(backend); },
                  .paceFill = [this](const PaceUnitId &unit,
                                     const PaceUnitLoad &load) { return queues_.paces().fillOf(unit, load); },
-                 .isPaceOutOfReach = [this](const PaceUnitId &unit) { return queues_.paces().isOutOfReach(unit); }})
+                 .isPaceOutOfReach = [this](const PaceUnitId &unit) { return queues_.paces().isOutOfReach(unit); },
+                 .findingOf = [this](const Backend &backend) { return serverLimits_.findingOf(backend); }})
     , pool_(loop, {})
     , peers_(loop, {.name = settings_.name, .incarnation = random.incarnation(), .address = settings_.peerAddress},
              {.ownLoad =
@@ -73,6 +74,8 @@
               .demands = [this] { return queues_.demands(); },
               .peerRateLimits = [this](Incarnation sender,
                                        const auto &reports) { rateLimits_.onPeerReports(sender, reports); },
+              .latencies = [this] { return serverLimits_.reports(peers_.isRelaying()); },
+              .peerLatencies = [this](const auto &reports) { serverLimits_.onPeerReports(reports); },
               .otherMessage = [this](std::string_view bytes) { return crashes_.exchange().onMessage(bytes); }})
     , crashes_(
           loop, random, metrics_, backends_,
@@ -100,6 +103,7 @@
                        },
                    .serverOf = [this](ServerStartHash server) { return serverOf(server); }})
     , notices_(loop, metrics_, settings_.headers, backends_)
+    , serverLimits_(loop, metrics_, backends_)
     , queues_(loop, random, settings_, backends_, rateLimits_)
     , groupProbe_(loop, random, backends_, {},
                   {.readReport = std::move(hooks.readReport),
@@ -209,6 +213,7 @@
             queues_.paces().setFixedPassTime(backend.paceUnit, fixedPassTime(*engine));
         }
     }
+    serverLimits_.serversChanged();
     peerLoadsChanged();
 }
 
@@ -268,6 +273,7 @@
     crashes_.sweep();
     rateLimits_.sweep();
     notices_.sweep();
+    serverLimits_.sweep();
     groupProbe_.sweep(now);
     setEntryCount(peers_.entryCount(now));
     queues_.notePeerBounds(peers_.loads());
@@ -275,6 +281,7 @@
     if (now - stateLoggedAt_ >= stateLogInterval) {
         stateLoggedAt_ = now;
         queues_.logStates();
+        serverLimits_.logStates();
     }
     queues_.serveAll();
 }
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_gateway/GatewaySettings.h"
 #include "hornbeamlane_gateway/backends/BackendPool.h"
+#include "hornbeamlane_gateway/backends/ServerLimitGuard.h"
 #include "hornbeamlane_gateway/backends/ServerNoticeReader.h"
 #include "hornbeamlane_gateway/crashes/CrashGuard.h"
 #include "hornbeamlane_gateway/peers/PeerExchange.h"
@@ -111,6 +112,7 @@
     CrashGuard crashes_;
     RateLimitGuard rateLimits_;
     ServerNoticeReader notices_;
+    ServerLimitGuard serverLimits_;
     ServiceQueues queues_;
     GroupProbe groupProbe_;
     /** Shared with the requests that were admitted under it. */
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -137,6 +137,7 @@
     callbacks_.peerCrashDigest(sender, message->crashDigest);
     for (const auto *load : gossip_.onMessage(*message, sender, now)) {
         callbacks_.peerRateLimits(load->incarnation, load->rateLimits);
+        callbacks_.peerLatencies(load->latencies);
         haveLoadsChanged_ = true;
     }
 }
@@ -161,7 +162,8 @@
             .inFlight = callbacks_.ownLoad(),
             .bounds = callbacks_.bounds(),
             .rateLimits = callbacks_.rateLimits(tellsAllLimits),
-            .demands = callbacks_.demands()};
+            .demands = callbacks_.demands(),
+            .latencies = callbacks_.latencies()};
 }
 
 void PeerExchange::tick()
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -45,6 +45,9 @@
         };
         std::function<void(Incarnation sender, const std::vector<RateLimitReport> &)> peerRateLimits =
             [](auto, const auto &) {};
+        /** Answers of servers that have not been told; they count as told. */
+        std::function<std::vector<LatencyReport>()> latencies = [] { return std::vector<LatencyReport>(); };
+        std::function<void(const std::vector<LatencyReport> &)> peerLatencies = [](const auto &) {};
         /** Takes a message that tells no load; false if it is of no known kind. */
         std::function<bool(std::string_view bytes)> otherMessage = [](auto) { return false; };
     };
@@ -85,6 +88,12 @@
     /** Time without a word of a peer after which it is likely to be gone. */
     std::chrono::milliseconds usualSilence() const;
 
+    /** Whether there are so many entries that they pass on what they hear. */
+    bool isRelaying() const
+    {
+        return gossip_.isRelaying();
+    }
+
     /** Entries heard of within the last minute and this one. */
     std::uint32_t entryCount(TimePoint now) const
     {
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <optional>
 
 namespace hornbeamlane {
@@ -90,6 +91,47 @@
     return reports;
 }
 
+/** Five numbers for each report: server, answers, requests, latency, deviation. */
+constexpr std::size_t numbersOfLatency = 5;
+constexpr double requestScale = 10;
+
+std::uint32_t microseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+nlohmann::json encodeLatencies(const std::vector<LatencyReport> &reports)
+{
+    auto numbers = nlohmann::json::array();
+    for (const auto &report : reports) {
+        const auto requests = std::clamp(report.sample.inFlight, 0.0, maxRate) * requestScale;
+        numbers.push_back(report.server);
+        numbers.push_back(report.sample.answers);
+        numbers.push_back(static_cast<std::uint32_t>(std::lround(requests)));
+        numbers.push_back(microseconds(report.sample.latency));
+        numbers.push_back(microseconds(report.sample.deviation));
+    }
+    return numbers;
+}
+
+std::vector<LatencyReport> decodeLatencies(const nlohmann::json &numbers)
+{
+    std::vector<LatencyReport> reports;
+    if (!numbers.is_array() || numbers.size() > numbersOfLatency * maxPairs
+        || !std::all_of(numbers.begin(), numbers.end(), [](const auto &one) { return one.is_number_unsigned(); })) {
+        return reports;
+    }
+    for (std::size_t i = 0; i + numbersOfLatency <= numbers.size(); i += numbersOfLatency) {
+        reports.push_back({.server = numbers[i].get<ServerStartHash>(),
+                           .sample = {.latency = std::chrono::microseconds(numbers[i + 3].get<std::uint32_t>()),
+                                      .deviation = std::chrono::microseconds(numbers[i + 4].get<std::uint32_t>()),
+                                      .inFlight = numbers[i + 2].get<std::uint32_t>() / requestScale,
+                                      .answers = numbers[i + 1].get<std::uint32_t>()}});
+    }
+    return reports;
+}
+
 bool hasVersion(const nlohmann::json &document)
 {
     const auto version = document.find("v");
@@ -108,6 +150,9 @@
     if (!message.demands.empty()) {
         document["d"] = flatten(message.demands);
     }
+    if (!message.latencies.empty()) {
+        document["e"] = encodeLatencies(message.latencies);
+    }
     return document;
 }
 
@@ -144,6 +189,9 @@
     if (const auto demands = document.find("d"); demands != document.end()) {
         message.demands = pairsFrom(*demands).value_or(NumberPairs());
     }
+    if (const auto latencies = document.find("e"); latencies != document.end()) {
+        message.latencies = decodeLatencies(*latencies);
+    }
     return message;
 }
 
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_dispatch/pace/PaceBook.h"
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
+#include "hornbeamlane_dispatch/servers/ServerLimits.h"
 
 #include <cstdint>
 #include <functional>
@@ -57,6 +58,9 @@
     std::vector<RateLimitReport> rateLimits;
     /** Requests that the sender has to send at once to a service some of whose servers have limits, in thousandths. */
     std::vector<std::pair<ServiceHash, std::uint32_t>> demands;
+    /** Answers of servers of plain services that the sender has not told before; latencies pass in microseconds,
+        requests at the server in tenths. */
+    std::vector<LatencyReport> latencies;
     /** Loads of other entries that the sender passes on. */
     std::vector<RelayedLoad> relayed;
 };
--- a/modules/hornbeamlane_gateway/request/BackendSend.h
+++ b/modules/hornbeamlane_gateway/request/BackendSend.h
@@ -26,6 +26,8 @@
     /** Servers whose streams share the pace of this one. */
     PaceUnitId paceUnit;
     TimePoint startedAt;
+    /** Requests of all entries that the server had then, this one included. */
+    std::uint32_t inFlightAtStart = 0;
     TimePoint lastEventAt;
 
     /** A kept connection that breaks as soon as it is used again was broken before, which says nothing of the request.
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -219,14 +219,14 @@
     const bool isBounded = isStream && bound == PaceBound::Applies && !exchange_->isStreaming();
     auto excluded = gateway_.crashes_.serversToAvoid(number_);
     excluded.insert(excluded.end(), tried_.begin(), tried_.end());
-    return gateway_.backends_.choose({.service = service_,
-                                      .dataCentre = gateway_.settings_.dataCentre,
-                                      .excluded = &excluded,
-                                      .isStream = isStream,
-                                      .shareOfPaceBound = isBounded
-                                          ? std::optional(ServiceQueues::shareOfPaceBound(wait_->isLate()))
-                                          : std::nullopt},
-                                     now(), gateway_.random_);
+    return gateway_.backends_.choose(
+        {.service = service_,
+         .dataCentre = gateway_.settings_.dataCentre,
+         .excluded = &excluded,
+         .isStream = isStream,
+         .shareOfPaceBound = isBounded ? std::optional(ServiceQueues::shareOfPaceBound(wait_->isLate())) : std::nullopt,
+         .latencyTarget = route_->latencyTarget},
+        now(), gateway_.random_);
 }
 
 bool ForwardedRequest::isWorthWaiting() const
@@ -312,6 +312,7 @@
     holdsUntil_.reset();
     gateway_.crashes_.onSent(number_, server);
     gateway_.backends_.onSent(server, sending.startedAt);
+    sending.inFlightAtStart = backend->inFlight();
     gateway_.rateLimits_.onSent(sending.start, sends_ > 1);
     gateway_.queues_.of(service_).starts.count(sending.startedAt);
     gateway_.peers_.markChanged();
@@ -563,6 +564,11 @@
     if (!hasCallerLeft_) {
         answers_.deliver(*send_);
     }
+    // Errors come fast; only work that was done tells how fast the server is.
+    if (status / 100 == 2 && route_->kind != RequestKind::Stream) {
+        gateway_.serverLimits_.onAnswered(send_->start.server, send_->start.incarnation, send_->startedAt,
+                                          send_->inFlightAtStart);
+    }
     endSend(BackendOutcome::Served);
     finish("answered_" + std::to_string(status));
 }
@@ -679,6 +685,10 @@
         refuse(runs_ > 0 ? GatewayRefusal::ServerFailed : beforeSending);
         return;
     }
+    if (send_ && atServer == GatewayRefusal::TimedOut && route_->kind != RequestKind::Stream) {
+        gateway_.serverLimits_.onTimedOut(send_->start.server, send_->start.incarnation, send_->startedAt,
+                                          send_->inFlightAtStart);
+    }
     endSend(BackendOutcome::Cancelled);
     refuse(atServer);
 }
--- a/tests/gateway/PeerLoadsTest.cpp
+++ b/tests/gateway/PeerLoadsTest.cpp
@@ -29,6 +29,11 @@
                        {.server = 10, .perSecond = 0, .shownAt = start, .sent = 0},
                        {.server = 11, .perSecond = std::nullopt, .shownAt = start, .sent = 1}};
     sent.demands = {{ServiceHash(8), 1500}};
+    sent.latencies = {{.server = 12,
+                       .sample = {.latency = milliseconds(60),
+                                  .deviation = std::chrono::microseconds(1500),
+                                  .inFlight = 2.5,
+                                  .answers = 3}}};
     sent.relayed = {{.load = message("other", 7, 2, 98), .address = "10.0.0.1:7", .heardAt = start - milliseconds(70)}};
     sent.relayed[0].load.isMapHolder = true;
     // The clocks of two hosts differ; what passes is the age.
@@ -44,6 +49,12 @@
     EXPECT_EQ(received->inFlight, sent.inFlight);
     EXPECT_EQ(received->bounds, sent.bounds);
     EXPECT_EQ(received->demands, sent.demands);
+    ASSERT_EQ(received->latencies.size(), 1U);
+    EXPECT_EQ(received->latencies[0].server, 12U);
+    EXPECT_EQ(received->latencies[0].sample.latency, milliseconds(60));
+    EXPECT_EQ(received->latencies[0].sample.deviation, std::chrono::microseconds(1500));
+    EXPECT_EQ(received->latencies[0].sample.inFlight, 2.5);
+    EXPECT_EQ(received->latencies[0].sample.answers, 3U);
     ASSERT_EQ(received->relayed.size(), 1U);
     EXPECT_EQ(received->relayed[0].load.sender, "other");
     EXPECT_EQ(received->relayed[0].load.sequence, 7U);
