--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -140,6 +140,7 @@
     callbacks_.peerCrashDigest(sender, message->crashDigest);
     for (const auto *load : gossip_.onMessage(*message, sender, now)) {
         callbacks_.peerRateLimits(load->incarnation, load->rateLimits);
+        callbacks_.peerLatencies(load->latencies);
         haveLoadsChanged_ = true;
     }
 }
@@ -168,7 +169,8 @@
             .bounds = callbacks_.bounds(),
             .rateLimits = callbacks_.rateLimits(tellsAllLimits),
             .demands = callbacks_.demands(),
-            .arrivals = tellsArrivals ? std::optional(callbacks_.arrivals()) : std::nullopt};
+            .arrivals = tellsArrivals ? std::optional(callbacks_.arrivals()) : std::nullopt,
+            .latencies = callbacks_.latencies()};
 }
 
 void PeerExchange::tick()
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -3,6 +3,7 @@
 #include "hornbeamlane_dispatch/pace/PaceBook.h"
 #include "hornbeamlane_dispatch/queue/ArrivalRates.h"
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
+#include "hornbeamlane_dispatch/servers/ServerLimits.h"
 
 #include <cstdint>
 #include <functional>
@@ -69,6 +70,9 @@
     std::vector<std::pair<ServiceHash, std::uint32_t>> demands;
     /** Requests of callers that come to the sender; empty if it does not tell them this time. */
     std::optional<std::vector<ServiceArrivals>> arrivals;
+    /** Answers of servers of plain services that the sender has not told before; latencies pass in microseconds,
+        requests at the server in tenths. */
+    std::vector<LatencyReport> latencies;
     /** Loads of other entries that the sender passes on. */
     std::vector<RelayedLoad> relayed;
 };
