Keep the floor of teams against wrong figures of peers

Cause: a peer that told a huge rate could lower the admitted part of a class below its floor. A lone entry counted itself three times, as the count that other bounds use is never below three. Shares of the last burst were logged without end.

Change: a floor holds for a demand of all entries like the median one. The shares use the entries that are known. Sums of huge rates stay finite.

--- a/modules/hornbeamlane_dispatch/queue/ArrivalAdmission.cpp
+++ b/modules/hornbeamlane_dispatch/queue/ArrivalAdmission.cpp
@@ -10,11 +10,19 @@
 /** Arrivals at one entry that are never cut, whatever the others have. */
 constexpr double plausiblePerSecond = 20;
 
+/** Rates beyond this are no measurement; sums of them stay finite. */
+constexpr double largestPerSecond = 1e9;
+
+double usable(double perSecond)
+{
+    return std::isfinite(perSecond) ? std::clamp(perSecond, 0.0, largestPerSecond) : 0;
+}
+
 double sumOf(const std::vector<ArrivalRate> &rates)
 {
     double sum = 0;
     for (const auto &rate : rates) {
-        sum += std::isfinite(rate.perSecond) ? std::max(rate.perSecond, 0.0) : 0;
+        sum += usable(rate.perSecond);
     }
     return sum;
 }
@@ -78,7 +86,8 @@
     for (const auto *rates : peers.arrivals) {
         sums.push_back(sumOf(*rates));
     }
-    const double largest = std::max(lowerMedian(sums) * options_.largestPeerPart, plausiblePerSecond);
+    const double median = lowerMedian(sums);
+    const double largest = std::max(median * options_.largestPeerPart, plausiblePerSecond);
     std::map<ArrivalClass, double> demand;
     double all = ownSum;
     for (const auto &rate : own) {
@@ -88,9 +97,7 @@
         const double sum = sums[i + 1];
         const double counted = sum > largest ? largest / sum : 1.0;
         for (const auto &rate : *peers.arrivals[i]) {
-            if (std::isfinite(rate.perSecond) && rate.perSecond > 0) {
-                demand[rate.arrivals] += rate.perSecond * counted;
-            }
+            demand[rate.arrivals] += usable(rate.perSecond) * counted;
         }
         all += sum * counted;
     }
@@ -99,6 +106,9 @@
     const double telling = 1.0 + static_cast<double>(peers.arrivals.size());
     const double running = peers.heard == 0 ? peers.entryCount : 1.0 + static_cast<double>(peers.heard);
     const double scale = std::max(1.0, running / telling);
+    const double plausible = std::max(ownSum, median) * running;
+    const double used = capacityPerSecond_ * options_.usedCapacity;
+    leastPart_ = options_.shares.teamFloor * (plausible > used ? used / plausible : 1.0);
     double late = 0;
     for (auto &[arrivals, perSecond] : demand) {
         perSecond *= scale;
@@ -128,7 +138,7 @@
 std::optional<Duration> ArrivalAdmission::rejectionOf(const ArrivalClass &arrivals, double fill, Duration timeLeft,
                                                       TimePoint now, RandomSource &random)
 {
-    const double part = shares_.admittedPart(arrivals);
+    const double part = std::max(shares_.admittedPart(arrivals), arrivals.isLate ? 0 : leastPart_);
     if (part >= 1 || !(fill > options_.freeFill)) {
         return std::nullopt;
     }
--- a/modules/hornbeamlane_dispatch/queue/ArrivalAdmission.h
+++ b/modules/hornbeamlane_dispatch/queue/ArrivalAdmission.h
@@ -36,7 +36,7 @@
         /** Requests that must have left their places before the capacity counts as known. */
         std::uint32_t minPlaceTimes = 10;
         /** Arrivals of a peer above this multiple of the median entry do not count, so that one wrong figure cannot
-            take the share of all others. */
+            take the share of all others. The floor of teams holds for a demand of all entries like the median one. */
         double largestPeerPart = 10;
         /** Shortest time until a caller comes back, and the part of its time left that it waits at most. */
         std::chrono::milliseconds shortestRetryAfter{300};
@@ -102,6 +102,12 @@
         return shares_;
     }
 
+    /** Whether the demand exceeded the capacity within the last second; without requests nothing is divided. */
+    bool isShort(TimePoint now) const
+    {
+        return shares_.isShort() && now - updatedAt_ < std::chrono::seconds(1);
+    }
+
     /** Requests a second that the servers can start in time; zero while it is not known. */
     double capacityPerSecond() const
     {
@@ -125,6 +131,8 @@
     std::uint32_t placeTimes_ = 0;
     /** Part of the demand of all entries that comes to this one. */
     double ownPart_ = 1;
+    /** Part of the requests that are not late that is admitted whatever the other entries tell. */
+    double leastPart_ = 1;
     /** When the last caller that was told a time to come back finds room. */
     TimePoint nextRoomAt_;
 };
--- a/modules/hornbeamlane_gateway/peers/ArrivalCodec.h
+++ b/modules/hornbeamlane_gateway/peers/ArrivalCodec.h
@@ -8,8 +8,8 @@
 
 namespace hornbeamlane {
 
-/** Packed form of arrivals in a load message, six or seven bytes for each class; larger rates than 10,000 a second
-    are told as that. */
+/** Packed form of arrivals in a load message, seven bytes for each class. Rates over 10,000 a second are told as that.
+ */
 std::vector<std::uint8_t> encodeArrivals(const std::vector<ServiceArrivals> &arrivals);
 
 /** Empty for bytes of another form. Priorities over the largest one come out as that. */
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -251,8 +251,10 @@
         || peer.last.isMapHolder != message.isMapHolder || message.isMapHolder;
     subtract(peer.last);
     // Arrivals are told less often than loads.
-    auto arrivals = message.arrivals || peer.last.incarnation != message.incarnation ? message.arrivals
-                                                                                     : std::move(peer.last.arrivals);
+    auto arrivals = message.arrivals;
+    if (!arrivals && peer.last.incarnation == message.incarnation) {
+        arrivals = std::move(peer.last.arrivals);
+    }
     peer.last = message;
     peer.last.arrivals = std::move(arrivals);
     peer.last.relayed.clear();
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -214,16 +214,16 @@
 }
 
 std::optional<Duration> ServiceQueues::rejectionOf(const ServiceId &service, const ArrivalClass &arrivals,
-                                                   Duration timeLeft, const PeerLoads &loads)
+                                                   Duration timeLeft, const PeerExchange &peers)
 {
     auto &admission = of(service).admission;
     const auto now = loop_.now();
     admission.onArrival(arrivals, now);
     if (admission.isUpdateDue(now)) {
         admission.update(placesOf(service),
-                         {.arrivals = loads.arrivalsFor(hashOfService(service)),
-                          .heard = loads.activePeers(),
-                          .entryCount = entryCount_},
+                         {.arrivals = peers.loads().arrivalsFor(hashOfService(service)),
+                          .heard = peers.loads().activePeers(),
+                          .entryCount = peers.entryCount(now)},
                          now);
     }
     if (!admission.shares().isShort()) {
@@ -390,7 +390,7 @@
                   {"waiting", std::to_string(state.queue.size())}});
     }
     for (const auto &[service, state] : services_) {
-        if (state.admission.shares().isShort()) {
+        if (state.admission.isShort(now)) {
             logShares(service, state);
         }
     }
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.h
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.h
@@ -2,7 +2,7 @@
 
 #include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
 #include "hornbeamlane_gateway/GatewaySettings.h"
-#include "hornbeamlane_gateway/peers/PeerLoads.h"
+#include "hornbeamlane_gateway/peers/PeerExchange.h"
 #include "hornbeamlane_gateway/ratelimits/RateLimitGuard.h"
 #include "hornbeamlane_gateway/request/GatewayRefusal.h"
 #include "hornbeamlane_network/loop/Timer.h"
@@ -72,7 +72,7 @@
     /** Counts a request that has come; a time to come back if it is beyond the share of its priority and team while the
         capacity of the service does not suffice. */
     std::optional<Duration> rejectionOf(const ServiceId &service, const ArrivalClass &arrivals, Duration timeLeft,
-                                        const PeerLoads &loads);
+                                        const PeerExchange &peers);
 
     /** A request has left its place at a server after that time. */
     void onPlaceFreed(const ServiceId &service, Duration taken);
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -71,8 +71,7 @@
     const ArrivalClass arrivals{.priority = wait_->priority(),
                                 .isLate = wait_->isLate(),
                                 .team = team_ == nullptr ? 0 : hashOfTeam(team_->name)};
-    const auto retryAfter =
-        gateway_.queues_.rejectionOf(service_, arrivals, deadline_ - arrivedAt_, gateway_.peers_.loads());
+    const auto retryAfter = gateway_.queues_.rejectionOf(service_, arrivals, deadline_ - arrivedAt_, gateway_.peers_);
     // An entry that stops sends the caller to another one at once.
     if (!retryAfter || !canEndBeforeStop()) {
         return true;
--- a/tests/dispatch/ArrivalAdmissionTest.cpp
+++ b/tests/dispatch/ArrivalAdmissionTest.cpp
@@ -340,7 +340,7 @@
     ShortEntryTest()
     {
         for (int i = 0; i < 20; ++i) {
-            entry.onPlaceFreed(seconds(1));
+            entry_.onPlaceFreed(seconds(1));
         }
     }
 
@@ -349,8 +349,8 @@
     {
         const auto count = static_cast<int>(perSecond * static_cast<double>(time.count()));
         for (int i = 0; i < count; ++i) {
-            now += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond));
-            entry.onArrival(arrivals, now);
+            now_ += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond));
+            entry_.onArrival(arrivals, now_);
         }
     }
 
@@ -358,80 +358,86 @@
     {
         int rejections = 0;
         for (int i = 0; i < 100; ++i) {
-            rejections += entry.rejectionOf(arrivals, fill, timeOfCaller, now, random) ? 1 : 0;
+            rejections += entry_.rejectionOf(arrivals, fill, timeOfCaller, now_, random_) ? 1 : 0;
         }
         return rejections;
     }
 
-    ArrivalAdmission entry;
-    TimePoint now = start;
-    RandomSource random{17};
-    const ArrivalClass usual{.priority = 1, .team = 3};
-    const ArrivalAdmission::Places full{.bound = 100, .inFlight = 100};
+    ArrivalAdmission entry_;
+    TimePoint now_ = start;
+    RandomSource random_{17};
+    const ArrivalClass usual_{.priority = 1, .team = 3};
+    const ArrivalAdmission::Places full_{.bound = 100, .inFlight = 100};
 };
 
 // Guards against rejections while places are free, whatever the measured rates say.
 TEST_F(ShortEntryTest, RejectsNothingWhilePlacesAreFree)
 {
-    arrive(usual, 300);
-    entry.update(full, {}, now);
-    ASSERT_TRUE(entry.shares().isShort());
-    EXPECT_EQ(rejectionsOf100(usual, 0.8), 0);
-    EXPECT_GT(rejectionsOf100(usual, 1.0), 50);
-    EXPECT_EQ(rejectionsOf100(usual, std::numeric_limits<double>::quiet_NaN()), 0);
+    arrive(usual_, 300);
+    entry_.update(full_, {}, now_);
+    ASSERT_TRUE(entry_.shares().isShort());
+    EXPECT_EQ(rejectionsOf100(usual_, 0.8), 0);
+    EXPECT_GT(rejectionsOf100(usual_, 1.0), 50);
+    EXPECT_EQ(rejectionsOf100(usual_, std::numeric_limits<double>::quiet_NaN()), 0);
 }
 
 // Guards against rejections by an entry that has just started and does not know how long places are taken.
 TEST_F(ShortEntryTest, RejectsNothingBeforeItKnowsTheCapacity)
 {
-    entry = ArrivalAdmission();
-    arrive(usual, 300);
-    entry.update(full, {}, now);
-    EXPECT_EQ(rejectionsOf100(usual, 1.0), 0);
+    entry_ = ArrivalAdmission();
+    arrive(usual_, 300);
+    entry_.update(full_, {}, now_);
+    EXPECT_EQ(rejectionsOf100(usual_, 1.0), 0);
 }
 
 // Guards against an entry that hears nobody and takes its own arrivals for those of all.
 TEST_F(ShortEntryTest, CountsItselfForTheOthersWithoutPeers)
 {
-    arrive(usual, 30);
-    entry.update(full, {.arrivals = {}, .heard = 0, .entryCount = 10}, now);
-    EXPECT_NEAR(entry.shares().demandPerSecond(), 300, 60);
-    entry.update(full, {.arrivals = {}, .heard = 0, .entryCount = 1}, now);
-    EXPECT_FALSE(entry.shares().isShort());
+    arrive(usual_, 30);
+    entry_.update(full_, {.arrivals = {}, .heard = 0, .entryCount = 10}, now_);
+    EXPECT_NEAR(entry_.shares().demandPerSecond(), 300, 60);
+    entry_.update(full_, {.arrivals = {}, .heard = 0, .entryCount = 1}, now_);
+    EXPECT_FALSE(entry_.shares().isShort());
 }
 
 // Guards against entries of an earlier release, whose requests nobody tells.
 TEST_F(ShortEntryTest, CountsPeersThatTellNothing)
 {
-    arrive(usual, 30);
-    const std::vector<ArrivalRate> told{{.arrivals = usual, .perSecond = 30}};
-    entry.update(full, {.arrivals = {&told}, .heard = 3, .entryCount = 4}, now);
-    EXPECT_NEAR(entry.shares().demandPerSecond(), 120, 20);
+    arrive(usual_, 30);
+    const std::vector<ArrivalRate> told{{.arrivals = usual_, .perSecond = 30}};
+    entry_.update(full_, {.arrivals = {&told}, .heard = 3, .entryCount = 4}, now_);
+    EXPECT_NEAR(entry_.shares().demandPerSecond(), 120, 20);
 }
 
 // Guards against a peer with a wrong figure that makes all entries reject nearly everything.
 TEST_F(ShortEntryTest, WrongFigureOfAPeerLeavesTheFloors)
 {
-    arrive(usual, 120);
-    const std::vector<ArrivalRate> sound{{.arrivals = usual, .perSecond = 100}};
+    arrive(usual_, 120);
+    const std::vector<ArrivalRate> sound{{.arrivals = usual_, .perSecond = 100}};
     const std::vector<ArrivalRate> wrong{{.arrivals = {.priority = 0, .team = 9}, .perSecond = 1e9},
-                                         {.arrivals = usual, .perSecond = 1e300}};
-    entry.update(full, {.arrivals = {&sound, &wrong}, .heard = 2, .entryCount = 3}, now);
-    const double fair = 100.0 / 320;
-    EXPECT_GE(entry.shares().admittedPart(usual), fair / 12);
+                                         {.arrivals = usual_, .perSecond = 1e300}};
+    entry_.update(full_, {.arrivals = {&sound, &wrong}, .heard = 2, .entryCount = 3}, now_);
+    // The part that is admitted on average if all three entries are like this one.
+    const double fair = 95.0 / 360;
+    int admitted = 0;
+    constexpr int tries = 10;
+    for (int i = 0; i < tries; ++i) {
+        admitted += 100 - rejectionsOf100(usual_, 1.0);
+    }
+    EXPECT_GE(admitted, tries * 100 * fair / 4);
     // Once the peer is silent its figures are gone.
-    entry.update(full, {.arrivals = {&sound}, .heard = 1, .entryCount = 3}, now);
-    EXPECT_GE(entry.shares().admittedPart(usual), fair);
+    entry_.update(full_, {.arrivals = {&sound}, .heard = 1, .entryCount = 3}, now_);
+    EXPECT_GE(entry_.shares().admittedPart(usual_), fair);
 }
 
 // Guards against callers that are told a time which they do not wait, or all the same time.
 TEST_F(ShortEntryTest, CallersComeBackSpreadOutWithinAThirdOfTheirTime)
 {
-    arrive(usual, 300);
-    entry.update(full, {}, now);
+    arrive(usual_, 300);
+    entry_.update(full_, {}, now_);
     std::vector<Duration> times;
     while (times.size() < 200) {
-        if (const auto time = entry.rejectionOf(usual, 1.0, timeOfCaller, now, random)) {
+        if (const auto time = entry_.rejectionOf(usual_, 1.0, timeOfCaller, now_, random_)) {
             times.push_back(*time);
         }
     }
@@ -439,7 +445,7 @@
     EXPECT_GE(*shortest, milliseconds(1900));
     EXPECT_LE(*longest, Duration(timeOfCaller) / 3);
     EXPECT_GE(*longest - *shortest, milliseconds(400));
-    const auto hasty = entry.rejectionOf(usual, 1.0, milliseconds(150), now, random);
+    const auto hasty = entry_.rejectionOf(usual_, 1.0, milliseconds(150), now_, random_);
     EXPECT_LE(hasty.value_or(Duration::zero()), milliseconds(50));
 }
 
@@ -447,18 +453,18 @@
 TEST_F(ShortEntryTest, CallersComeBackAsRoomIsExpected)
 {
     // 70 of 95 starts a second are used, 25 are left for 60 late requests.
-    arrive(usual, 70);
+    arrive(usual_, 70);
     const auto lateOne = ArrivalClass{.priority = 0, .isLate = true, .team = 3};
     const std::vector<ArrivalRate> told{{.arrivals = lateOne, .perSecond = 20}};
-    entry.update(full, {.arrivals = {&told, &told, &told}, .heard = 3, .entryCount = 4}, now);
-    ASSERT_TRUE(entry.shares().isShort());
-    EXPECT_EQ(rejectionsOf100(usual, 1.0), 0);
-    const auto firstTurn = entry.rejectionOf(lateOne, 1.0, timeOfCaller, now, random);
+    entry_.update(full_, {.arrivals = {&told, &told, &told}, .heard = 3, .entryCount = 4}, now_);
+    ASSERT_TRUE(entry_.shares().isShort());
+    EXPECT_EQ(rejectionsOf100(usual_, 1.0), 0);
+    const auto firstTurn = entry_.rejectionOf(lateOne, 1.0, timeOfCaller, now_, random_);
     EXPECT_LE(firstTurn.value_or(Duration::zero()), milliseconds(500));
     EXPECT_GT(rejectionsOf100(lateOne, 1.0), 30);
     std::optional<Duration> lastTurn;
     while (!lastTurn) {
-        lastTurn = entry.rejectionOf(lateOne, 1.0, timeOfCaller, now, random);
+        lastTurn = entry_.rejectionOf(lateOne, 1.0, timeOfCaller, now_, random_);
     }
     EXPECT_GE(*lastTurn, milliseconds(1900));
 }
