Treat a status outside 200 to 599 as no response

Cause: the response reader and HttpCall passed on each number that the parsers accept. A caller received status 000.

Change: such a status is malformed for Http1ResponseReader, as is 101, and ends an HttpCall as broken off: the server counts as failed, the caller gets 502, an order is not sent again, a repeatable request goes to another server. HttpCall skips at most 16 interim responses, as the reader does. A test of the memory of chunked bodies comes with it.

--- a/modules/hornbeamlane_network/http/HttpCall.cpp
+++ b/modules/hornbeamlane_network/http/HttpCall.cpp
@@ -21,6 +21,16 @@
 
 constexpr std::size_t maxHeaderBytes = 64 * 1024;
 
+/** The library shows the head of this interim answer and then reads on. */
+constexpr int statusContinue = 100;
+
+/** Statuses of final answers; what has another one is no answer. */
+constexpr int firstFinalStatus = 200;
+constexpr int lastFinalStatus = 599;
+
+/** Interim answers before the final one. */
+constexpr int maxInterimResponses = 16;
+
 evhttp_cmd_type commandOf(const std::string &method)
 {
     if (method == "POST") {
@@ -52,6 +62,9 @@
     evhttp_request *request = nullptr;
     bool hasHead = false;
     bool isOver = false;
+    /** The answer has a status that no answer has. */
+    bool isInvalid = false;
+    int interimResponses = 0;
     bool hasSentBytes = false;
     /** Bytes that have come, and those of them that were handed out as the body. */
     std::size_t receivedBytes = 0;
@@ -168,9 +181,17 @@
     void handleHead(evhttp_request *handle)
     {
         const auto keep = shared_from_this();
-        hasHead = true;
         HttpResponse head;
         head.status = evhttp_request_get_response_code(handle);
+        if (head.status == statusContinue && ++interimResponses <= maxInterimResponses) {
+            return;
+        }
+        hasHead = true;
+        if (head.status < firstFinalStatus || head.status > lastFinalStatus) {
+            isInvalid = true;
+            failLater(HttpCallEnd::BrokenOff);
+            return;
+        }
         for (auto *header = evhttp_request_get_input_headers(handle)->tqh_first; header != nullptr;
              header = header->next.tqe_next) {
             head.headers.emplace_back(header->key, header->value);
@@ -190,7 +211,7 @@
         std::string bytes(evbuffer_get_length(buffer), '\0');
         evbuffer_remove(buffer, bytes.data(), bytes.size());
         bodyBytes += bytes.size();
-        if (!isOver && !bytes.empty() && callbacks.data) {
+        if (!isOver && !isInvalid && !bytes.empty() && callbacks.data) {
             callbacks.data(bytes);
         }
     }
@@ -199,7 +220,7 @@
     {
         const auto keep = shared_from_this();
         request = nullptr;
-        if (handle != nullptr && evhttp_request_get_response_code(handle) != 0) {
+        if (handle != nullptr && !isInvalid && evhttp_request_get_response_code(handle) != 0) {
             handleData(handle);
             finish(HttpCallEnd::Complete);
             return;
--- a/modules/hornbeamlane_network/http1/Http1Readers.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Readers.cpp
@@ -21,6 +21,11 @@
 constexpr int maxInterimResponses = 16;
 constexpr std::uint64_t maxResponseBodyBytes = 256ULL * 1024 * 1024;
 
+/** Statuses of final responses. */
+constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastFinalStatus = 599;
+constexpr unsigned switchingProtocols = 101;
+
 /** Bytes by which the memory of a body in chunks grows at least and at most beyond what has come. */
 constexpr std::size_t smallestGrowth = 1024;
 constexpr std::size_t largestGrowth = 128 * 1024;
@@ -188,7 +193,14 @@
 
     bool isInterim() const
     {
-        return parser->is_header_done() && parser->get().result_int() / 100 == 1;
+        return parser->is_header_done() && parser->get().result_int() / 100 == 1
+            && parser->get().result_int() != switchingProtocols;
+    }
+
+    bool hasInvalidStatus() const
+    {
+        const auto status = parser->get().result_int();
+        return parser->is_header_done() && !isInterim() && (status < firstFinalStatus || status > lastFinalStatus);
     }
 
     void takeHead()
@@ -223,6 +235,9 @@
         std::size_t used = 0;
         const auto progress = feed(*self.parser, bytes.substr(consumed), used);
         consumed += used;
+        if (self.hasInvalidStatus()) {
+            return Http1Progress::Malformed;
+        }
         if (progress == Http1Progress::Complete && self.isInterim()) {
             self.restart();
             if (++self.interimResponses > maxInterimResponses) {
--- a/modules/hornbeamlane_network/http1/Http1Readers.h
+++ b/modules/hornbeamlane_network/http1/Http1Readers.h
@@ -59,7 +59,11 @@
     Http1ResponseReader();
     ~Http1ResponseReader();
 
-    /** Prepares for the next final response; interim ones (1xx) are skipped. */
+    /**
+        Prepares for the next final response; a few interim ones (1xx) are skipped.
+
+        A status outside 200 to 599 is malformed, and so is a 101: no request asks for another protocol.
+    */
     void start(BodyRule rule);
 
     Http1Progress consume(std::string_view bytes, std::size_t &consumed);
--- a/tests/network/Http1ReadersTest.cpp
+++ b/tests/network/Http1ReadersTest.cpp
@@ -102,6 +102,50 @@
     EXPECT_EQ(reader.endOfInput(), Http1Progress::Malformed);
 }
 
+// Guards against bytes that are no response being passed on: a caller received the status 000 of a server in trouble.
+TEST(Http1ResponseReaderTest, RejectsStatusesThatNoResponseHas)
+{
+    for (const char *status : {"000", "099", "101", "600", "999"}) {
+        Http1ResponseReader reader;
+        reader.start(Http1ResponseReader::BodyRule::AsStated);
+        std::size_t consumed = 0;
+        const auto text = "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nno";
+        EXPECT_EQ(reader.consume(text, consumed), Http1Progress::Malformed) << status;
+        EXPECT_FALSE(reader.hasHead()) << status;
+    }
+    for (const char *status : {"200", "599"}) {
+        Http1ResponseReader reader;
+        reader.start(Http1ResponseReader::BodyRule::AsStated);
+        std::size_t consumed = 0;
+        const auto text = "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nok";
+        EXPECT_EQ(reader.consume(text, consumed), Http1Progress::Complete) << status;
+    }
+}
+
+// Guards against a body in small chunks that takes much more memory than its bytes: its text doubled with each growth.
+TEST(Http1RequestReaderTest, HoldsLittleMoreThanTheBytesOfABodyInChunks)
+{
+    Http1RequestReader reader;
+    reader.start({});
+    std::size_t consumed = 0;
+    reader.consume("POST /x/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", consumed);
+    constexpr std::size_t bodyBytes = 2100 * 1000;
+    std::string chunks;
+    for (int i = 0; i < 1000; ++i) {
+        chunks += "1\r\na\r\n";
+    }
+    std::string pending;
+    for (std::size_t sent = 0; sent < bodyBytes; sent += 1000) {
+        pending += chunks;
+        ASSERT_EQ(reader.consume(pending, consumed), Http1Progress::NeedMore);
+        pending.erase(0, consumed);
+        // The end of the last chunk may be left for the next call.
+        ASSERT_LT(pending.size(), 16);
+    }
+    EXPECT_GE(reader.heldBytes(), bodyBytes - 1);
+    EXPECT_LE(reader.heldBytes(), bodyBytes + 256 * 1024);
+}
+
 // Guards against random bytes crashing a reader: each result is allowed, but it must be one.
 TEST(Http1ReadersTest, SurviveRandomBytes)
 {
--- a/tests/network/HttpCallTest.cpp
+++ b/tests/network/HttpCallTest.cpp
@@ -77,6 +77,30 @@
                                    "X: x\r\n"}),
     [](const auto &param) { return param.param.name; });
 
+// Guards against bytes that are no response being passed on: a caller received the status 000 of a server in trouble.
+TEST(HttpCallStatusTest, EndsBrokenOffForStatusesThatNoResponseHas)
+{
+    for (const char *status : {"000", "099", "101", "199", "600", "999"}) {
+        EventLoop loop;
+        testing::ScriptedServer server(
+            loop, [&](testing::ScriptedServer::Connection &connection, const std::string &, int) {
+                connection.send("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nno");
+            });
+        std::optional<HttpCallEnd> result;
+        HttpResponse received;
+        sendHttpRequest(loop, {.address = server.address(), .totalTime = milliseconds(1500)},
+                        [&](HttpCallEnd end, const HttpResponse &response) {
+                            result = end;
+                            received = response;
+                            loop.stop();
+                        });
+        loop.run();
+        EXPECT_EQ(result, HttpCallEnd::BrokenOff) << status;
+        EXPECT_EQ(received.status, 0) << status;
+        EXPECT_EQ(received.body, "") << status;
+    }
+}
+
 // Guards against a success with an empty or short body: the server stops anywhere in its answer's head, or in a body
 // with a length or chunks, and closes.
 TEST(HttpCallCutTest, TakesNoPartOfAnAnswerForTheWhole)
