--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t maxReadAheadBytes = 8 * 1024;
 
 /** No further request is read while so many bytes of answers wait for the caller. */
-constexpr std::size_t maxUnreadBytes = 256 * 1024;
+constexpr std::size_t maxUnreadAnswerBytes = 256 * 1024;
 
 /** Time after which an answer is given up of which the caller takes nothing. Callers abandon after 2 s. */
 constexpr std::chrono::milliseconds unreadTimeout{10000};
@@ -211,7 +211,7 @@
         discardInput();
         return;
     }
-    if (state_ == State::Answering || isGivingWay_ || (state_ == State::Idle && bufferedBytes() > maxUnreadBytes)) {
+    if (state_ == State::Answering || isGivingWay_ || (state_ == State::Idle && bufferedBytes() > maxUnreadAnswerBytes)) {
         updateHold();
         return;
     }
