--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds allLimitsInterval{300};
 
 /** Time between two tellings of the arrivals, which change within about a second. */
-constexpr milliseconds arrivalsInterval{200};
+constexpr milliseconds arrivalsInterval{400};
 
 /** Peers that hear of something urgent at once; they tell the others that they know more. */
 constexpr std::size_t urgentFanOut = 48;
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -43,6 +43,10 @@
 /** The same for the places that shares of the capacity are computed from. */
 constexpr milliseconds placesInterval{20};
 
+/** Requests over the bound of a service from which on its arrivals are told: below it nothing is rejected by them, and
+    with 44 entries they are most of the bytes that entries send each other. */
+constexpr double fillToTellArrivals = 0.6;
+
 /** Weight of one first event in the moving average of their latency. */
 constexpr double latencyWeight = 0.08;
 
@@ -241,6 +245,9 @@
 {
     std::vector<ServiceArrivals> arrivals;
     for (auto &[service, state] : services_) {
+        if (placesOf(service).fill() < fillToTellArrivals) {
+            continue;
+        }
         if (auto rates = state.admission.ratesToTell(loop_.now()); !rates.empty()) {
             arrivals.push_back({.service = hashOfService(service), .rates = std::move(rates)});
         }
