--- a/modules/hornbeamlane_dispatch/servers/LatencyMean.cpp
+++ b/modules/hornbeamlane_dispatch/servers/LatencyMean.cpp
@@ -10,11 +10,6 @@
 /** Deviation assumed at least, as a share of the mean: a few equal answers prove less than they seem to. */
 constexpr double leastDeviation = 0.1;
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 LatencyMean::LatencyMean()
@@ -32,8 +27,8 @@
     forget(now);
     const double count = sample.answers;
     const double kept = std::pow(1 - 1 / options_.memory, count);
-    const double latency = secondsOf(sample.latency);
-    const double deviation = secondsOf(sample.deviation);
+    const double latency = detail::secondsOf(sample.latency);
+    const double deviation = detail::secondsOf(sample.deviation);
     weight_ = weight_ * kept + count;
     sum_ = sum_ * kept + count * latency;
     squares_ = squares_ * kept + count * (latency * latency + deviation * deviation);
@@ -50,7 +45,7 @@
     if (now <= forgottenAt_) {
         return;
     }
-    const double kept = std::exp2(-secondsOf(now - forgottenAt_) / secondsOf(options_.halfLife));
+    const double kept = std::exp2(-detail::secondsOf(now - forgottenAt_) / detail::secondsOf(options_.halfLife));
     forgottenAt_ = now;
     weight_ *= kept;
     sum_ *= kept;
--- a/modules/hornbeamlane_dispatch/servers/LatencyMean.h
+++ b/modules/hornbeamlane_dispatch/servers/LatencyMean.h
@@ -6,6 +6,15 @@
 
 namespace hornbeamlane {
 
+namespace detail {
+
+inline double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace detail
+
 /** Latencies of one or several answers of a server, with the requests that it had meanwhile. */
 struct LatencySample
 {
--- a/modules/hornbeamlane_dispatch/servers/ServerLimits.cpp
+++ b/modules/hornbeamlane_dispatch/servers/ServerLimits.cpp
@@ -13,11 +13,6 @@
 /** Servers of a service for each of which one may be tried with fewer requests at the same time. */
 constexpr std::uint32_t serversPerTrial = 4;
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 Duration durationOf(double seconds)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -28,11 +23,11 @@
 {
     const double count = a.answers + b.answers;
     const double shareOfB = b.answers / count;
-    const double latencyA = secondsOf(a.latency);
-    const double latencyB = secondsOf(b.latency);
+    const double latencyA = detail::secondsOf(a.latency);
+    const double latencyB = detail::secondsOf(b.latency);
     const double mean = latencyA + (latencyB - latencyA) * shareOfB;
     const auto squares = [](double latency, Duration deviation) {
-        return latency * latency + secondsOf(deviation) * secondsOf(deviation);
+        return latency * latency + detail::secondsOf(deviation) * detail::secondsOf(deviation);
     };
     const double square = squares(latencyA, a.deviation) * (1 - shareOfB) + squares(latencyB, b.deviation) * shareOfB;
     return {.latency = durationOf(mean),
@@ -116,7 +111,7 @@
 {
     const auto found = learned_.find(server);
     if (found == learned_.end() || !found->second.limit.latency().isKnown()
-        || secondsOf(waited) < found->second.limit.latency().mean()) {
+        || detail::secondsOf(waited) < found->second.limit.latency().mean()) {
         return;
     }
     onAnswered(server, waited, inFlight, now);
--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
@@ -211,7 +211,8 @@
         discardInput();
         return;
     }
-    if (state_ == State::Answering || isGivingWay_ || (state_ == State::Idle && bufferedBytes() > maxUnreadAnswerBytes)) {
+    if (state_ == State::Answering || isGivingWay_
+        || (state_ == State::Idle && bufferedBytes() > maxUnreadAnswerBytes)) {
         updateHold();
         return;
     }
