--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -19,6 +19,9 @@
 
 constexpr milliseconds drainCheckInterval{20};
 
+/** Balancers and collectors of metrics together keep a few connections. */
+constexpr std::size_t maxStatusConnections = 64;
+
 /** Time between two looks at requests that wait for a suspect like them. */
 constexpr milliseconds heldInterval{20};
 
@@ -48,7 +51,8 @@
                  .isRateLimited = [this](const Backend &backend) { return rateLimits_.isLimited(backend); },
                  .paceFill = [this](const PaceUnitId &unit,
                                     const PaceUnitLoad &load) { return queues_.paces().fillOf(unit, load); },
-                 .isPaceOutOfReach = [this](const PaceUnitId &unit) { return queues_.paces().isOutOfReach(unit); }})
+                 .isPaceOutOfReach = [this](const PaceUnitId &unit) { return queues_.paces().isOutOfReach(unit); },
+                 .findingOf = [this](const Backend &backend) { return serverLimits_.findingOf(backend); }})
     , pool_(loop, {})
     , peers_(loop, {.name = settings_.name, .incarnation = random.incarnation(), .address = settings_.peerAddress},
              {.ownLoad =
@@ -74,6 +78,8 @@
               .arrivals = [this] { return queues_.arrivals(); },
               .peerRateLimits = [this](Incarnation sender,
                                        const auto &reports) { rateLimits_.onPeerReports(sender, reports); },
+              .latencies = [this] { return serverLimits_.reports(peers_.isRelaying()); },
+              .peerLatencies = [this](const auto &reports) { serverLimits_.onPeerReports(reports); },
               .otherMessage = [this](std::string_view bytes) { return crashes_.exchange().onMessage(bytes); }})
     , crashes_(
           loop, random, metrics_, backends_,
@@ -101,10 +107,13 @@
                        },
                    .serverOf = [this](ServerStartHash server) { return serverOf(server); }})
     , notices_(loop, metrics_, settings_.headers, backends_)
+    , serverLimits_(loop, metrics_, backends_)
     , queues_(loop, random, settings_, backends_, rateLimits_)
     , groupProbe_(loop, random, backends_, {},
                   {.readReport = std::move(hooks.readReport),
                    .hasFormed = [this](const ServerId &rank) { groupHasFormed(rank); }})
+    , memory_({.limit = settings_.memoryLimit})
+    , refusedConnections_(metrics_, memory_, "")
     , callers_(loop,
                {.limits =
                     [this] {
@@ -117,9 +126,11 @@
                             .headerTimeout = limits.headerTimeout,
                             .idleTimeout = limits.idleTimeout};
                     },
-                .maxConnections = settings_.maxConnections},
+                .maxConnections = settings_.maxConnections,
+                .memory = &memory_,
+                .onRefused = [this](int status, std::string_view cause) { refusedConnections_.note(status, cause); }},
                [this](const std::shared_ptr<Http1Exchange> &exchange) { handle(exchange); })
-    , status_(loop, {.limits = [] { return Http1Server::Limits{}; }},
+    , status_(loop, {.limits = [] { return Http1Server::Limits{}; }, .maxConnections = maxStatusConnections},
               [this](const std::shared_ptr<Http1Exchange> &exchange) { handleStatusRequest(exchange); })
     , sweepTimer_(loop, [this] { sweep(); })
     , heldTimer_(loop, [this] { crashesChanged(); })
@@ -210,6 +221,7 @@
             queues_.paces().setFixedPassTime(backend.paceUnit, fixedPassTime(*engine));
         }
     }
+    serverLimits_.serversChanged();
     peerLoadsChanged();
 }
 
@@ -269,13 +281,16 @@
     crashes_.sweep();
     rateLimits_.sweep();
     notices_.sweep();
+    serverLimits_.sweep();
     groupProbe_.sweep(now);
     setEntryCount(peers_.entryCount(now));
     queues_.notePeerBounds(peers_.loads());
     queues_.sweep();
+    refusedConnections_.report(now);
     if (now - stateLoggedAt_ >= stateLogInterval) {
         stateLoggedAt_ = now;
         queues_.logStates();
+        serverLimits_.logStates();
     }
     queues_.serveAll();
 }
@@ -400,6 +415,7 @@
     metrics_.setGauge("requests_running", {}, static_cast<double>(requests_.size()));
     metrics_.setGauge("buffered_bytes", {}, static_cast<double>(bufferedBytes()));
     metrics_.setGauge("collected_bytes", {}, static_cast<double>(collectedBytes_));
+    metrics_.setGauge("caller_connections", {}, static_cast<double>(callers_.connectionCount()));
     metrics_.setGauge("connections_opened", {}, static_cast<double>(pool_.counters().opened));
     metrics_.setGauge("connections_reused", {}, static_cast<double>(pool_.counters().reused));
     metrics_.setGauge("crashes_known", {}, static_cast<double>(crashes_.crashCount()));
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "hornbeamlane_gateway/GatewaySettings.h"
 #include "hornbeamlane_gateway/backends/BackendPool.h"
+#include "hornbeamlane_gateway/backends/ServerLimitGuard.h"
 #include "hornbeamlane_gateway/backends/ServerNoticeReader.h"
 #include "hornbeamlane_gateway/crashes/CrashGuard.h"
 #include "hornbeamlane_gateway/peers/PeerExchange.h"
@@ -11,6 +12,7 @@
 #include "hornbeamlane_gateway/state/GroupProbe.h"
 #include "hornbeamlane_network/http1/Http1Server.h"
 #include "hornbeamlane_network/loop/Timer.h"
+#include "hornbeamlane_observability/logging/RefusedConnections.h"
 
 #include <functional>
 #include <memory>
@@ -119,6 +121,7 @@
     CrashGuard crashes_;
     RateLimitGuard rateLimits_;
     ServerNoticeReader notices_;
+    ServerLimitGuard serverLimits_;
     ServiceQueues queues_;
     GroupProbe groupProbe_;
     /** Shared with the requests that were admitted under it. */
@@ -129,6 +132,9 @@
     RequestNumber lastRequest_;
     /** Bytes of answers that all requests together have collected. */
     std::size_t collectedBytes_ = 0;
+    /** What is held for all callers; outlives their connections. */
+    MemoryAccount memory_;
+    RefusedConnections refusedConnections_;
     Http1Server callers_;
     Http1Server status_;
     Timer sweepTimer_;
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds allLimitsInterval{300};
 
 /** Time between two tellings of the arrivals, which change within about a second. */
-constexpr milliseconds arrivalsInterval{200};
+constexpr milliseconds arrivalsInterval{400};
 
 /** Peers that hear of something urgent at once; they tell the others that they know more. */
 constexpr std::size_t urgentFanOut = 48;
@@ -140,6 +140,7 @@
     callbacks_.peerCrashDigest(sender, message->crashDigest);
     for (const auto *load : gossip_.onMessage(*message, sender, now)) {
         callbacks_.peerRateLimits(load->incarnation, load->rateLimits);
+        callbacks_.peerLatencies(load->latencies);
         haveLoadsChanged_ = true;
     }
 }
@@ -168,7 +169,8 @@
             .bounds = callbacks_.bounds(),
             .rateLimits = callbacks_.rateLimits(tellsAllLimits),
             .demands = callbacks_.demands(),
-            .arrivals = tellsArrivals ? std::optional(callbacks_.arrivals()) : std::nullopt};
+            .arrivals = tellsArrivals ? std::optional(callbacks_.arrivals()) : std::nullopt,
+            .latencies = callbacks_.latencies()};
 }
 
 void PeerExchange::tick()
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -43,6 +43,10 @@
 /** The same for the places that shares of the capacity are computed from. */
 constexpr milliseconds placesInterval{20};
 
+/** Requests over the bound of a service from which on its arrivals are told: below it nothing is rejected by them, and
+    with 44 entries they are most of the bytes that entries send each other. */
+constexpr double fillToTellArrivals = 0.6;
+
 /** Weight of one first event in the moving average of their latency. */
 constexpr double latencyWeight = 0.08;
 
@@ -214,16 +218,16 @@
 }
 
 std::optional<Duration> ServiceQueues::rejectionOf(const ServiceId &service, const ArrivalClass &arrivals,
-                                                   Duration timeLeft, const PeerLoads &loads)
+                                                   Duration timeLeft, const PeerExchange &peers)
 {
     auto &admission = of(service).admission;
     const auto now = loop_.now();
     admission.onArrival(arrivals, now);
     if (admission.isUpdateDue(now)) {
         admission.update(placesOf(service),
-                         {.arrivals = loads.arrivalsFor(hashOfService(service)),
-                          .heard = loads.activePeers(),
-                          .entryCount = entryCount_},
+                         {.arrivals = peers.loads().arrivalsFor(hashOfService(service)),
+                          .heard = peers.loads().activePeers(),
+                          .entryCount = peers.entryCount(now)},
                          now);
     }
     if (!admission.shares().isShort()) {
@@ -241,6 +245,9 @@
 {
     std::vector<ServiceArrivals> arrivals;
     for (auto &[service, state] : services_) {
+        if (placesOf(service).fill() < fillToTellArrivals) {
+            continue;
+        }
         if (auto rates = state.admission.ratesToTell(loop_.now()); !rates.empty()) {
             arrivals.push_back({.service = hashOfService(service), .rates = std::move(rates)});
         }
@@ -390,7 +397,7 @@
                   {"waiting", std::to_string(state.queue.size())}});
     }
     for (const auto &[service, state] : services_) {
-        if (state.admission.shares().isShort()) {
+        if (state.admission.isShort(now)) {
             logShares(service, state);
         }
     }
--- a/modules/hornbeamlane_network/http1/Http1Readers.h
+++ b/modules/hornbeamlane_network/http1/Http1Readers.h
@@ -2,7 +2,9 @@
 
 #include "hornbeamlane_network/http1/Http1Messages.h"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace hornbeamlane {
 
@@ -19,7 +21,7 @@
     Http1RequestReader();
     ~Http1RequestReader();
 
-    /** Prepares for the next request. */
+    /** Prepares for the next request; what has been read of the last one is forgotten. */
     void start(const Limits &limits);
 
     /** Takes bytes and says how many belong to this request; those that do not have to be given again. */
@@ -28,6 +30,12 @@
     /** True once the headers are complete and valid. */
     bool hasHead() const;
 
+    /** Length of the body as the headers state it; empty for one in chunks. Valid once the headers are complete. */
+    std::optional<std::uint64_t> announcedBytes() const;
+
+    /** Memory taken by what has been read of the request, in bytes. */
+    std::size_t heldBytes() const;
+
     /** True if the caller waits for an interim answer before it sends the body. */
     bool expectsContinue() const;
 
@@ -51,7 +59,11 @@
     Http1ResponseReader();
     ~Http1ResponseReader();
 
-    /** Prepares for the next final response; interim ones (1xx) are skipped. */
+    /**
+        Prepares for the next final response; a few interim ones (1xx) are skipped.
+
+        A status outside 200 to 599 is malformed, and so is a 101: no request asks for another protocol.
+    */
     void start(BodyRule rule);
 
     Http1Progress consume(std::string_view bytes, std::size_t &consumed);
