Give out no lease or fencing token twice when the table is restored from a copy

Cause: a lease was known by versions of its row only. A table that comes back from an older copy gives versions out again: a contender took a lease that the row no longer showed while its holder went on, a delayed write of the holder could meet its condition on another's row, and tokens, from which maps are numbered, were given out a second time.

Change: TableReply carries the service's era. When it rises, LeaseKeeper stops holding, forgets what the earlier era told, does not count on writes of that era, and acquires nothing for one takeover wait, when every earlier holder has stopped. A token is the version plus 2^24 for each era; without an era it is the version as before. MapDuty ends at once, also where it goes on because the store is away.

--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -40,6 +40,17 @@
     pollLease();
 }
 
+void MapDuty::onEraRisen(TableEra era)
+{
+    lease_.onEraRisen(era, loop_.nowWithSuspend());
+    if (token_) {
+        // Also a lease that goes on because the store is away ends with the store's return.
+        logEvent(LogLevel::Info, "map_lease_lost", {{"token", "-"}, {"era", std::to_string(era)}});
+        token_.reset();
+        keepers_.clear();
+    }
+}
+
 bool MapDuty::isHolderHeard() const
 {
     const auto silence = std::max(options_.holderSilence, hooks_.usualSilence());
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -60,6 +60,10 @@
     /** Gives the lease back. */
     void stop();
 
+    /** The table has come back from an older copy: the lease ends, and nobody acquires it while another entry may still
+        act under it. */
+    void onEraRisen(TableEra era);
+
     bool isHolder() const
     {
         return token_.has_value();
--- a/modules/hornbeamlane_membership/lease/LeaseKeeper.cpp
+++ b/modules/hornbeamlane_membership/lease/LeaseKeeper.cpp
@@ -61,6 +61,10 @@
     HORNBEAMLANE_ASSERT(pending_ != Pending::None);
     const Pending pending = std::exchange(pending_, Pending::None);
     nextReadAt_ = now + options_.readInterval;
+    if (!takeEra(reply, now)) {
+        nextReadAt_ = now;
+        return;
+    }
     if (reply.serviceTime) {
         serviceTime_ = {.time = *reply.serviceTime, .askedAt = askedAt_, .answeredAt = now};
     }
@@ -101,6 +105,46 @@
     hasObserved_ = false;
 }
 
+bool LeaseKeeper::takeEra(const TableReply &reply, TimePoint now)
+{
+    bool isOutdated = std::exchange(isPendingOutdated_, false);
+    if (reply.era && !era_) {
+        era_ = reply.era;
+    }
+    if (reply.era && *reply.era != *era_) {
+        isOutdated = true;
+        onEraRisen(*reply.era, now);
+    }
+    if (isOutdated) {
+        sentAt_.clear();
+        hasObserved_ = false;
+    }
+    return !isOutdated;
+}
+
+void LeaseKeeper::onEraRisen(TableEra era, TimePoint now)
+{
+    if (era_ && era <= *era_) {
+        return;
+    }
+    era_ = era;
+    token_ = FencingToken();
+    heldUntil_ = TimePoint();
+    // A write of the earlier era may still meet its condition, because versions are given out again. The row that it
+    // leaves names this holder, which must not count on it.
+    sentAt_.clear();
+    isPendingOutdated_ = pending_ != Pending::None;
+    hasObserved_ = false;
+    observedVersion_ = RowVersion();
+    observedRow_.reset();
+    unchangedSince_ = TimePoint();
+    serviceTime_.reset();
+    nextReadAt_ = now;
+    // The row may be older than the lease that another process holds now, or absent, or name this process for a lease
+    // that it has lost since. The last renewal of that lease came before the era rose.
+    mayAcquireFrom_ = now + options_.takeoverWait(options_.duration);
+}
+
 std::optional<FencingToken> LeaseKeeper::token(TimePoint now) const
 {
     if (token_ == FencingToken() || now >= heldUntil_) {
@@ -167,7 +211,7 @@
     if (sent == sentAt_.end() || !wantsLease_) {
         return;
     }
-    token_ = row.token == FencingToken() ? FencingToken(version.value()) : row.token;
+    token_ = row.token == FencingToken() ? tokenOfVersion(version, era_) : row.token;
     const auto start = options_.holdStart(sent->second, answeredAt);
     heldUntil_ = start + options_.holdTime(options_.duration);
     renewAt_ = start + options_.renewInterval;
@@ -177,6 +221,9 @@
 
 bool LeaseKeeper::mayAcquire(TimePoint now) const
 {
+    if (now < mayAcquireFrom_) {
+        return false;
+    }
     if (!observedRow_ || observedRow_->holder == Incarnation()) {
         // An absent row, a released lease, or a malformed row that no holder can renew.
         return true;
--- a/modules/hornbeamlane_membership/lease/LeaseKeeper.h
+++ b/modules/hornbeamlane_membership/lease/LeaseKeeper.h
@@ -67,6 +67,11 @@
         return heldUntil_;
     }
 
+    /** The table service has come back from an older copy. Stops holding at once, forgets all that the earlier era
+       told, and acquires nothing before every holder of that era has stopped. Also called for a reply of a later era.
+     */
+    void onEraRisen(TableEra era, TimePoint now);
+
     /** Stops holding at once; the next request frees the row. */
     void release();
 
@@ -86,6 +91,8 @@
 
     LeaseRequest makeRead(TimePoint now);
     LeaseRequest makeWrite(Pending kind, const LeaseRow &row, TimePoint now);
+    /** Takes the era of a reply; false if what the reply tells does not count in this era. */
+    bool takeEra(const TableReply &reply, TimePoint now);
     void observe(RowVersion version, const std::optional<LeaseRow> &row, TimePoint now);
     void adoptOwnRow(const LeaseRow &row, RowVersion version, TimePoint answeredAt);
     bool mayAcquire(TimePoint now) const;
@@ -94,6 +101,12 @@
     bool hasExpired(const LeaseRow &row, TimePoint now) const;
 
     Options options_;
+    /** Era of all that is known of the row; empty while the service has told none. */
+    std::optional<TableEra> era_;
+    /** The outstanding request was made in an earlier era. */
+    bool isPendingOutdated_ = false;
+    /** Until then a holder of an earlier era may go on. */
+    TimePoint mayAcquireFrom_;
     bool wantsLease_ = true;
     bool mustFree_ = false;
     Pending pending_ = Pending::None;
--- a/modules/hornbeamlane_membership/lease/LeaseRow.cpp
+++ b/modules/hornbeamlane_membership/lease/LeaseRow.cpp
@@ -45,13 +45,21 @@
     return row;
 }
 
-FencingToken fencingTokenOf(const TableRow &row)
+FencingToken tokenOfVersion(RowVersion version, std::optional<TableEra> era)
+{
+    // More writes than a service loses with the seconds that its copy is older. Tokens number maps, and versions of
+    // maps stay exact as floating-point numbers up to 2^53, so the step is not larger.
+    constexpr std::uint64_t versionsPerEra = std::uint64_t(1) << 24;
+    return FencingToken(version.value() + era.value_or(0) * versionsPerEra);
+}
+
+FencingToken fencingTokenOf(const TableRow &row, std::optional<TableEra> era)
 {
     const auto lease = LeaseRow::fromString(row.value);
     if (!lease) {
         return FencingToken();
     }
-    return lease->token == FencingToken() ? FencingToken(row.version.value()) : lease->token;
+    return lease->token == FencingToken() ? tokenOfVersion(row.version, era) : lease->token;
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_membership/lease/LeaseRow.h
+++ b/modules/hornbeamlane_membership/lease/LeaseRow.h
@@ -30,7 +30,11 @@
     static std::optional<LeaseRow> fromString(std::string_view text);
 };
 
+/** Token of an acquisition that wrote this version of the row. It is higher than those of all earlier eras, in which
+   the same version may have been given out. Without an era it is the version. */
+FencingToken tokenOfVersion(RowVersion version, std::optional<TableEra> era);
+
 /** Fencing token of the present holder of a lease row; zero if the row is absent or malformed. */
-FencingToken fencingTokenOf(const TableRow &row);
+FencingToken fencingTokenOf(const TableRow &row, std::optional<TableEra> era = std::nullopt);
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_membership/table/TableClient.h
+++ b/modules/hornbeamlane_membership/table/TableClient.h
@@ -13,7 +13,18 @@
 /** Version of a row in the platform's table service; 0 means that the row is absent. */
 using RowVersion = Number<struct RowVersionTag>;
 
-/** One row. Versions of a row only grow, also across a removal and a new creation. */
+/** Number of times that the table service has come back from an older copy of its rows; it only rises. */
+using TableEra = std::uint64_t;
+
+/** The service has come back from an older copy: the newest writes of the earlier era are lost, and versions that were
+    given to them are given out again. */
+struct TableEraChange
+{
+    TableEra from = 0;
+    TableEra to = 0;
+};
+
+/** One row. Within an era versions of a row only grow, also across a removal and a new creation. */
 struct TableRow
 {
     std::string key;
@@ -21,6 +32,17 @@
     std::string value;
 };
 
+/** Newest row that a process has seen of a table, and the era that gave out the version; empty if the service tells
+ * none.
+ */
+struct TableVersion
+{
+    std::uint64_t version = 0;
+    std::optional<TableEra> era;
+
+    bool operator==(const TableVersion &) const = default;
+};
+
 enum class TableStatus {
     Ok,
     NotFound, ///< Read or removal of an absent row.
@@ -37,6 +59,8 @@
     std::optional<TableRow> row;
     /** Time on the service's own steady clock when it answered, if it tells. */
     std::optional<std::chrono::milliseconds> serviceTime = std::nullopt;
+    /** Era in which the service answered, if it tells. */
+    std::optional<TableEra> era = std::nullopt;
 };
 
 /** A conditional write: takes effect only if the row has exactly this version (0: is absent). */
--- a/tests/membership/LeaseKeeperTest.cpp
+++ b/tests/membership/LeaseKeeperTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace hornbeamlane {
 namespace {
 
@@ -206,5 +208,116 @@
     }
 }
 
+// Guards against a contender that takes a lease which the restored row does not show, while its holder may go on.
+TEST(LeaseKeeper, WaitsForHoldersOfTheEarlierEra)
+{
+    FakeTable table;
+    table.startEra(1);
+    auto holder = makeKeeper(1);
+    auto contender = makeKeeper(2);
+    const auto copy = table;
+    serve(holder, table, start);
+    serve(contender, table, start);
+    const auto firstToken = holder.token(start);
+    ASSERT_TRUE(firstToken);
+    table.restore(copy);
+    // The holder does not ask before its next renewal; the contender finds no row at all.
+    for (auto elapsed = 1000ms; elapsed < 16000ms; elapsed += 100ms) {
+        serve(contender, table, start + elapsed);
+        EXPECT_FALSE(holder.token(start + elapsed) && contender.token(start + elapsed));
+    }
+    serve(contender, table, start + 17s);
+    ASSERT_TRUE(contender.token(start + 17s));
+    EXPECT_GT(*contender.token(start + 17s), *firstToken);
+}
+
+// Guards against a token that is given out again: maps are numbered from it, and engines reject versions that are not
+// higher.
+TEST(LeaseKeeper, GivesOutHigherTokensInALaterEra)
+{
+    FakeTable table;
+    table.startEra(4);
+    const auto copy = table;
+    FencingToken newest;
+    TimePoint now = start;
+    for (std::uint64_t round = 1; round < 20; ++round) {
+        auto holder = makeKeeper(round);
+        serve(holder, table, now);
+        ASSERT_TRUE(holder.token(now));
+        EXPECT_GT(*holder.token(now), newest) << round;
+        newest = *holder.token(now);
+        holder.release();
+        serve(holder, table, now);
+        table.restore(copy);
+        now += 60s;
+    }
+}
+
+// Guards against a holder that takes the write of an earlier era, carried out on a version that was given out again,
+// for its lease.
+TEST(LeaseKeeper, DoesNotCountOnAWriteOfTheEarlierEra)
+{
+    FakeTable table;
+    table.startEra(1);
+    auto holder = makeKeeper(1);
+    const auto copy = table;
+    serve(holder, table, start);
+    const auto renewal = holder.poll(start + 2s);
+    ASSERT_TRUE(renewal && renewal->write);
+    table.restore(copy);
+    auto other = makeKeeper(2);
+    serve(other, table, start + 2s);
+    ASSERT_TRUE(other.token(start + 2s));
+    // The same version stands there again, so the delayed renewal overwrites the other's row.
+    holder.handleReply(table.apply(*renewal), start + 2s);
+    EXPECT_FALSE(holder.token(start + 2s));
+    for (auto elapsed = 2000ms; elapsed < 30000ms; elapsed += 100ms) {
+        serve(holder, table, start + elapsed);
+        serve(other, table, start + elapsed);
+        EXPECT_FALSE(holder.token(start + elapsed) && other.token(start + elapsed));
+    }
+}
+
+// Guards against two holders, and a token that is given out twice, when the service comes back from older copies while
+// requests are delayed and lost.
+TEST(LeaseKeeper, NeverTwoHoldersAcrossEras)
+{
+    for (std::uint64_t seed = 0; seed < 40; ++seed) {
+        RandomSource random(seed);
+        FakeTable table;
+        table.startEra(1);
+        auto copy = table;
+        std::vector<LeaseKeeper> keepers{makeKeeper(1), makeKeeper(2), makeKeeper(3)};
+        std::map<FencingToken, std::size_t> holderOf;
+        FencingToken newest;
+        for (TimePoint now = start; now < start + 900s; now += 100ms) {
+            if (random.below(100) == 0) {
+                copy = table;
+            }
+            if (random.below(600) == 0) {
+                table.restore(copy);
+            }
+            int holders = 0;
+            for (std::size_t i = 0; i < keepers.size(); ++i) {
+                if (random.below(4) != 0) {
+                    if (const auto request = keepers[i].poll(now)) {
+                        const auto reply = table.apply(*request, serviceTimeAt(now));
+                        const bool isLost = random.below(10) == 0;
+                        keepers[i].handleReply(isLost ? TableReply{.status = TableStatus::NoReply} : reply, now);
+                    }
+                }
+                if (const auto token = keepers[i].token(now)) {
+                    ++holders;
+                    EXPECT_EQ(holderOf.emplace(*token, i).first->second, i) << "seed " << seed;
+                    EXPECT_GE(*token, newest) << "seed " << seed;
+                    newest = *token;
+                }
+            }
+            ASSERT_LE(holders, 1) << "seed " << seed;
+        }
+        EXPECT_GT(holderOf.size(), 1U) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace hornbeamlane
