Keep what a restored table has lost until it is written again

Cause: rows of an older copy counted like new ones. An evacuation or a draining server could be undone by them, servers whose rows are lost were forgotten, and the crash row was ignored for its lower version and never written again.

--- a/modules/hornbeamlane_dispatch/servers/LapseWindow.h
+++ b/modules/hornbeamlane_dispatch/servers/LapseWindow.h
@@ -16,6 +16,9 @@
         std::chrono::milliseconds grace{2000};
         /** Entries that go later than this after the return have not lapsed: they were removed. */
         std::chrono::milliseconds removalsCount{600};
+        /** Servers that live have written their entries again within this time after the store has come back from an
+            older copy. */
+        std::chrono::milliseconds restoredGrace{10000};
     };
 
     LapseWindow();
@@ -24,12 +27,16 @@
     /** Contact to the store was lost or is back. */
     void onReachable(bool isReachable, TimePoint now);
 
+    /** The entries that are read next come from a store that has come back from an older copy. */
+    void onRestored(TimePoint now);
+
     /** Until when a server may be used whose entry is found missing now; empty if it was removed. */
     std::optional<TimePoint> usableUntil(TimePoint now) const;
 
 private:
     Options options_;
     std::optional<TimePoint> returnedAt_;
+    std::optional<TimePoint> restoredAt_;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/crashes/CrashRow.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashRow.cpp
@@ -74,6 +74,15 @@
     check();
 }
 
+void CrashRow::onRestored()
+{
+    version_ = RowVersion(0);
+    rowDigest_ = 0;
+    writtenDigest_ = 0;
+    isWriteOutdated_ = isWriting_;
+    check();
+}
+
 void CrashRow::check()
 {
     if (isUpToDate()) {
@@ -131,7 +140,7 @@
 void CrashRow::handleWritten(std::uint64_t digest, const TableReply &reply)
 {
     isWriting_ = false;
-    const bool isOk = reply.status == TableStatus::Ok && reply.row;
+    const bool isOk = !std::exchange(isWriteOutdated_, false) && reply.status == TableStatus::Ok && reply.row;
     logEvent(LogLevel::Info, "crash_row_written",
              {{"outcome", isOk ? "ok" : "failed"}, {"crashes", std::to_string(evidence_.crashes().size())}});
     const auto longerPause = std::clamp(pause_ * 2, options_.firstPause, options_.maxPause);
--- a/modules/hornbeamlane_gateway/crashes/CrashRow.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashRow.h
@@ -53,6 +53,10 @@
 
     void onRowRemoved();
 
+    /** The table has come back from an older copy: what is known here stays, and is written to the row again. Call
+        before onRow() tells of the row that is left. */
+    void onRestored();
+
     /** The table has been read as a whole, and onRow() told of the row if there is one. */
     void onTableRead()
     {
@@ -82,6 +86,8 @@
     std::uint64_t writtenDigest_ = 0;
     bool isWaiting_ = false;
     bool isWriting_ = false;
+    /** The table was restored during the write, whose version means nothing any more. */
+    bool isWriteOutdated_ = false;
     std::chrono::milliseconds pause_{0};
 };
 
--- a/tests/gateway/CrashRowTest.cpp
+++ b/tests/gateway/CrashRowTest.cpp
@@ -104,5 +104,24 @@
     EXPECT_LE(writes_, 3);
 }
 
+// Guards against evidence that stays out of a restored table: the row that is left has a lower version, or is gone, and
+// writes name a version that no longer exists.
+TEST_F(CrashRowTest, WritesAgainWhatARestoredTableHasLost)
+{
+    learn(first_, 1, 1);
+    runFor(milliseconds(60));
+    ASSERT_EQ(writes_, 1);
+    learn(first_, 2, 100);
+    runFor(milliseconds(60));
+    ASSERT_EQ(writes_, 2);
+    version_ = RowVersion(0);
+    for (auto *entry : {&first_, &second_}) {
+        entry->row.onRestored();
+    }
+    runFor(milliseconds(100));
+    EXPECT_GE(writes_, 3);
+    EXPECT_EQ(first_.evidence.crashes().size(), 2U);
+}
+
 } // namespace
 } // namespace hornbeamlane
