Choose each connection only once to give way

Cause: an owner frees a dropped connection on the next turn of its loop, and until then the same idle connection was chosen for each new one: 760 connections were open where 700 are allowed.

Change: a dropped hold is not chosen again before its owner enters another phase.

--- a/modules/hornbeamlane_base/memory/MemoryAccount.cpp
+++ b/modules/hornbeamlane_base/memory/MemoryAccount.cpp
@@ -50,7 +50,7 @@
 
 bool MemoryAccount::mayDisplace(const MemoryHold &requester, const MemoryHold &other, TimePoint now) const
 {
-    if (&other == &requester) {
+    if (&other == &requester || other.isDropped_) {
         return false;
     }
     switch (other.phase_) {
@@ -99,9 +99,10 @@
 
 void MemoryAccount::drop(MemoryHold &hold)
 {
-    // The bytes go with the decision: the owner may need a turn of its loop to free them, and must not be chosen again.
+    // The bytes go with the decision: the owner may need a turn of its loop to free them.
     held_ -= std::exchange(hold.bytes_, 0);
     hold.phase_ = HoldPhase::Idle;
+    hold.isDropped_ = true;
     hold.drop_();
 }
 
@@ -121,7 +122,7 @@
     };
     MemoryHold *chosen = nullptr;
     for (auto *hold : holds_) {
-        if (mayDrop(*hold)
+        if (!hold->isDropped_ && mayDrop(*hold)
             && (chosen == nullptr
                 || std::tuple(hold->phase_, hold->enteredAt_) < std::tuple(chosen->phase_, chosen->enteredAt_))) {
             chosen = hold;
@@ -151,6 +152,7 @@
 void MemoryHold::enter(HoldPhase phase, TimePoint now)
 {
     phase_ = phase;
+    isDropped_ = false;
     enteredAt_ = now;
     progress_ = 0;
 }
--- a/modules/hornbeamlane_base/memory/MemoryAccount.h
+++ b/modules/hornbeamlane_base/memory/MemoryAccount.h
@@ -140,6 +140,8 @@
     std::function<void()> drop_;
     HoldPhase phase_ = HoldPhase::Idle;
     TimePoint enteredAt_;
+    /** The owner has been told to free it, which may take a turn of its loop; until then it is not chosen again. */
+    bool isDropped_ = false;
     std::size_t bytes_ = 0;
     /** Bytes that have moved since the phase began. */
     std::size_t progress_ = 0;
--- a/tests/base/MemoryAccountTest.cpp
+++ b/tests/base/MemoryAccountTest.cpp
@@ -142,6 +142,18 @@
     EXPECT_EQ(dropped_, std::vector<std::size_t>{1});
 }
 
+// Guards against one connection that is closed for several new ones: its owner frees it on the next turn of the loop.
+TEST_F(MemoryAccountTest, EachNewConnectionTakesTheDescriptorOfAnother)
+{
+    add(HoldPhase::Idle, 0);
+    add(HoldPhase::Idle, 0);
+    now_ += 600ms;
+    EXPECT_TRUE(account_.dropForDescriptor(now_));
+    EXPECT_TRUE(account_.dropForDescriptor(now_));
+    EXPECT_FALSE(account_.dropForDescriptor(now_));
+    EXPECT_EQ(dropped_.size(), 2);
+}
+
 TEST_F(MemoryAccountTest, DestroyedHoldReturnsItsBytes)
 {
     add(HoldPhase::Running, 100 * kilobyte);
--- a/tests/hostile/DaemonProcess.cpp
+++ b/tests/hostile/DaemonProcess.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 /** Freed memory goes back at once, so that the peak is what the daemon held and not what the sanitizer kept. */
-constexpr const char *sanitizerOptions = "quarantine_size_mb=0:thread_local_quarantine_size_kb=0:detect_leaks=0";
+constexpr const char *sanitizerOptions = "quarantine_size_mb=0:thread_local_quarantine_size_kb=0:detect_leaks=0:"
+                                         "allocator_release_to_os_interval_ms=100";
 
 } // namespace
 
