Split the choice of a server from what is known of servers

Change: BackendIndex keeps servers by service and by pace unit. BackendSelector collects and scores the servers of one service, and drawBackend draws among the best without state; BackendBook::choose passes on to it. Of more than 256 servers 256 drawn at random are compared, and all of them if none of these can take the request. The load of a pace unit is summed once for a choice, for the units that it meets.

--- a/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
+++ b/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
@@ -13,6 +13,8 @@
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
 #include "hornbeamlane_dispatch/retry/RetryAllowance.h"
 #include "hornbeamlane_dispatch/servers/BackendBook.h"
+#include "hornbeamlane_dispatch/servers/BackendDraw.h"
+#include "hornbeamlane_dispatch/servers/BackendIndex.h"
 #include "hornbeamlane_dispatch/servers/GroupWatch.h"
 #include "hornbeamlane_dispatch/servers/LapseWindow.h"
 #include "hornbeamlane_dispatch/servers/ServerLimits.h"
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -11,9 +11,6 @@
 /** Weight of one outcome in the moving average of failures. */
 constexpr double failureWeight = 0.15;
 
-/** Scores closer than this count as equal, so that entries with the same view do not all choose the same server. */
-constexpr double scoreTolerance = 0.04;
-
 } // namespace
 
 BackendBook::BackendBook()
@@ -29,13 +26,22 @@
 
 void BackendBook::update(const BackendSpec &spec, TimePoint now)
 {
-    auto &backend = backends_[spec.id];
+    const auto [found, isNew] = backends_.try_emplace(spec.id);
+    auto &backend = found->second;
+    const auto unit = spec.group ? paceUnitOf(spec.group->group) : paceUnitOf(spec.id);
+    const bool hasMoved = isNew || spec.service != backend.spec.service || unit != backend.paceUnit;
+    if (hasMoved && !isNew) {
+        index_.remove(backend);
+    }
     if (spec.incarnation != backend.spec.incarnation || spec.address != backend.spec.address) {
         backend.replacedUntil = {};
     }
     backend.spec = spec;
     backend.start = hashOfStart(spec.id, spec.incarnation);
-    backend.paceUnit = spec.group ? paceUnitOf(spec.group->group) : paceUnitOf(spec.id);
+    backend.paceUnit = unit;
+    if (hasMoved) {
+        index_.add(backend);
+    }
     backend.isGone = false;
     backend.lapsesAt.reset();
     backend.coldUntil = std::max(backend.coldUntil, now + spec.warmupLeft);
@@ -125,9 +131,9 @@
 Duration BackendBook::pauseLeft(const ServiceId &service, TimePoint now) const
 {
     std::optional<Duration> least;
-    for (const auto &[id, backend] : backends_) {
-        if (backend.spec.service == service && isUsable(backend, now)) {
-            const auto left = std::max(Duration::zero(), pausedUntil(backend) - now);
+    for (const auto *backend : index_.ofService(service)) {
+        if (isUsable(*backend, now)) {
+            const auto left = std::max(Duration::zero(), pausedUntil(*backend) - now);
             least = std::min(least.value_or(left), left);
         }
     }
@@ -145,20 +151,6 @@
     return !backend.spec.group || groups_.isOpen(placeOf(backend), now);
 }
 
-double BackendBook::takesWell(const Backend &backend, const Request &request) const
-{
-    const double slots = std::max(1U, backend.spec.slots);
-    const auto *finding = request.isStream ? nullptr : options_.findingOf(backend);
-    return finding == nullptr ? slots : std::max(1.0, std::min(finding->takesWell, slots));
-}
-
-bool BackendBook::isFull(const Backend &backend, const Request &request) const
-{
-    const auto stated = backend.spec.slots * (1.0 + options_.queueShare);
-    const auto places = std::min(stated, takesWell(backend, request) * (1.0 + options_.queueShare));
-    return backend.inFlight() >= places;
-}
-
 Duration BackendBook::coldPeriod(const Backend &backend) const
 {
     const auto found = warmups_.find(backend.spec.service);
@@ -194,177 +186,32 @@
     return backend.failureShare * std::exp2(-age / std::chrono::duration<double>(options_.failureHalfLife));
 }
 
-// A server whose answers come late by the whole of their target is worth as little as a full one.
-double BackendBook::latencyScore(const Backend &backend, const Request &request) const
-{
-    const auto *finding = request.isStream ? nullptr : options_.findingOf(backend);
-    if (finding == nullptr) {
-        return 0;
-    }
-    const std::chrono::duration<double> target(std::max(request.latencyTarget, std::chrono::milliseconds(1)));
-    return std::clamp(finding->extraLatency / target, 0.0, 1.0);
-}
-
-double BackendBook::score(const Backend &backend, const Request &request, TimePoint now) const
-{
-    const double load = (backend.inFlight() + 1.0) / takesWell(backend, request);
-    const double distance = backend.spec.dataCentre == request.dataCentre ? 0 : options_.distancePenalty;
-    return load + distance + latencyScore(backend, request) + options_.failurePenalty * failureShare(backend, now);
-}
-
 std::map<PaceUnitId, PaceUnitLoad> BackendBook::paceUnits(const ServiceId &service, TimePoint now) const
 {
     std::map<PaceUnitId, PaceUnitLoad> units;
-    for (const auto &[id, backend] : backends_) {
-        if (backend.spec.service == service && isUsable(backend, now) && now >= pausedUntil(backend)
-            && isGroupOpen(backend, now)) {
-            auto &unit = units[backend.paceUnit];
-            unit.places += backend.spec.slots;
-            unit.inFlight += backend.inFlight();
-        }
+    for (const auto *backend : usable(service, now)) {
+        auto &unit = units[backend->paceUnit];
+        unit.places += backend->spec.slots;
+        unit.inFlight += backend->inFlight();
     }
     return units;
 }
 
-std::map<PaceUnitId, double> BackendBook::paceFills(const ServiceId &service, TimePoint now) const
+PaceUnitLoad BackendBook::loadOf(const PaceUnitId &unit, TimePoint now) const
 {
-    std::map<PaceUnitId, double> fills;
-    for (const auto &[unit, load] : paceUnits(service, now)) {
-        fills.emplace(unit, options_.paceFill(unit, load));
-    }
-    return fills;
-}
-
-double BackendBook::paceScore(const Backend &backend, const Request &request, double fill) const
-{
-    const double slow = options_.isPaceOutOfReach(backend.paceUnit) ? options_.outOfReachPenalty : 0;
-    if (backend.spec.dataCentre != request.dataCentre) {
-        return fill + slow;
-    }
-    const double spill = std::clamp((fill - options_.homeFill) / (options_.spillFill - options_.homeFill), 0.0, 1.0);
-    return fill * spill + slow;
-}
-
-std::optional<ServerId> BackendBook::choose(const Request &request, TimePoint now, RandomSource &random)
-{
-    const auto fills = request.isStream ? paceFills(request.service, now) : std::map<PaceUnitId, double>();
-    bool anyAtPaceBound = false;
-    std::vector<Candidate> candidates;
-    std::vector<Candidate> avoided;
-    /** Ranks of broken groups whose entries say so. */
-    std::map<GroupId, std::uint32_t> listed;
-    bool anyUsable = false;
-    bool anyForming = false;
-    bool anyOpen = false;
-    bool anyFull = false;
-    bool anyRateLimited = false;
-    bool anyPaused = false;
-    for (auto &[id, backend] : backends_) {
-        if (backend.spec.service != request.service || !isUsable(backend, now)
-            || (request.allowed != nullptr && !request.allowed->contains(backend.spec.dataCentre))) {
-            continue;
-        }
-        anyUsable = true;
-        // A group that has lost a rank serves nothing before it has formed again, which changes its entry.
-        if (!isGroupOpen(backend, now)) {
-            const auto &place = *backend.spec.group;
-            if (!place.isOpen && !backend.lapsesAt) {
-                if (++listed[place.group] == place.size) {
-                    anyForming = true;
-                    groups_.onAllRanksListed(place.group, placeOf(backend).epoch, now);
-                }
-            }
-            continue;
-        }
-        anyOpen = true;
-        if (isExcluded(request, id)) {
-            continue;
-        }
-        if (now < pausedUntil(backend)) {
-            anyPaused = true;
-            continue;
-        }
-        if (isFull(backend, request) || isColdFull(backend, now, random)) {
-            anyFull = true;
-            continue;
-        }
-        if (options_.isRateLimited(backend)) {
-            anyRateLimited = true;
-            continue;
-        }
-        const auto unit = fills.find(backend.paceUnit);
-        const double fill = unit == fills.end() ? 0 : unit->second;
-        if (request.shareOfPaceBound && fill >= *request.shareOfPaceBound) {
-            anyAtPaceBound = true;
-            continue;
-        }
-        const double pace = request.isStream ? paceScore(backend, request, fill) : 0;
-        auto &list = now < backend.avoidUntil ? avoided : candidates;
-        list.push_back({.backend = &backend, .score = score(backend, request, now) + pace});
-    }
-    if (candidates.empty()) {
-        candidates = std::move(avoided);
-    }
-    if (candidates.empty() && anyForming) {
-        if (auto trial = chooseTrial(request, now, random)) {
-            return trial;
-        }
-    }
-    if (candidates.empty()) {
-        if (!anyUsable) {
-            lastFailure_ = NoChoice::NoServer;
-        } else if (!anyOpen) {
-            lastFailure_ = anyForming ? NoChoice::GroupForming : NoChoice::GroupBroken;
-        } else if (anyRateLimited) {
-            lastFailure_ = NoChoice::RateLimited;
-        } else if (anyAtPaceBound) {
-            lastFailure_ = NoChoice::AtPaceBound;
-        } else if (anyFull) {
-            lastFailure_ = NoChoice::AllFull;
-        } else {
-            lastFailure_ = anyPaused ? NoChoice::AllPaused : NoChoice::AllExcluded;
+    PaceUnitLoad load;
+    for (const auto *backend : index_.ofUnit(unit)) {
+        if (isUsable(*backend, now) && now >= pausedUntil(*backend) && isGroupOpen(*backend, now)) {
+            load.places += backend->spec.slots;
+            load.inFlight += backend->inFlight();
         }
-        return std::nullopt;
     }
-    return pick(std::move(candidates), request.service, random).spec.id;
+    return load;
 }
 
-// Entries choose by what they have heard of each other. If all took the server that looks best, those sent until they
-// hear of it would pile up there. So each draws among as many of the best as requests are sent in that time.
-const Backend &BackendBook::pick(std::vector<Candidate> candidates, const ServiceId &service,
-                                 RandomSource &random) const
-{
-    std::sort(candidates.begin(), candidates.end(),
-              [](const Candidate &a, const Candidate &b) { return a.score < b.score; });
-    const auto unseen = static_cast<std::size_t>(std::max(0.0, std::round(options_.unseenRequests(service))));
-    const auto best = candidates.front().score;
-    std::size_t eligible = std::clamp<std::size_t>(unseen, 1, candidates.size());
-    while (eligible < candidates.size() && candidates[eligible].score <= best + scoreTolerance) {
-        ++eligible;
-    }
-    const auto &one = candidates[random.below(eligible)];
-    const auto &other = candidates[random.below(eligible)];
-    // The order of servers that look alike says nothing about them.
-    return *(other.score < one.score - scoreTolerance ? other : one).backend;
-}
-
-bool BackendBook::isExcluded(const Request &request, const ServerId &server) const
-{
-    return request.excluded != nullptr
-        && std::find(request.excluded->begin(), request.excluded->end(), server) != request.excluded->end();
-}
-
-std::optional<ServerId> BackendBook::chooseTrial(const Request &request, TimePoint now, RandomSource &random)
+std::optional<ServerId> BackendBook::choose(const Request &request, TimePoint now, RandomSource &random)
 {
-    std::vector<ServerId> ranks;
-    for (auto &[id, backend] : backends_) {
-        const bool isRank = backend.spec.service == request.service && backend.spec.group && isUsable(backend, now);
-        if (isRank && !isExcluded(request, id) && now >= pausedUntil(backend) && !isColdFull(backend, now, random)
-            && !options_.isRateLimited(backend) && groups_.mayTry(placeOf(backend), now)) {
-            ranks.push_back(id);
-        }
-    }
-    return ranks.empty() ? std::nullopt : std::optional(ranks[random.below(ranks.size())]);
+    return selector_.choose(*this, request, now, random);
 }
 
 const Backend *BackendBook::find(const ServerId &server) const
@@ -524,6 +371,7 @@
         }
         if (backend.isGone && backend.ownInFlight == 0) {
             forgotten.push_back(it->first);
+            index_.remove(backend);
             it = backends_.erase(it);
         } else {
             ++it;
@@ -536,10 +384,10 @@
 BackendBook::Occupancy BackendBook::occupancy(const ServiceId &service, TimePoint now) const
 {
     Occupancy result;
-    for (const auto &[id, backend] : backends_) {
-        if (backend.spec.service == service && isUsable(backend, now) && now >= pausedUntil(backend)) {
-            result.places += backend.spec.slots;
-            result.inFlight += backend.inFlight();
+    for (const auto *backend : index_.ofService(service)) {
+        if (isUsable(*backend, now) && now >= pausedUntil(*backend)) {
+            result.places += backend->spec.slots;
+            result.inFlight += backend->inFlight();
         }
     }
     return result;
@@ -548,10 +396,9 @@
 std::vector<const Backend *> BackendBook::usable(const ServiceId &service, TimePoint now) const
 {
     std::vector<const Backend *> servers;
-    for (const auto &[id, backend] : backends_) {
-        if (backend.spec.service == service && isUsable(backend, now) && now >= pausedUntil(backend)
-            && isGroupOpen(backend, now)) {
-            servers.push_back(&backend);
+    for (const auto *backend : index_.ofService(service)) {
+        if (isUsable(*backend, now) && now >= pausedUntil(*backend) && isGroupOpen(*backend, now)) {
+            servers.push_back(backend);
         }
     }
     return servers;
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "hornbeamlane_dispatch/catalogue/DispatchCatalogue.h"
-#include "hornbeamlane_dispatch/pace/PaceBook.h"
-#include "hornbeamlane_dispatch/servers/GroupStates.h"
+#include "hornbeamlane_dispatch/servers/Backend.h"
+#include "hornbeamlane_dispatch/servers/BackendIndex.h"
+#include "hornbeamlane_dispatch/servers/BackendSelector.h"
 #include "hornbeamlane_dispatch/servers/GroupWatch.h"
 #include "hornbeamlane_dispatch/servers/ServerLimits.h"
 #include "hornbeamlane_dispatch/servers/ServerNotices.h"
@@ -17,68 +17,7 @@
 
 namespace hornbeamlane {
 
-/** What a backend server says of itself. */
-struct BackendSpec
-{
-    ServerId id;
-    ServiceId service;
-    /** "<ip>:<port>". */
-    std::string address;
-    DataCentreId dataCentre;
-    /** Requests that it runs at the same time. */
-    std::uint32_t slots = 1;
-    bool isDraining = false;
-    /** Time for which it stays cold from now on. */
-    std::chrono::milliseconds warmupLeft{0};
-    std::optional<GroupPlace> group;
-    /** Start of the server; another one under the same id is another server. */
-    std::uint64_t incarnation = 0;
-};
-
-/** A backend server as this entry sees it. */
-struct Backend
-{
-    BackendSpec spec;
-    /** Name of this start of the server. */
-    ServerStartHash start = 0;
-    /** Servers whose streams share its pace. */
-    PaceUnitId paceUnit;
-    TimePoint coldUntil;
-    /** A server whose entry has lapsed is used until then; empty while it is listed. */
-    std::optional<TimePoint> lapsesAt;
-    /** Requests of this entry that it runs or queues. */
-    std::uint32_t ownInFlight = 0;
-    /** The same of all other entries, as they last told. */
-    std::uint32_t peersInFlight = 0;
-    /** Moving average of failed requests, 0 to 1. */
-    double failureShare = 0;
-    TimePoint failureAt;
-    /** It gets no work before this time unless no other server can take it. */
-    TimePoint avoidUntil;
-    /** Another server has answered at its address; it gets no work before this time. */
-    TimePoint replacedUntil;
-    std::uint32_t failuresInRow = 0;
-    /** From then on this entry may send the next request to the cold server; empty before the first choice. */
-    std::optional<TimePoint> coldSlotAt;
-    bool isGone = false;
-
-    std::uint32_t inFlight() const
-    {
-        return ownInFlight + peersInFlight;
-    }
-};
-
-/** How a request ended at a server, as far as it tells about the server. */
-enum class BackendOutcome {
-    Served,
-    Rejected, ///< The server is full and said that it has not run the request.
-    Misdirected, ///< Another server has the address.
-    Failed, ///< An error, a broken connection or bytes that are no response.
-    Unreachable,
-    Cancelled, ///< Ended by the entry; says nothing about the server.
-};
-
-/** Servers, their load and their health, and the choice among them. */
+/** Servers, their load and their health. */
 class BackendBook final
 {
 public:
@@ -105,6 +44,8 @@
         double spillFill = 0.9;
         /** Load over slots that a unit costs whose streams are late with however few requests. */
         double outOfReachPenalty = 1.0;
+        /** Servers of a service compared in one choice at most, drawn at random where there are more. */
+        std::size_t mostCompared = 256;
         GroupWatch::Options groups;
         /** Time for which an entry may use its turn at a cold server; turns kept for longer could all be used at once.
          */
@@ -125,35 +66,18 @@
         std::function<const ServerFinding *(const Backend &)> findingOf = [](const Backend &) { return nullptr; };
     };
 
-    struct Request
-    {
-        ServiceId service;
-        DataCentreId dataCentre;
-        /** Data centres whose servers may run it; null: all. */
-        const std::set<DataCentreId> *allowed = nullptr;
-        /** Servers that have already been tried for it. */
-        const std::vector<ServerId> *excluded = nullptr;
-        /** Streams go to units by their pace. */
-        bool isStream = false;
-        /** Part of the bound of a pace unit up to which the request may fill it; empty: the bound does not apply. */
-        std::optional<double> shareOfPaceBound;
-        /** Time within which the answer of a request that is no stream is on time. */
-        std::chrono::milliseconds latencyTarget{400};
-    };
-
-    enum class NoChoice {
-        NoServer, ///< No server of the service is known and usable.
-        GroupBroken, ///< All servers that could take it are ranks of groups that have lost a rank.
-        GroupForming, ///< All ranks of such a group are back; it opens within a second.
-        AllFull,
-        AtPaceBound, ///< Each server that is not full has a pace that one more stream would make too slow.
-        RateLimited, ///< Each server that is not full has named a limit that leaves nothing for this entry now.
-        AllPaused, ///< Each server that could take it has asked this entry for a pause.
-        AllExcluded, ///< Each usable server has been tried already.
-    };
+    using Request = BackendSelector::Request;
+    using NoChoice = BackendSelector::NoChoice;
 
     BackendBook();
     explicit BackendBook(Options options);
+    ~BackendBook() = default;
+
+    /** The index points to the servers, which stay where they are when the book is moved. */
+    BackendBook(BackendBook &&) = default;
+    BackendBook &operator=(BackendBook &&) = default;
+    BackendBook(const BackendBook &) = delete;
+    BackendBook &operator=(const BackendBook &) = delete;
 
     /** Adds a server or takes over what it says now. */
     void update(const BackendSpec &spec, TimePoint now);
@@ -173,7 +97,7 @@
 
     NoChoice lastFailure() const
     {
-        return lastFailure_;
+        return selector_.lastFailure();
     }
 
     /** Why and on what the last choice was made, for the log. */
@@ -250,6 +174,8 @@
     }
 
 private:
+    friend class BackendSelector;
+
     struct Warmup
     {
         std::chrono::milliseconds time{0};
@@ -264,29 +190,12 @@
     bool isGroupOpen(const Backend &backend, TimePoint now) const;
     /** Takes the states of groups from the entries of their ranks. */
     void refreshGroups(TimePoint now);
-    /** Requests that the server takes well: its slots, or fewer as learned for requests that are no streams. */
-    double takesWell(const Backend &backend, const Request &request) const;
-    bool isFull(const Backend &backend, const Request &request) const;
-    bool isExcluded(const Request &request, const ServerId &server) const;
-    /** A rank of a group that should have formed again; empty if there is none to try now. */
-    std::optional<ServerId> chooseTrial(const Request &request, TimePoint now, RandomSource &random);
     /** Time between two requests of this entry to a cold server; zero if its rate is not limited. */
     Duration coldPeriod(const Backend &backend) const;
     bool isColdFull(Backend &backend, TimePoint now, RandomSource &random) const;
     double failureShare(const Backend &backend, TimePoint now) const;
-    /** What its longer answers cost, by their part of the latency target. */
-    double latencyScore(const Backend &backend, const Request &request) const;
-    double score(const Backend &backend, const Request &request, TimePoint now) const;
-    /** What a unit costs a stream, from its load over its bound. */
-    double paceScore(const Backend &backend, const Request &request, double fill) const;
-    /** Loads over bounds of the units of a service. */
-    std::map<PaceUnitId, double> paceFills(const ServiceId &service, TimePoint now) const;
-    struct Candidate
-    {
-        const Backend *backend = nullptr;
-        double score = 0;
-    };
-    const Backend &pick(std::vector<Candidate> candidates, const ServiceId &service, RandomSource &random) const;
+    /** Load of a pace unit by what is usable of it. */
+    PaceUnitLoad loadOf(const PaceUnitId &unit, TimePoint now) const;
     void countFailure(Backend &backend, bool isUnreachable, TimePoint now);
 
     Options options_;
@@ -296,7 +205,8 @@
     GroupStates groupStates_;
     GroupWatch groups_;
     std::set<DataCentreId> evacuated_;
-    NoChoice lastFailure_ = NoChoice::NoServer;
+    BackendIndex index_;
+    BackendSelector selector_;
 };
 
 } // namespace hornbeamlane
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -137,11 +137,12 @@
     constexpr double bound = rate * 1.5 + 5;
     constexpr milliseconds warmup{6000};
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        std::vector<BackendBook> books(entries, BackendBook({.entryCount = entries}));
+        std::vector<BackendBook> books;
         std::vector<RandomSource> randoms;
         randoms.reserve(entries);
         for (std::uint32_t i = 0; i < entries; ++i) {
             randoms.emplace_back(seed * 1000 + i);
+            books.emplace_back(BackendBook::Options{.entryCount = entries});
             books[i].setWarmup(pool, seconds(6), rate);
             auto cold = server("a");
             cold.warmupLeft = warmup;
--- /dev/null
+++ b/tests/dispatch/BackendSelectorTest.cpp
@@ -0,0 +1,101 @@
+#include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+namespace hornbeamlane {
+namespace {
+
+const ServiceId pool{"pool"};
+const ServiceId other{"other"};
+const TimePoint start{std::chrono::seconds(100)};
+
+BackendSpec server(int number, const ServiceId &service = pool)
+{
+    return {.id = ServerId(std::to_string(number)), .service = service, .slots = 4};
+}
+
+// Load pattern "many servers, one of them free": guards against a request that is refused because the sample has missed
+// the only server that could take it.
+TEST(BackendSelectorTest, FindsTheOnlyFreeServerOfMany)
+{
+    constexpr int servers = 1900;
+    BackendBook book;
+    RandomSource random(3);
+    for (int i = 0; i < servers; ++i) {
+        book.update(server(i), start);
+        book.setPeersInFlight(ServerId(std::to_string(i)), i == 1234 ? 0 : 5);
+    }
+    EXPECT_EQ(book.choose({.service = pool}, start, random), ServerId("1234"));
+    book.setPeersInFlight(ServerId("1234"), 5);
+    EXPECT_FALSE(book.choose({.service = pool}, start, random));
+    EXPECT_EQ(book.lastFailure(), BackendBook::NoChoice::AllFull);
+}
+
+// Load pattern "many servers, half of them busy": guards against a sample that leaves some servers out for good, and
+// against one so small that busy servers are chosen.
+TEST(BackendSelectorTest, SpreadsOverManyServersAndAvoidsBusyOnes)
+{
+    constexpr int servers = 1000;
+    constexpr int requests = 20000;
+    BackendBook book;
+    RandomSource random(3);
+    for (int i = 0; i < servers; ++i) {
+        book.update(server(i), start);
+        book.setPeersInFlight(ServerId(std::to_string(i)), i % 2 == 0 ? 3 : 0);
+    }
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < requests; ++i) {
+        ++chosen[book.choose({.service = pool}, start, random)->name()];
+    }
+    EXPECT_EQ(chosen.size(), servers / 2U);
+    for (const auto &[name, count] : chosen) {
+        EXPECT_EQ(std::stoi(name) % 2, 1) << name;
+        EXPECT_LT(count, 4 * requests / (servers / 2)) << name;
+    }
+}
+
+// Guards against an index that keeps a server under a service that it has left, or one that has been forgotten.
+TEST(BackendSelectorTest, FollowsAServerThatChangesItsServiceAndForgetsOneThatHasGone)
+{
+    BackendBook book;
+    RandomSource random(3);
+    book.update(server(1), start);
+    book.update(server(1, other), start);
+    EXPECT_FALSE(book.choose({.service = pool}, start, random));
+    EXPECT_EQ(book.lastFailure(), BackendBook::NoChoice::NoServer);
+    EXPECT_EQ(book.choose({.service = other}, start, random), ServerId("1"));
+    EXPECT_EQ(book.usable(other, start).size(), 1U);
+    book.remove(ServerId("1"), std::nullopt);
+    EXPECT_EQ(book.sweep(start).size(), 1U);
+    EXPECT_FALSE(book.choose({.service = other}, start, random));
+    EXPECT_TRUE(book.paceUnits(other, start).empty());
+    auto moved = std::move(book);
+    moved.update(server(2), start);
+    EXPECT_EQ(moved.choose({.service = pool}, start, random), ServerId("2"));
+}
+
+// Guards against streams that go to a full pace unit because only a part of its ranks was compared.
+TEST(BackendSelectorTest, TakesTheLoadOfAWholePaceUnit)
+{
+    constexpr std::uint32_t ranks = 300;
+    std::uint32_t seen = 0;
+    BackendBook book({.paceFill = [&seen](const PaceUnitId &, const PaceUnitLoad &load) {
+        seen = load.inFlight;
+        return 0.0;
+    }});
+    RandomSource random(3);
+    for (std::uint32_t i = 0; i < ranks; ++i) {
+        auto rank = server(static_cast<int>(i));
+        rank.group = GroupPlace{.group = GroupId("g"), .epoch = 1, .rank = i, .size = ranks, .isOpen = true};
+        book.update(rank, start);
+        book.setPeersInFlight(rank.id, 1);
+    }
+    ASSERT_TRUE(book.choose({.service = pool, .isStream = true}, start, random));
+    EXPECT_EQ(seen, ranks);
+}
+
+} // namespace
+} // namespace hornbeamlane
