Follow a store that comes back from an older copy

Cause: a follower called each read with a lower version stale, so after a restore an entry kept the rows of the earlier history until the versions had caught up, and then missed what lay between. Versions told by peers made others wait for rows that no longer exist.

TableFollower accepts a lower version of a later era and reads anew when changes come from one. Load messages have the era of each version under the key "e", which earlier releases ignore.

--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -55,8 +55,8 @@
     /** Whether this process holds the lease of the expert maps. */
     std::function<bool()> isMapHolder;
     /** Newest row seen of each table that all entries follow. */
-    std::function<std::vector<std::uint64_t>()> tableVersions;
-    std::function<void(const std::vector<std::uint64_t> &)> peerVersions;
+    std::function<std::vector<TableVersion>()> tableVersions;
+    std::function<void(const std::vector<TableVersion> &)> peerVersions;
     /** Writes the row of known crashes if it has this version; version 0 means that there is none. */
     std::function<void(const std::string &value, RowVersion expected, TableClient::ReplyHandler)> writeCrashRow =
         [](const auto &, auto, const auto &reply) { reply({.status = TableStatus::Unavailable}); };
--- a/modules/hornbeamlane_gateway/peers/PeerExchange.h
+++ b/modules/hornbeamlane_gateway/peers/PeerExchange.h
@@ -28,8 +28,8 @@
         std::function<std::vector<std::pair<ServerHash, std::uint32_t>>()> ownLoad;
         std::function<std::vector<std::pair<ServiceHash, std::uint32_t>>()> bounds;
         std::function<bool()> isMapHolder;
-        std::function<std::vector<std::uint64_t>()> tableVersions;
-        std::function<void(const std::vector<std::uint64_t> &)> peerVersions;
+        std::function<std::vector<TableVersion>()> tableVersions;
+        std::function<void(const std::vector<TableVersion> &)> peerVersions;
         /** The loads of the peers have changed. */
         std::function<void()> changed;
         /** Digest of what is known here of crashes. */
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -147,6 +147,40 @@
     return message;
 }
 
+/** Eras have a key of their own, which entries of the release before ignore. */
+void encodeTableVersions(const std::vector<TableVersion> &versions, nlohmann::json &document)
+{
+    auto numbers = nlohmann::json::array();
+    auto eras = nlohmann::json::array();
+    bool hasEra = false;
+    for (const auto &seen : versions) {
+        numbers.push_back(seen.version);
+        eras.push_back(seen.era ? nlohmann::json(*seen.era) : nlohmann::json());
+        hasEra = hasEra || seen.era;
+    }
+    document["t"] = std::move(numbers);
+    if (hasEra) {
+        document["e"] = std::move(eras);
+    }
+}
+
+std::vector<TableVersion> decodeTableVersions(const nlohmann::json &document)
+{
+    const auto numberIn = [&document](const char *key, std::size_t index) -> std::optional<std::uint64_t> {
+        const auto list = document.find(key);
+        const bool isThere = list != document.end() && list->is_array() && index < list->size();
+        return isThere && (*list)[index].is_number_unsigned() ? std::optional((*list)[index].get<std::uint64_t>())
+                                                              : std::nullopt;
+    };
+    const auto versions = document.find("t");
+    const auto count = versions != document.end() && versions->is_array() ? versions->size() : 0;
+    std::vector<TableVersion> result;
+    for (std::size_t index = 0; index < count; ++index) {
+        result.push_back({.version = numberIn("t", index).value_or(0), .era = numberIn("e", index)});
+    }
+    return result;
+}
+
 std::optional<RelayedLoad> decodeRelayed(const nlohmann::json &document, TimePoint now)
 {
     auto load = decodeLoad(document, now);
@@ -177,7 +211,7 @@
 std::string encodeLoadMessage(const LoadMessage &message, TimePoint now)
 {
     auto document = encodeLoad(message, now);
-    document["t"] = message.tableVersions;
+    encodeTableVersions(message.tableVersions, document);
     document["q"] = message.crashDigest;
     for (const auto &relayed : message.relayed) {
         auto load = encodeLoad(relayed.load, now);
@@ -201,11 +235,7 @@
     if (!message) {
         return std::nullopt;
     }
-    if (const auto versions = document.find("t"); versions != document.end() && versions->is_array()) {
-        for (const auto &version : *versions) {
-            message->tableVersions.push_back(version.is_number_unsigned() ? version.get<std::uint64_t>() : 0);
-        }
-    }
+    message->tableVersions = decodeTableVersions(document);
     if (const auto digest = document.find("q"); digest != document.end() && digest->is_number_unsigned()) {
         message->crashDigest = digest->get<std::uint64_t>();
     }
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
+#include "hornbeamlane_membership/table/TableClient.h"
 
 #include <cstdint>
 #include <functional>
@@ -39,7 +40,7 @@
     /** The sender holds the lease of the expert maps. */
     bool isMapHolder = false;
     /** Newest row that the sender has seen of each table that all entries follow, in a fixed order. */
-    std::vector<std::uint64_t> tableVersions;
+    std::vector<TableVersion> tableVersions;
     std::vector<std::pair<ServerHash, std::uint32_t>> inFlight;
     /** Bound on the requests of all entries at a service, in thousandths of its places; only where the sender has seen
         the pace of the service. */
--- a/modules/hornbeamlane_gateway/state/TableFollower.cpp
+++ b/modules/hornbeamlane_gateway/state/TableFollower.cpp
@@ -15,7 +15,7 @@
     , options_(std::move(options))
     , callbacks_(std::move(callbacks))
     , timer_(loop, [this] { needsRead_ ? read() : watch(); })
-    , missingTimer_(loop, [this] { onPeerVersion(peerVersion_); })
+    , missingTimer_(loop, [this] { checkMissing(); })
 {
 }
 
@@ -63,15 +63,54 @@
     for (const auto &row : rows) {
         newestRow_ = std::max(newestRow_, row.version);
     }
-    if (newestRow_ >= peerVersion_) {
+    if (newestRow_ >= peerVersion_ && !hasPeerLaterEra_) {
         missingSince_ = {};
     }
 }
 
-void TableFollower::onPeerVersion(RowVersion version)
+void TableFollower::onPeerVersion(const TableVersion &seen)
 {
-    peerVersion_ = std::max(peerVersion_, version);
-    if (newestRow_ >= peerVersion_ || isStopped_ || needsRead_) {
+    if (seen.era == era_) {
+        peerVersion_ = std::max(peerVersion_, RowVersion(seen.version));
+    } else if (seen.era && era_ && *seen.era > *era_) {
+        // The peer's word makes this process ask; only the store's own answer moves its era.
+        hasPeerLaterEra_ = true;
+    } else {
+        return;
+    }
+    checkMissing();
+}
+
+void TableFollower::onEraRisen(TableEra era)
+{
+    if (hasSnapshot_ && !isStopped_ && era_ && era > *era_) {
+        readAnew();
+    }
+}
+
+void TableFollower::readAnew()
+{
+    needsRead_ = true;
+    missingSince_ = {};
+    timer_.stop();
+    missingTimer_.stop();
+    read();
+}
+
+bool TableFollower::isOfEarlierEra(const TableFeedReply &reply) const
+{
+    return reply.era && era_ && *reply.era < *era_;
+}
+
+bool TableFollower::isOfLaterEra(const TableFeedReply &reply) const
+{
+    return reply.era && era_ && *reply.era > *era_;
+}
+
+void TableFollower::checkMissing()
+{
+    const bool isMissing = newestRow_ < peerVersion_ || hasPeerLaterEra_;
+    if (!isMissing || isStopped_ || needsRead_) {
         return;
     }
     const auto now = loop_.now();
@@ -103,8 +142,9 @@
         return;
     }
     noteAnswer();
-    // A read that is older than what is known would undo changes.
-    if (hasSnapshot_ && reply.version < version_) {
+    const bool isRestored = hasSnapshot_ && isOfLaterEra(reply);
+    // A read that is older than what is known would undo changes. A later era gives its versions out again.
+    if (hasSnapshot_ && !isRestored && (isOfEarlierEra(reply) || reply.version < version_)) {
         logEvent(LogLevel::Warning, "table_read_stale",
                  {{"table", options_.table},
                   {"version", std::to_string(reply.version.value())},
@@ -114,6 +154,19 @@
     }
     needsRead_ = false;
     hasSnapshot_ = true;
+    if (isRestored) {
+        logEvent(LogLevel::Warning, "table_restored",
+                 {{"table", options_.table},
+                  {"era", std::to_string(*reply.era)},
+                  {"version", std::to_string(reply.version.value())},
+                  {"known", std::to_string(version_.value())}});
+        newestRow_ = RowVersion();
+        peerVersion_ = RowVersion();
+        hasPeerLaterEra_ = false;
+        missingSince_ = {};
+        callbacks_.restored();
+    }
+    era_ = reply.era ? reply.era : era_;
     version_ = reply.version;
     noteRows(reply.rows);
     callbacks_.snapshot(reply.rows);
@@ -125,21 +178,24 @@
     if (isStopped_) {
         return;
     }
-    switch (reply.status) {
-    case TableFeedReply::Status::Unavailable:
+    if (reply.status != TableFeedReply::Status::Unavailable && isOfLaterEra(reply)) {
+        // The rows follow upon a version that the store may have given out twice.
+        noteAnswer();
+        readAnew();
+        return;
+    }
+    if (reply.status == TableFeedReply::Status::Unavailable || isOfEarlierEra(reply)) {
         retryLater();
         return;
-    case TableFeedReply::Status::HistoryGone:
+    }
+    noteAnswer();
+    if (reply.status == TableFeedReply::Status::HistoryGone) {
         logEvent(LogLevel::Info, "table_history_gone",
                  {{"table", options_.table}, {"since", std::to_string(version_.value())}});
-        noteAnswer();
         needsRead_ = true;
         read();
         return;
-    case TableFeedReply::Status::Ok:
-        break;
     }
-    noteAnswer();
     version_ = std::max(version_, reply.version);
     if (reply.rows.empty()) {
         watch();
--- a/modules/hornbeamlane_gateway/state/TableFollower.h
+++ b/modules/hornbeamlane_gateway/state/TableFollower.h
@@ -31,6 +31,8 @@
     std::vector<TableChange> rows;
     /** Version up to which the rows are complete. */
     RowVersion version;
+    /** Era in which the store answered, if it tells. */
+    std::optional<TableEra> era = std::nullopt;
 };
 
 /** The reads that following a table needs. Replies come later, on the same thread, each exactly once. */
@@ -74,6 +76,8 @@
         std::function<void(bool isReachable)> reachable;
         /** Processes that follow the table too and tell what they have seen. */
         std::function<std::size_t()> peers;
+        /** The table is read for the first time in this era; called before the snapshot with the rows that are left. */
+        std::function<void()> restored = [] {};
     };
 
     TableFollower(EventLoop &loop, RandomSource &random, TableFeed feed, Options options, Callbacks callbacks);
@@ -87,14 +91,28 @@
         return newestRow_;
     }
 
-    /** Another process has seen a row of this version; a wait that has not told of it by now is given up. */
-    void onPeerVersion(RowVersion version);
+    /** The same for the other processes. */
+    TableVersion newest() const
+    {
+        return {.version = newestRow_.value(), .era = era_};
+    }
+
+    /** Another process has seen a row of this version; a wait that has not told of it by now is given up. Versions of
+       an earlier era, or of an era that is not told, say nothing about rows of this one. */
+    void onPeerVersion(const TableVersion &seen);
+
+    /** The store has come back from an older copy: what is waited for may never come. */
+    void onEraRisen(TableEra era);
 
 private:
     void read();
     void watch();
     std::chrono::milliseconds nextWait();
     void noteRows(const std::vector<TableChange> &rows);
+    void checkMissing();
+    bool isOfEarlierEra(const TableFeedReply &reply) const;
+    bool isOfLaterEra(const TableFeedReply &reply) const;
+    void readAnew();
     void handleSnapshot(const TableFeedReply &reply);
     void handleChanges(const TableFeedReply &reply);
     void noteAnswer();
@@ -113,8 +131,12 @@
     bool isStopped_ = false;
     RowVersion version_;
     RowVersion newestRow_;
+    /** Era of all versions here; empty while the store has told none. */
+    std::optional<TableEra> era_;
     /** Newest row that others have told of and since when it is missing here. */
     RowVersion peerVersion_;
+    /** Others have seen a later era than this process. */
+    bool hasPeerLaterEra_ = false;
     TimePoint missingSince_;
     Timer missingTimer_;
     /** Number of the call whose answer counts; answers to calls that were given up are ignored. */
--- a/tests/gateway/EndlessAnswerTest.cpp
+++ b/tests/gateway/EndlessAnswerTest.cpp
@@ -71,7 +71,7 @@
         , pump_(loop_, [this] { pump(); })
         , gateway_(loop_, random_, settings(),
                    GatewayHooks{.isMapHolder = [] { return false; },
-                                .tableVersions = [] { return std::vector<std::uint64_t>(); },
+                                .tableVersions = [] { return std::vector<TableVersion>(); },
                                 .peerVersions = [](const auto &) {}})
     {
         gateway_.start();
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -33,7 +33,7 @@
         settings.stopNoticeTime = stopNoticeTime_;
         gateway_ = std::make_unique<Gateway>(loop_, random_, settings,
                                              GatewayHooks{.isMapHolder = [] { return false; },
-                                                          .tableVersions = [] { return std::vector<std::uint64_t>(); },
+                                                          .tableVersions = [] { return std::vector<TableVersion>(); },
                                                           .peerVersions = [](const auto &) {}});
         ASSERT_TRUE(gateway_->start());
         DispatchCatalogue catalogue{.version = CatalogueVersion(1)};
--- a/tests/gateway/GatewayWorld.cpp
+++ b/tests/gateway/GatewayWorld.cpp
@@ -53,7 +53,7 @@
         loop_, random_, settings,
         GatewayHooks{
             .isMapHolder = [] { return false; },
-            .tableVersions = [] { return std::vector<std::uint64_t>(); },
+            .tableVersions = [] { return std::vector<TableVersion>(); },
             .peerVersions = [](const auto &) {},
             .writeCrashRow = [this](const std::string &value, RowVersion expected,
                                     const TableClient::ReplyHandler &handler) { writeRow(value, expected, handler); }});
--- a/tests/gateway/PeerExchangeTest.cpp
+++ b/tests/gateway/PeerExchangeTest.cpp
@@ -24,7 +24,7 @@
                           {.ownLoad = [] { return std::vector<std::pair<ServerHash, std::uint32_t>>(); },
                            .bounds = [] { return std::vector<std::pair<ServiceHash, std::uint32_t>>(); },
                            .isMapHolder = [] { return false; },
-                           .tableVersions = [] { return std::vector<std::uint64_t>(); },
+                           .tableVersions = [] { return std::vector<TableVersion>(); },
                            .peerVersions = [](const auto &) {},
                            .changed = [] {}});
     ASSERT_TRUE(exchange.start());
--- a/tests/gateway/PeerLoadsTest.cpp
+++ b/tests/gateway/PeerLoadsTest.cpp
@@ -23,7 +23,7 @@
 {
     auto sent = message("entry", 3, 5, 99);
     sent.isMapHolder = true;
-    sent.tableVersions = {4, 1ULL << 40};
+    sent.tableVersions = {{.version = 4, .era = 3}, {.version = 1ULL << 40, .era = std::nullopt}};
     sent.bounds = {{ServiceHash(8), 750}};
     sent.rateLimits = {{.server = 9, .perSecond = 2.5, .shownAt = start - milliseconds(300), .sent = 7},
                        {.server = 10, .perSecond = 0, .shownAt = start, .sent = 0},
--- a/tests/gateway/TableFollowerTest.cpp
+++ b/tests/gateway/TableFollowerTest.cpp
@@ -33,7 +33,8 @@
             TableFollower::Callbacks{.snapshot = [this](const auto &rows) { snapshots_.push_back(rows); },
                                      .changes = [this](const auto &rows) { changes_.push_back(rows); },
                                      .reachable = [this](bool isReachable) { reachable_ = isReachable; },
-                                     .peers = [this] { return peers_; }});
+                                     .peers = [this] { return peers_; },
+                                     .restored = [this] { ++restored_; }});
         follower_->start();
     }
 
@@ -42,6 +43,13 @@
         return {.status = TableFeedReply::Status::Ok, .rows = std::move(rows), .version = RowVersion(version)};
     }
 
+    static TableFeedReply replyIn(TableEra era, std::uint64_t version, std::vector<TableChange> rows = {})
+    {
+        auto result = reply(version, std::move(rows));
+        result.era = era;
+        return result;
+    }
+
     static TableChange row(const std::string &key, std::uint64_t version)
     {
         return {.key = key, .version = RowVersion(version), .value = "v"};
@@ -64,6 +72,7 @@
     milliseconds wait_{0};
     std::optional<bool> reachable_;
     std::size_t peers_ = 0;
+    int restored_ = 0;
     std::unique_ptr<TableFollower> follower_;
 };
 
@@ -120,7 +129,7 @@
 {
     start();
     reads_[0](reply(7, {row("a", 7)}));
-    follower_->onPeerVersion(RowVersion(9));
+    follower_->onPeerVersion({.version = 9, .era = std::nullopt});
     EXPECT_EQ(watches_.size(), 1U);
     runFor(milliseconds(50));
     ASSERT_EQ(watches_.size(), 2U);
@@ -143,5 +152,67 @@
     EXPECT_LE(wait_, milliseconds(9000));
 }
 
+// Guards against a follower that calls every read of a restored store stale, and so learns nothing more for as long as
+// the versions are lower.
+TEST_F(TableFollowerTest, TakesALowerVersionOfALaterEra)
+{
+    start();
+    reads_[0](replyIn(1, 70, {row("a", 70)}));
+    watches_[0]({.status = TableFeedReply::Status::HistoryGone, .era = 2});
+    ASSERT_EQ(reads_.size(), 2U);
+    reads_[1](replyIn(2, 60, {row("a", 50)}));
+    ASSERT_EQ(snapshots_.size(), 2U);
+    EXPECT_EQ(restored_, 1);
+    EXPECT_EQ(since_, RowVersion(60));
+    EXPECT_EQ(follower_->newest(), (TableVersion{.version = 50, .era = 2}));
+    // What was sent before the restore arrives late.
+    watches_[1](replyIn(1, 71, {row("a", 71)}));
+    EXPECT_TRUE(changes_.empty());
+}
+
+// Guards against changes since a version that the store has given out twice: those before it have been lost.
+TEST_F(TableFollowerTest, ReadsAnewWhenChangesComeFromALaterEra)
+{
+    start();
+    reads_[0](replyIn(1, 7, {row("a", 7)}));
+    watches_[0](replyIn(2, 9, {row("b", 9)}));
+    EXPECT_TRUE(changes_.empty());
+    ASSERT_EQ(reads_.size(), 2U);
+    reads_[1](replyIn(2, 9, {row("b", 9)}));
+    EXPECT_EQ(snapshots_.size(), 2U);
+    EXPECT_EQ(restored_, 1);
+}
+
+// Guards against entries that ask the store again and again for versions that no longer exist, because one that has not
+// heard of the restore, or one of the release before, tells of them.
+TEST_F(TableFollowerTest, WaitsForNoVersionOfAnEarlierEra)
+{
+    start();
+    reads_[0](replyIn(1, 70, {row("a", 70)}));
+    follower_->onPeerVersion({.version = 75, .era = 1});
+    follower_->onEraRisen(2);
+    reads_.back()(replyIn(2, 60, {row("a", 50)}));
+    const auto watches = watches_.size();
+    follower_->onPeerVersion({.version = 75, .era = 1});
+    follower_->onPeerVersion({.version = 75, .era = std::nullopt});
+    runFor(milliseconds(150));
+    EXPECT_EQ(watches_.size(), watches);
+    follower_->onPeerVersion({.version = 61, .era = 2});
+    runFor(milliseconds(50));
+    EXPECT_EQ(watches_.size(), watches + 1);
+}
+
+// Guards against a wait at a store that is gone: another process has heard of the later era, and this one asks.
+TEST_F(TableFollowerTest, AsksWhenOthersTellOfALaterEra)
+{
+    start();
+    reads_[0](replyIn(1, 70, {row("a", 70)}));
+    follower_->onPeerVersion({.version = 60, .era = 2});
+    runFor(milliseconds(50));
+    ASSERT_EQ(watches_.size(), 2U);
+    watches_[1]({.status = TableFeedReply::Status::HistoryGone, .era = 2});
+    ASSERT_EQ(reads_.size(), 2U);
+}
+
 } // namespace
 } // namespace hornbeamlane
