--- a/tests/dispatch/ServerLimitsTest.cpp
+++ b/tests/dispatch/ServerLimitsTest.cpp
@@ -228,11 +228,12 @@
 // Load pattern "all alike": guards against a limit or a preference that noise alone brings about.
 TEST(ServerLimitsTest, AllAlike)
 {
+    constexpr double fairShare = 500.0 * 10 / 6;
     const auto result = play({.servers = std::vector<Model>(6), .requestsPerSecond = 500});
     for (std::size_t i = 0; i < result.served.size(); ++i) {
         EXPECT_GE(result.takesWell[i], 9.9) << i;
         EXPECT_EQ(result.extra[i], Duration::zero()) << i;
-        EXPECT_NEAR(result.served[i], 500 * 10 / 6, 500 * 10 / 6 * 0.15) << i;
+        EXPECT_NEAR(result.served[i], fairShare, fairShare * 0.15) << i;
     }
     EXPECT_EQ(result.leftOver, 0);
 }
