Tell the head of a reply to callers of control interfaces

Load messages named both the eras of tables and the latencies of servers by the key e; latencies have the key y now.

--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -155,7 +155,7 @@
         document["k"] = nlohmann::json::binary(encodeArrivals(*message.arrivals));
     }
     if (!message.latencies.empty()) {
-        document["e"] = encodeLatencies(message.latencies);
+        document["y"] = encodeLatencies(message.latencies);
     }
     return document;
 }
@@ -196,7 +196,7 @@
     if (const auto arrivals = document.find("k"); arrivals != document.end() && arrivals->is_binary()) {
         message.arrivals = decodeArrivals(arrivals->get_binary());
     }
-    if (const auto latencies = document.find("e"); latencies != document.end()) {
+    if (const auto latencies = document.find("y"); latencies != document.end()) {
         message.latencies = decodeLatencies(*latencies);
     }
     return message;
--- a/modules/hornbeamlane_network/http1/Http1Caller.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Caller.cpp
@@ -67,6 +67,7 @@
         {.head =
              [running](const Http1ResponseHead &head) {
                  running->status = head.status;
+                 running->reply.head = head;
                  return true;
              },
          .data = [this, running](std::string_view bytes) { append(running, bytes); },
--- a/modules/hornbeamlane_network/http1/Http1Caller.h
+++ b/modules/hornbeamlane_network/http1/Http1Caller.h
@@ -30,6 +30,8 @@
     {
         /** Empty if there was no complete answer in time. */
         std::optional<int> status;
+        /** Status and headers as they came, also of an answer that was not complete. */
+        std::optional<Http1ResponseHead> head;
         std::string body;
         /** No byte of the call has left the process. */
         bool isNotSent = false;
