--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
@@ -15,9 +15,6 @@
 
 constexpr std::chrono::milliseconds placementRetry{300};
 
-/** Counts that cannot be used come with each look; one line in this time tells of them. */
-constexpr std::chrono::seconds unusableLogInterval{10};
-
 /** The first look at a rank counts like this many passes at most, about three seconds. */
 constexpr double firstLookSteps = 64.0;
 
@@ -246,7 +243,7 @@
     }
     if (auto sample = sampleOf(sampled, counts)) {
         if (!options_.service->demand.add(std::move(*sample), now)) {
-            logUnusableCounts(sampled.rank, counts.counts.size());
+            logEvent(LogLevel::Warning, "expert_counts_unusable", {{"count", std::to_string(counts.counts.size())}});
             return;
         }
         isDueToConsider_ = true;
@@ -254,17 +251,6 @@
     lastLooks_[sampled.rank] = {.counts = counts, .takenAt = now};
 }
 
-void GroupMapKeeper::logUnusableCounts(RankIndex rank, std::size_t count)
-{
-    const auto now = loop_.now();
-    if (unusableLoggedAt_ && now - *unusableLoggedAt_ < unusableLogInterval) {
-        return;
-    }
-    unusableLoggedAt_ = now;
-    logEvent(LogLevel::Warning, "expert_counts_unusable",
-             {{"group", options_.group.name()}, {"rank", std::to_string(rank)}, {"count", std::to_string(count)}});
-}
-
 std::optional<ExpertSample> GroupMapKeeper::sampleOf(const SampledRank &sampled, const ExpertCounts &counts) const
 {
     const auto last = lastLooks_.find(sampled.rank);
--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
@@ -91,7 +91,6 @@
     void readReport(RankIndex rank, const std::string &address);
     void readCounts();
     void takeCounts(const SampledRank &sampled, const ExpertCounts &counts);
-    void logUnusableCounts(RankIndex rank, std::size_t count);
     void readMaps();
     void readPlacements();
     void readPlacement(RankIndex rank, const std::string &address);
@@ -129,7 +128,6 @@
     /** The estimate or the map in use has changed since a change was last considered. */
     bool isDueToConsider_ = false;
     bool isChanging_ = false;
-    std::optional<TimePoint> unusableLoggedAt_;
     std::uint64_t mapsMade_ = 0;
     GroupEpoch epoch_;
     RankSlowness loggedSlowness_;
