--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
@@ -31,13 +31,13 @@
         std::uint32_t sampledRanks = 2;
         /** Ranks that take turns in being read. Counts are sums since the start of the rank, so a rank that is read
             less often loses none of its choices: more ranks give more choices at the same price, but older ones. */
-        std::uint32_t rotatedRanks = 8;
+        std::uint32_t rotatedRanks = 4;
         /** Half-life of the short average of the service's demand. */
         std::chrono::milliseconds popularityHalfLife{500};
         /** A new map must save this part of the time of a pass; smaller gains are noise of the estimate. */
         double worthwhileGain = 0.03;
         /** A single copy must lower the load of a layer's most loaded rank by this share of the mean. */
-        double smallestMoveGain = 0.07;
+        double smallestMoveGain = 0.1;
         /** Time for which a map is better than the one before it, because demand drifts. */
         std::chrono::milliseconds gainHorizon{6000};
         /** Shortest time between two changes of one group. */
--- a/modules/hornbeamlane_groups/placement/ExpertDemand.cpp
+++ b/modules/hornbeamlane_groups/placement/ExpertDemand.cpp
@@ -85,9 +85,12 @@
         }
     }
     ++samples_;
-    recent_.push_back({.sample = std::move(sample), .readAt = now});
-    while (recent_.size() > options_.maxRecent || recent_.front().readAt < now - options_.recentTime) {
+    recent_.push_back(std::move(sample));
+    while (recent_.size() > options_.maxRecent || recent_.front().since < now - options_.recentTime) {
         recent_.pop_front();
+        if (recent_.empty()) {
+            break;
+        }
     }
     return true;
 }
@@ -129,8 +132,8 @@
 {
     const std::size_t experts = options_.expertsPerLayer;
     Chosen chosen{.shares = ExpertShares(options_.layers, std::vector<double>(experts, 0.0))};
-    for (const auto &[sample, readAt] : recent_) {
-        if (readAt <= time || sample.since + (readAt - sample.since) / 2 < time) {
+    for (const auto &sample : recent_) {
+        if (sample.since < time) {
             continue;
         }
         ++chosen.samples;
--- a/modules/hornbeamlane_groups/placement/ExpertDemand.h
+++ b/modules/hornbeamlane_groups/placement/ExpertDemand.h
@@ -61,6 +61,7 @@
     /** Weight of the short average in the estimate, in [0, 1]. */
     double shortWeight() const;
 
+    /** Shares of what was chosen between looks that were all taken at or after the given time. */
     struct Chosen
     {
         ExpertShares shares;
@@ -68,8 +69,6 @@
         double count = 0.0;
         std::size_t samples = 0;
     };
-    /** What was chosen since the given time. None of its samples was known then; those count of which at least half the
-        time between the looks is later. */
     Chosen chosenSince(TimePoint time) const;
 
     const Options &options() const
@@ -78,11 +77,6 @@
     }
 
 private:
-    struct Recent
-    {
-        ExpertSample sample;
-        TimePoint readAt;
-    };
     struct Layer
     {
         std::vector<double> fast;
@@ -94,7 +88,7 @@
     Options options_;
     /** Samples of sources with even and with odd numbers. */
     std::array<ExpertPopularity, 2> halves_;
-    std::deque<Recent> recent_;
+    std::deque<ExpertSample> recent_;
     std::size_t samples_ = 0;
 };
 
--- a/modules/hornbeamlane_groups/placement/ExpertMapPlanner.cpp
+++ b/modules/hornbeamlane_groups/placement/ExpertMapPlanner.cpp
@@ -45,9 +45,6 @@
 void ExpertMapPlanner::noteStarted(const ExpertMapPlan &plan, TimePoint now, const RankSlowness &slowness)
 {
     policy_.noteChange(now);
-    if (change_ && change_->usedSince) {
-        measure();
-    }
     change_ = Change{.map = plan.map,
                      .before = plan.before,
                      .predicted = plan.predicted,
@@ -83,27 +80,24 @@
 
 std::optional<ExpertMapOutcome> ExpertMapPlanner::takeOutcome(TimePoint now)
 {
-    if (change_ && change_->usedSince && now - *change_->usedSince >= options_.foundDelay) {
-        const bool isLate = now - *change_->usedSince >= options_.foundTimeout;
-        if (isLate || service_->demand.chosenSince(change_->plannedAt).samples >= options_.samplesForFound) {
-            measure();
-        }
+    if (!change_ || !change_->usedSince || now - *change_->usedSince < options_.foundDelay) {
+        return std::nullopt;
     }
-    return std::exchange(outcome_, std::nullopt);
-}
-
-void ExpertMapPlanner::measure()
-{
-    const auto change = std::exchange(change_, std::nullopt);
-    const auto chosen = service_->demand.chosenSince(change->plannedAt);
-    if (chosen.samples == 0) {
-        return;
+    // Samples that began after the plan were not part of its estimate.
+    const auto chosen = service_->demand.chosenSince(change_->plannedAt);
+    if (chosen.samples < options_.samplesForFound) {
+        if (now - *change_->usedSince >= options_.foundTimeout) {
+            change_.reset();
+        }
+        return std::nullopt;
     }
-    outcome_ = {.version = change->map.version(),
-                .before = change->before,
-                .predicted = change->predicted,
-                .found = ExpertPlacement::imbalance(change->map, chosen.shares, change->slowness),
-                .choices = chosen.count};
+    const ExpertMapOutcome outcome{.version = change_->map.version(),
+                                   .before = change_->before,
+                                   .predicted = change_->predicted,
+                                   .found = ExpertPlacement::imbalance(change_->map, chosen.shares, change_->slowness),
+                                   .choices = chosen.count};
+    change_.reset();
+    return outcome;
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_groups/placement/ExpertMapPlanner.h
+++ b/modules/hornbeamlane_groups/placement/ExpertMapPlanner.h
@@ -49,7 +49,7 @@
         RebalancePolicy::Options rebalance;
         /** Time after a switch at which the imbalance is measured. */
         Duration foundDelay = std::chrono::seconds(1);
-        /** Samples of the time since the plan that a measurement waits for, until the given time has passed. */
+        /** Samples taken since the plan that a measurement needs, and the time after which it is given up. */
         std::size_t samplesForFound = 4;
         Duration foundTimeout = std::chrono::seconds(5);
     };
@@ -71,7 +71,7 @@
     /** The group has formed anew, so that nothing of an earlier change holds. */
     void restart();
 
-    /** What came of the last change, once; at the latest when the next one begins. */
+    /** What came of the last change, once. */
     std::optional<ExpertMapOutcome> takeOutcome(TimePoint now);
 
 private:
@@ -85,15 +85,11 @@
         std::optional<TimePoint> usedSince;
     };
 
-    /** Compares the last change with what was chosen since; nothing if nothing was. */
-    void measure();
-
     Options options_;
     std::shared_ptr<ServiceExperts> service_;
     ExpertPlacement placement_;
     RebalancePolicy policy_;
     std::optional<Change> change_;
-    std::optional<ExpertMapOutcome> outcome_;
 };
 
 } // namespace hornbeamlane
--- a/tests/groups/ExpertMapPlannerTest.cpp
+++ b/tests/groups/ExpertMapPlannerTest.cpp
@@ -21,7 +21,7 @@
     struct Options
     {
         DriftingDemand::Options demand;
-        std::size_t rotatedRanks = 8;
+        std::size_t rotatedRanks = 4;
         /** Ticks that a change takes. */
         int changeTicks = 2;
         ExpertDemand::Options estimate = {.halfLife = 500ms};
@@ -61,7 +61,7 @@
                     .placement = {.slotsPerRank = 5,
                                   .movesPerRound = options.demand.ranks * options.demand.layers * std::size_t(2),
                                   .newPerRank = 2,
-                                  .smallestGain = 0.07},
+                                  .smallestGain = 0.1},
                     .rebalance = {.horizon = 6s,
                                   .bytesPerCopy = 0,
                                   .rankCopyTime = options.rankCopyTime,
