--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -70,12 +70,6 @@
     /** Engine of a service; empty if it has none. */
     std::optional<EngineModel> engineOf(const ServiceId &service) const;
 
-    /** Metrics of this process, for parts beside the gateway. */
-    MetricsRegistry &metrics()
-    {
-        return metrics_;
-    }
-
 private:
     friend class ForwardedRequest;
 
--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
@@ -1,8 +1,9 @@
 #include "hornbeamlane_gateway/maps/GroupMapKeeper.h"
 
+#include "hornbeamlane_observability/hornbeamlane_observability.h"
+
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -15,9 +16,6 @@
 
 constexpr std::chrono::milliseconds placementRetry{300};
 
-/** The first look at a rank counts like this many passes at most, about three seconds. */
-constexpr double firstLookSteps = 64.0;
-
 std::string_view toString(HeldMapSwitch::Phase phase)
 {
     switch (phase) {
@@ -55,30 +53,17 @@
     , api_(std::move(api))
     , options_(std::move(options))
     , switch_({.ranks = options_.ranks, .holdRank = static_cast<RankIndex>(options_.token.value() % options_.ranks)})
-    , planner_(plannerOptions(options_), options_.service)
+    , popularity_({.layers = options_.engine.expertLayers,
+                   .expertsPerLayer = static_cast<ExpertIndex>(options_.engine.expertsPerLayer),
+                   .halfLife = options_.policy.popularityHalfLife})
+    , placement_({.slotsPerRank = options_.engine.placesPerRank,
+                  .movesPerRound = options_.ranks * options_.engine.expertLayers * std::size_t(2),
+                  .newPerRank = options_.engine.sparePlaces,
+                  .smallestGain = options_.policy.smallestMoveGain})
     , paces_({.ranks = options_.ranks})
 {
 }
 
-ExpertMapPlanner::Options GroupMapKeeper::plannerOptions(const Options &options)
-{
-    const auto &policy = options.policy;
-    return {.group = options.group,
-            .placement = {.slotsPerRank = options.engine.placesPerRank,
-                          .movesPerRound = options.ranks * options.engine.expertLayers * std::size_t(2),
-                          .newPerRank = options.engine.sparePlaces,
-                          .smallestGain = policy.smallestMoveGain},
-            .rebalance = {.horizon = policy.gainHorizon,
-                          .bytesPerCopy = 0,
-                          .rankCopyTime = std::chrono::duration_cast<Duration>(options.engine.expertCopyTime),
-                          .loadSlowdown = policy.copySlowdown,
-                          .expertTimeShare = policy.expertTimeShare,
-                          // The estimate of the demand already counts on its noise.
-                          .safetyFactor = 1.0,
-                          .smallestRelativeGain = policy.worthwhileGain,
-                          .shortestInterval = policy.shortestInterval}};
-}
-
 void GroupMapKeeper::setRanks(std::map<RankIndex, std::string> addresses)
 {
     addresses_ = std::move(addresses);
@@ -91,11 +76,8 @@
         // A new epoch starts with the uniform map and counts from zero.
         epoch_ = *switch_.epoch();
         active_.reset();
-        lastLooks_.clear();
+        lastCounts_.clear();
         paces_.restart();
-        planner_.restart();
-        isChanging_ = false;
-        isDueToConsider_ = true;
     }
     sendOrders(switch_.poll(now));
     readReports();
@@ -116,21 +98,15 @@
         readCounts();
     }
     if (switch_.phase() == HeldMapSwitch::Phase::Idle && switch_.epoch()) {
-        if (std::exchange(isChanging_, false)) {
-            planner_.noteEnded(switch_.activeMap(), now);
-        }
         if (next_ && next_->version() == switch_.activeMap()) {
             active_ = std::exchange(next_, std::nullopt);
         }
         if (!active_ || active_->version() != switch_.activeMap()) {
             readPlacements();
-        } else if (std::exchange(isDueToConsider_, false)) {
+        } else if (std::exchange(hasFreshCounts_, false)) {
             considerMap();
         }
     }
-    if (const auto outcome = planner_.takeOutcome(now)) {
-        reportOutcome(*outcome);
-    }
 }
 
 void GroupMapKeeper::sendOrders(const std::vector<EngineOrder> &orders)
@@ -203,82 +179,74 @@
     }
 }
 
-std::vector<GroupMapKeeper::SampledRank> GroupMapKeeper::ranksToSample()
+/** The same ranks each time, so that the difference between two looks is recent. */
+std::vector<RankIndex> GroupMapKeeper::ranksToSample() const
 {
-    std::vector<RankIndex> rotated;
-    const auto count = std::max(options_.policy.sampledRanks, options_.policy.rotatedRanks);
-    const auto stride = std::max<std::size_t>(1, addresses_.size() / count);
+    std::vector<RankIndex> ranks;
+    const auto stride = std::max<std::size_t>(1, addresses_.size() / options_.policy.sampledRanks);
     std::size_t index = 0;
     for (const auto &[rank, address] : addresses_) {
-        if (index++ % stride == 0 && rotated.size() < count) {
-            rotated.push_back(rank);
+        if (index++ % stride == 0 && ranks.size() < options_.policy.sampledRanks) {
+            ranks.push_back(rank);
         }
     }
-    std::vector<SampledRank> sampled;
-    for (std::size_t i = 0; i < std::min<std::size_t>(options_.policy.sampledRanks, rotated.size()); ++i) {
-        const auto source = nextSource_++ % rotated.size();
-        sampled.push_back({.rank = rotated[source], .source = source});
-    }
-    return sampled;
+    return ranks;
 }
 
 void GroupMapKeeper::readCounts()
 {
-    for (const auto &sampled : ranksToSample()) {
-        api_.readCounts(addresses_.at(sampled.rank),
-                        [this, guard = Guard(alive_), sampled](const std::optional<ExpertCounts> &counts) {
+    for (const auto rank : ranksToSample()) {
+        api_.readCounts(addresses_.at(rank),
+                        [this, guard = Guard(alive_), rank](const std::optional<ExpertCounts> &counts) {
                             if (!guard.expired() && counts) {
-                                takeCounts(sampled, *counts);
+                                takeCounts(rank, *counts);
                             }
                         });
     }
 }
 
-void GroupMapKeeper::takeCounts(const SampledRank &sampled, const ExpertCounts &counts)
+void GroupMapKeeper::takeCounts(RankIndex rank, const ExpertCounts &counts)
 {
     const auto now = loop_.now();
     switch_.onProgress(counts.epoch, counts.step, now);
     if (counts.epoch == epoch_) {
         paces_.notePass(counts.step, now);
     }
-    if (auto sample = sampleOf(sampled, counts)) {
-        if (!options_.service->demand.add(std::move(*sample), now)) {
-            logEvent(LogLevel::Warning, "expert_counts_unusable", {{"count", std::to_string(counts.counts.size())}});
-            return;
+    const std::size_t experts = options_.engine.expertsPerLayer;
+    if (counts.counts.size() != experts * options_.engine.expertLayers) {
+        logEvent(LogLevel::Warning, "expert_counts_unusable", {{"count", std::to_string(counts.counts.size())}});
+        return;
+    }
+    auto &last = lastCounts_[rank];
+    const bool isComparable = last.epoch == counts.epoch && last.counts.size() == counts.counts.size()
+        && std::equal(counts.counts.begin(), counts.counts.end(), last.counts.begin(),
+                      [](double newer, double older) { return newer >= older; });
+    // Without an earlier look, all that was chosen since the rank's start is better than the uniform map's assumption.
+    const bool isFirst = last.counts.empty() && switch_.activeMap() == ExpertMapVersion();
+    if (isFirst) {
+        last.counts.assign(counts.counts.size(), 0.0);
+    }
+    if (isComparable || isFirst) {
+        for (std::uint32_t layer = 0; layer < options_.engine.expertLayers; ++layer) {
+            std::vector<double> chosen(experts);
+            for (std::size_t expert = 0; expert < experts; ++expert) {
+                const auto at = layer * experts + expert;
+                chosen[expert] = counts.counts[at] - last.counts[at];
+            }
+            popularity_.add(layer, chosen, now);
         }
-        isDueToConsider_ = true;
+        hasFreshCounts_ = true;
     }
-    lastLooks_[sampled.rank] = {.counts = counts, .takenAt = now};
+    last = counts;
 }
 
-std::optional<ExpertSample> GroupMapKeeper::sampleOf(const SampledRank &sampled, const ExpertCounts &counts) const
+ExpertShares GroupMapKeeper::shares() const
 {
-    const auto last = lastLooks_.find(sampled.rank);
-    if (last == lastLooks_.end()) {
-        if (switch_.activeMap() != ExpertMapVersion()) {
-            return std::nullopt;
-        }
-        // Without an earlier look, all that was chosen since the rank's start is better than the uniform map's
-        // assumption. A rank that has run for long does not outweigh what is chosen now.
-        const double part = std::min(1.0, firstLookSteps / static_cast<double>(counts.step.value() + 1));
-        ExpertSample sample{.source = sampled.source, .since = TimePoint(), .chosen = counts.counts};
-        for (auto &chosen : sample.chosen) {
-            chosen *= part;
-        }
-        return sample;
-    }
-    const auto &older = last->second.counts;
-    if (older.epoch != counts.epoch || older.counts.size() != counts.counts.size()) {
-        return std::nullopt;
+    ExpertShares shares;
+    for (std::uint32_t layer = 0; layer < options_.engine.expertLayers; ++layer) {
+        shares.push_back(popularity_.shares(layer));
     }
-    ExpertSample sample{.source = sampled.source, .since = last->second.takenAt, .chosen = counts.counts};
-    for (std::size_t i = 0; i < older.counts.size(); ++i) {
-        sample.chosen[i] -= older.counts[i];
-        if (sample.chosen[i] < 0.0) {
-            return std::nullopt;
-        }
-    }
-    return sample;
+    return shares;
 }
 
 void GroupMapKeeper::logSlowness(const RankSlowness &slowness)
@@ -299,59 +267,29 @@
 
 void GroupMapKeeper::considerMap()
 {
-    const auto now = loop_.now();
-    const auto slowness = paces_.slowness(now);
+    const auto current = shares();
+    const auto slowness = paces_.slowness(loop_.now());
     logSlowness(slowness);
-    auto plan = planner_.plan(*active_, now, slowness);
-    if (!plan) {
+    auto next = placement_.improve(*active_, current, slowness);
+    const auto before = ExpertPlacement::imbalance(*active_, current, slowness);
+    const auto after = ExpertPlacement::imbalance(next, current, slowness);
+    if (before - after < options_.policy.worthwhileGain) {
         return;
     }
-    plan->map.setVersion(ExpertMapVersion(options_.token.value() * mapsPerToken + ++mapsMade_));
+    next.setVersion(ExpertMapVersion(options_.token.value() * mapsPerToken + ++mapsMade_));
     const auto copyTime =
-        std::chrono::duration_cast<Duration>(options_.engine.expertCopyTime * plan->map.mostCopiesOfOneRank(*active_));
-    isChanging_ = switch_.start(plan->map, copyTime, now);
-    reportPlan(*plan, isChanging_);
-    if (!isChanging_) {
-        planner_.noteNotStarted();
-        return;
-    }
-    planner_.noteStarted(*plan, now, slowness);
-    next_ = std::move(plan->map);
-    sendOrders(switch_.poll(now));
-}
-
-void GroupMapKeeper::reportPlan(const ExpertMapPlan &plan, bool hasStarted)
-{
+        std::chrono::duration_cast<Duration>(options_.engine.expertCopyTime * next.mostCopiesOfOneRank(*active_));
+    const bool hasStarted = switch_.start(next, copyTime, loop_.now());
     logEvent(LogLevel::Info, "map_planned",
              {{"group", options_.group.name()},
-              {"version", std::to_string(plan.map.version().value())},
-              {"imbalance", formatShare(plan.before)},
-              {"predicted", formatShare(plan.predicted)},
-              {"gain_ms", std::to_string(std::lround(plan.estimate.gain * 1e3))},
-              {"cost_ms", std::to_string(std::lround(plan.estimate.cost * 1e3))},
-              {"short_weight", formatShare(options_.service->demand.shortWeight())},
-              {"copies", std::to_string(plan.copies)},
+              {"version", std::to_string(next.version().value())},
+              {"imbalance", formatShare(before)},
+              {"predicted", formatShare(after)},
+              {"copies", std::to_string(next.copiesMissingIn(*active_))},
               {"started", hasStarted ? "yes" : "no"}});
-    if (options_.metrics != nullptr && hasStarted) {
-        const MetricsRegistry::Labels labels{{"group", options_.group.name()}};
-        options_.metrics->addToCounter("expert_maps_started_total", labels);
-        options_.metrics->addToCounter("expert_copies_total", labels, plan.copies);
-    }
-}
-
-void GroupMapKeeper::reportOutcome(const ExpertMapOutcome &outcome)
-{
-    logEvent(LogLevel::Info, "map_measured",
-             {{"group", options_.group.name()},
-              {"version", std::to_string(outcome.version.value())},
-              {"before", formatShare(outcome.before)},
-              {"predicted", formatShare(outcome.predicted)},
-              {"found", formatShare(outcome.found)},
-              {"choices", std::to_string(std::lround(outcome.choices))}});
-    if (options_.metrics != nullptr) {
-        const MetricsRegistry::Labels labels{{"group", options_.group.name()}};
-        options_.metrics->setGauge("expert_imbalance_predicted", labels, outcome.predicted);
-        options_.metrics->setGauge("expert_imbalance_found", labels, outcome.found);
+    if (hasStarted) {
+        next_ = std::move(next);
+        sendOrders(switch_.poll(loop_.now()));
     }
 }
 
--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -191,37 +191,13 @@
         return false;
     }
     kept.size = view.size;
-    kept.keeper = std::make_unique<GroupMapKeeper>(loop_, hooks_.engines,
-                                                   GroupMapKeeper::Options{.group = view.group,
-                                                                           .ranks = view.size,
-                                                                           .engine = engine,
-                                                                           .token = *token_,
-                                                                           .policy = options_.policy,
-                                                                           .service = expertsOf(view.service, engine),
-                                                                           .metrics = hooks_.metrics});
+    kept.keeper = std::make_unique<GroupMapKeeper>(
+        loop_, hooks_.engines,
+        GroupMapKeeper::Options{
+            .group = view.group, .ranks = view.size, .engine = engine, .token = *token_, .policy = options_.policy});
     return true;
 }
 
-// What is known of the demand outlasts keepers and tokens.
-std::shared_ptr<ServiceExperts> MapDuty::expertsOf(const ServiceId &service, const EngineModel &engine)
-{
-    const auto isUnused = [](const auto &entry) { return entry.second.use_count() == 1; };
-    if (services_.size() >= options_.maxGroups && !services_.contains(service)) {
-        std::erase_if(services_, isUnused);
-    }
-    auto &experts = services_[service];
-    const auto perLayer = static_cast<ExpertIndex>(engine.expertsPerLayer);
-    if (!experts || experts->demand.options().layers != engine.expertLayers
-        || experts->demand.options().expertsPerLayer != perLayer) {
-        experts = std::make_shared<ServiceExperts>(
-            ServiceExperts{.demand = ExpertDemand({.layers = engine.expertLayers,
-                                                   .expertsPerLayer = perLayer,
-                                                   .halfLife = options_.policy.popularityHalfLife}),
-                           .turn = ChangeTurn()});
-    }
-    return experts;
-}
-
 void MapDuty::keepMaps(GroupView &view)
 {
     const auto engine = hooks_.engineOf(view.service);
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -51,8 +51,6 @@
         std::function<TimePoint()> holderHeardAt;
         /** Time for which a holder that lives may not be heard; the longer of this and the option counts. */
         std::function<std::chrono::milliseconds()> usualSilence = [] { return std::chrono::milliseconds(0); };
-        /** Gets what was predicted and found of the maps, if given. */
-        MetricsRegistry *metrics = nullptr;
     };
 
     MapDuty(EventLoop &loop, TableClient &table, const Options &options, Hooks hooks);
@@ -106,7 +104,6 @@
     /** Makes the keeper if there is none of that size; false if the group's maps cannot be kept now. */
     bool makeKeeper(const GroupView &view, const EngineModel &engine, Kept &kept);
     void keepMaps(GroupView &view);
-    std::shared_ptr<ServiceExperts> expertsOf(const ServiceId &service, const EngineModel &engine);
 
     EventLoop &loop_;
     TableClient &table_;
@@ -122,7 +119,6 @@
     /** Keepers and the token under which they act. A lease that is regained with its token goes on with them, since
        they know which versions of maps they have used. */
     std::map<GroupId, Kept> keepers_;
-    std::map<ServiceId, std::shared_ptr<ServiceExperts>> services_;
     /** Groups left out the last time, for the log. */
     std::size_t groupsLeftOut_ = 0;
     std::optional<FencingToken> keepersToken_;
--- a/modules/hornbeamlane_groups/placement/ExpertPopularity.cpp
+++ b/modules/hornbeamlane_groups/placement/ExpertPopularity.cpp
@@ -55,18 +55,6 @@
     return normalized(layers_[layer].fast);
 }
 
-const std::vector<double> &ExpertPopularity::fastCounts(std::uint32_t layer) const
-{
-    HORNBEAMLANE_ASSERT(layer < layers_.size());
-    return layers_[layer].fast;
-}
-
-const std::vector<double> &ExpertPopularity::slowCounts(std::uint32_t layer) const
-{
-    HORNBEAMLANE_ASSERT(layer < layers_.size());
-    return layers_[layer].slow;
-}
-
 double ExpertPopularity::drift() const
 {
     double sum = 0.0;
--- a/modules/hornbeamlane_groups/placement/ExpertPopularity.h
+++ b/modules/hornbeamlane_groups/placement/ExpertPopularity.h
@@ -28,10 +28,6 @@
     /** Share of each expert of the layer in the fast average; sums to 1, uniform before any count. */
     std::vector<double> shares(std::uint32_t layer) const;
 
-    /** Decayed counts of the experts of the layer. */
-    const std::vector<double> &fastCounts(std::uint32_t layer) const;
-    const std::vector<double> &slowCounts(std::uint32_t layer) const;
-
     /** Total variation distance between fast and slow average, mean over the layers, in [0, 1]. */
     double drift() const;
 
--- a/modules/hornbeamlane_groups/placement/RebalancePolicy.cpp
+++ b/modules/hornbeamlane_groups/placement/RebalancePolicy.cpp
@@ -18,11 +18,8 @@
     const double after = ExpertPlacement::imbalance(candidate, shares, slowness);
     const double stepBefore = 1.0 - options_.expertTimeShare + options_.expertTimeShare * before;
     const double relativeGain = options_.expertTimeShare * (before - after) / stepBefore;
-    const double storeSeconds = static_cast<double>(candidate.copiesMissingIn(current))
+    const double loadSeconds = static_cast<double>(candidate.copiesMissingIn(current))
         * static_cast<double>(options_.bytesPerCopy) / options_.storeBytesPerSecond;
-    const double rankSeconds = static_cast<double>(candidate.mostCopiesOfOneRank(current))
-        * std::chrono::duration<double>(options_.rankCopyTime).count();
-    const double loadSeconds = std::max(storeSeconds, rankSeconds);
     const double horizon = std::chrono::duration<double>(options_.horizon).count();
     // Nothing is gained before the weights are loaded.
     return {.gain = relativeGain * std::max(0.0, horizon - loadSeconds),
@@ -30,11 +27,6 @@
             .relativeGain = relativeGain};
 }
 
-bool RebalancePolicy::isDue(TimePoint now) const
-{
-    return !changedAt_ || now - *changedAt_ >= options_.shortestInterval;
-}
-
 bool RebalancePolicy::shouldChange(const ExpertMap &current, const ExpertMap &candidate, const ExpertShares &shares,
                                    TimePoint now, const RankSlowness &slowness) const
 {
@@ -46,7 +38,7 @@
     if (options_.decide) {
         return options_.decide(expected, sinceChange);
     }
-    return isDue(now) && expected.relativeGain >= options_.smallestRelativeGain
+    return sinceChange >= options_.shortestInterval && expected.relativeGain >= options_.smallestRelativeGain
         && expected.gain >= expected.cost * options_.safetyFactor;
 }
 
--- a/modules/hornbeamlane_groups/placement/RebalancePolicy.h
+++ b/modules/hornbeamlane_groups/placement/RebalancePolicy.h
@@ -29,8 +29,6 @@
         std::size_t bytesPerCopy = 44'000'000;
         /** Bytes a second that the weight store grants to this group. */
         double storeBytesPerSecond = 2e9;
-        /** Time in which a rank copies one expert over its own link; the ranks copy at the same time. */
-        Duration rankCopyTime{};
         /** Part by which steps slow down while weights are loaded. */
         double loadSlowdown = 0.02;
         /** Pause that one switch is expected to cost. */
@@ -52,9 +50,6 @@
     RebalanceEstimate estimate(const ExpertMap &current, const ExpertMap &candidate, const ExpertShares &shares,
                                const RankSlowness &slowness = {}) const;
 
-    /** Whether enough time has passed since the last change for another one. */
-    bool isDue(TimePoint now) const;
-
     /** True if the candidate should be staged now. */
     bool shouldChange(const ExpertMap &current, const ExpertMap &candidate, const ExpertShares &shares, TimePoint now,
                       const RankSlowness &slowness = {}) const;
