Give the hostile tests' server row all its fields

Rows that lack Version or Sequence name no server any more, so the gateway had none in these tests; each failed for that in the sanitizer build.

--- a/tests/platform_hostile/HostileGatewayTest.cpp
+++ b/tests/platform_hostile/HostileGatewayTest.cpp
@@ -48,9 +48,10 @@
         EXPECT_TRUE(store_.listen("127.0.0.1:28684", "127.0.0.1:28685"));
         EXPECT_TRUE(server_.listen("127.0.0.1:28686"));
         store_.put("op", "config", catalogue);
-        store_.put("servers", "i-1",
-                   R"({"Service":"desk","Address":"127.0.0.1:28686","Zone":"a","Slots":400,"Phase":"ready",)"
-                   R"("WarmupLeftMs":0,"born":1})");
+        store_.put(
+            "servers", "i-1",
+            R"({"Service":"desk","Address":"127.0.0.1:28686","Zone":"a","Slots":400,"Phase":"ready","Version":"v1","Sequence":1,)"
+            R"("WarmupLeftMs":0,"born":1})");
         daemon_ = std::make_unique<DaemonProcess>(DAEMON, settings);
         port_ = 28680;
         address_ = "127.0.0.1:28680";
