Destroy ended connections with their HTTP server

The loop outlives the gateway, so the connection gave its memory back to an account that was gone (heap-use-after-free in ~MemoryHold). Other tasks named their connection or server by address.

The server owns its ended connections now, and tasks hold weak references.

--- a/modules/hornbeamlane_network/http1/Http1Server.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Server.cpp
@@ -153,7 +153,7 @@
 
 void Http1Server::Implementation::accept(evutil_socket_t socket)
 {
-    auto connection = std::make_unique<Http1ServerConnection>(*this, socket);
+    auto connection = std::make_shared<Http1ServerConnection>(*this, socket);
     auto *key = connection.get();
     connections.emplace(key, std::move(connection));
     updateAccepting();
@@ -165,10 +165,14 @@
     if (found == connections.end()) {
         return;
     }
-    // Destroyed on the next turn, because the connection itself may be calling.
-    const std::shared_ptr<Http1ServerConnection> ended = std::move(found->second);
+    // Owned by the server and not by the task, since the loop may outlive the server and its account of memory.
+    ended.push_back(std::move(found->second));
     connections.erase(found);
-    loop.post([ended] {});
+    loop.post([weak = weak_from_this()] {
+        if (const auto server = weak.lock()) {
+            server->ended.clear();
+        }
+    });
     updateAccepting();
 }
 
@@ -190,7 +194,7 @@
 }
 
 Http1Server::Http1Server(EventLoop &loop, Options options, Handler handler)
-    : implementation_(std::make_unique<Implementation>(loop, std::move(options), std::move(handler)))
+    : implementation_(std::make_shared<Implementation>(loop, std::move(options), std::move(handler)))
 {
 }
 
--- a/modules/hornbeamlane_network/http1/Http1Server.h
+++ b/modules/hornbeamlane_network/http1/Http1Server.h
@@ -114,7 +114,7 @@
     struct Implementation;
 
 private:
-    std::unique_ptr<Implementation> implementation_;
+    std::shared_ptr<Implementation> implementation_;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
@@ -112,7 +112,22 @@
     if (bufferedBytes() > 0) {
         resetOnClose(bufferevent_getfd(stream_));
     }
-    server_.loop.post([&server = server_, this] { server.remove(this); });
+    callLater(&Http1ServerConnection::remove);
+}
+
+void Http1ServerConnection::callLater(void (Http1ServerConnection::*function)())
+{
+    server_.loop.post([weak = weak_from_this(), function] {
+        const auto connection = weak.lock();
+        if (connection != nullptr && connection->server_.connections.contains(connection.get())) {
+            (*connection.*function)();
+        }
+    });
+}
+
+void Http1ServerConnection::remove()
+{
+    server_.remove(this);
 }
 
 Http1ServerConnection::~Http1ServerConnection()
@@ -174,11 +189,7 @@
     awaitRequest();
     // Bytes of the next request may already be there; a task of its own keeps the stack flat.
     if (evbuffer_get_length(bufferevent_get_input(stream_)) > 0) {
-        server_.loop.post([&server = server_, this] {
-            if (server.connections.contains(this)) {
-                readInput();
-            }
-        });
+        callLater(&Http1ServerConnection::readInput);
     }
 }
 
--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.h
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.h
@@ -3,8 +3,10 @@
 #include "hornbeamlane_network/http1/Http1Server.h"
 #include "hornbeamlane_network/loop/Timer.h"
 
+#include <memory>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include <event2/util.h>
 
@@ -27,7 +29,7 @@
 };
 
 /** What the connections share. */
-struct Http1Server::Implementation
+struct Http1Server::Implementation : std::enable_shared_from_this<Implementation>
 {
     Implementation(EventLoop &eventLoop, Options serverOptions, Handler requestHandler);
 
@@ -38,10 +40,12 @@
     MemoryAccount unlimited;
     Timer retryTimer;
     evconnlistener *listener = nullptr;
-    std::unordered_map<Http1ServerConnection *, std::unique_ptr<Http1ServerConnection>> connections;
     bool isClosing = false;
     bool isAccepting = true;
     std::size_t openExchanges = 0;
+    std::unordered_map<Http1ServerConnection *, std::shared_ptr<Http1ServerConnection>> connections;
+    /** Removed connections; destroyed on the next turn, because they may be calling. */
+    std::vector<std::shared_ptr<Http1ServerConnection>> ended;
 
     MemoryAccount &memory()
     {
@@ -54,7 +58,7 @@
 };
 
 /** One connection of a caller: reads its requests one after the other and writes the answers. */
-class Http1ServerConnection final
+class Http1ServerConnection final : public std::enable_shared_from_this<Http1ServerConnection>
 {
 public:
     Http1ServerConnection(Http1Server::Implementation &server, evutil_socket_t socket);
@@ -119,6 +123,9 @@
     void handleOutput(std::size_t takenBytes);
     /** The account needs the memory or the descriptor. */
     void giveWay();
+    /** Calls the function on the next turn, unless the connection has been removed by then. */
+    void callLater(void (Http1ServerConnection::*function)());
+    void remove();
     bool updateHold();
     TimePoint now() const;
 
--- /dev/null
+++ b/tests/network/Http1ServerTest.cpp
@@ -0,0 +1,41 @@
+#include "hornbeamlane_network/http1/Http1Server.h"
+#include "hornbeamlane_network/http1/Http1ClientConnection.h"
+#include "hornbeamlane_network/loop/Timer.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+namespace hornbeamlane {
+namespace {
+
+// Guards against ended connections that outlive their server and release memory of an account that is gone.
+TEST(Http1ServerTest, DestroysEndedConnectionsWithTheServer)
+{
+    EventLoop loop;
+    auto account = std::make_unique<MemoryAccount>();
+    auto server = std::make_unique<Http1Server>(
+        loop, Http1Server::Options{.limits = [] { return Http1Server::Limits(); }, .memory = account.get()},
+        [&](const auto &exchange) {
+            exchange->abort();
+            // The connection has ended, and the task that destroys it has not run.
+            loop.stop();
+        });
+    ASSERT_TRUE(server->listen("127.0.0.1:0"));
+    Http1ClientConnection caller(loop, {.address = "127.0.0.1:" + std::to_string(server->port())});
+    caller.call({.method = "GET", .target = "/", .headers = {{"Host", "h"}}, .body = {}},
+                {.head = [](const auto &) { return true; }, .data = [](auto) {}, .end = [](auto) {}});
+    Timer limit(loop, [&] { loop.stop(); });
+    limit.startOnce(std::chrono::seconds(5));
+    loop.run();
+
+    EXPECT_EQ(server->connectionCount(), 0U);
+    EXPECT_GT(account->heldBytes(), 0U) << "the connection must still wait for its destruction";
+    server.reset();
+    EXPECT_EQ(account->heldBytes(), 0U);
+    account.reset();
+}
+
+} // namespace
+} // namespace hornbeamlane
