Keep a trial at a silent server from holding up all other suspects

CrashingPartTest.ServesSoundRequestsAfterCrashesWithoutACause was red in about one of ten runs. The trial of a suspect was sent to a server that neither answered nor crashed, and kept its claim until its deadline; requests that were at a server already could even get the claim, and are never sent again. All others were refused after 600 ms.

A trial that is unanswered after 250 ms no longer keeps others from being tried, and requests that have been sent no longer ask for the claim.

--- a/modules/hornbeamlane_entry/Entry.cpp
+++ b/modules/hornbeamlane_entry/Entry.cpp
@@ -345,7 +345,7 @@
                   {"server", target.server.name()}});
         metrics_.onDecision("server_choice", target.server.name());
         routing_.onDispatched({.server = target.server, .incarnation = target.incarnation}, dispatch, loop_.now());
-        routing_.crashes().onDispatched(dispatch.attempt, request, target.incarnation);
+        routing_.crashes().onDispatched(dispatch.attempt, request, target.incarnation, loop_.now());
     };
     hooks.ended = [this](const RequestFlow::Target &target, const Dispatch &dispatch, bool isAnswered) {
         routing_.onEnded({.server = target.server, .incarnation = target.incarnation}, dispatch, isAnswered,
@@ -353,7 +353,7 @@
         if (isAnswered) {
             routing_.crashes().onAnswerBegun(dispatch.attempt, loop_.now());
         }
-        routing_.crashes().onEnded(dispatch.attempt);
+        routing_.crashes().onEnded(dispatch.attempt, loop_.now());
     };
     hooks.engineLost = [this](const RequestFlow::Target &target, std::uint64_t engineLoss) {
         routing_.crashes().onEngineLost(target.incarnation, engineLoss, loop_.now());
@@ -444,7 +444,7 @@
     }
     // The flow may be in the middle of its own callback, so it is destroyed on the next turn.
     loop_.post([this, flow] {
-        routing_.crashes().onRequestEnded(RequestNumber(flow));
+        routing_.crashes().onRequestEnded(RequestNumber(flow), loop_.now());
         flows_.erase(flow);
         std::erase_if(flowOfAttempt_, [flow](const auto &entry) { return entry.second == flow; });
         reportIfIdle();
--- a/modules/hornbeamlane_entry/PromptPartGuard.cpp
+++ b/modules/hornbeamlane_entry/PromptPartGuard.cpp
@@ -36,10 +36,10 @@
     case CrashEvidence::Verdict::Suspect:
         break;
     }
-    const auto claimsBefore = trials_.ownClaims().size();
+    const auto claimsBefore = trials_.ownClaims(now).size();
     const bool mayRun = trials_.mayRun(request.number, evidence_.suspectsAmong(request.traits, now), now);
-    if (trials_.ownClaims().size() != claimsBefore) {
-        tellClaims();
+    if (trials_.ownClaims(now).size() != claimsBefore) {
+        tellClaims(now);
     }
     return mayRun ? Decision::Send : Decision::Wait;
 }
@@ -60,14 +60,15 @@
             .detail = "requests with the same part of a prompt have crashed servers"};
 }
 
-void PromptPartGuard::onDispatched(const AttemptId &attempt, const CallerRequest &request, Incarnation agent)
+void PromptPartGuard::onDispatched(const AttemptId &attempt, const CallerRequest &request, Incarnation agent,
+                                   TimePoint now)
 {
     if (request.dispatch.kind != WorkKind::Model) {
         return;
     }
     attempts_[attempt] = {.request = request.number, .traits = request.traits, .agent = agent};
-    if (trials_.onSent(request.number)) {
-        tellClaims();
+    if (trials_.onSent(request.number, now)) {
+        tellClaims(now);
     }
 }
 
@@ -90,26 +91,26 @@
         tellCrashes(cleared, now);
     }
     if (trials_.release(found->second.request)) {
-        tellClaims();
+        tellClaims(now);
     }
 }
 
-void PromptPartGuard::onEnded(const AttemptId &attempt)
+void PromptPartGuard::onEnded(const AttemptId &attempt, TimePoint now)
 {
     const auto found = attempts_.find(attempt);
     if (found == attempts_.end()) {
         return;
     }
     if (trials_.release(found->second.request)) {
-        tellClaims();
+        tellClaims(now);
     }
     attempts_.erase(found);
 }
 
-void PromptPartGuard::onRequestEnded(RequestNumber request)
+void PromptPartGuard::onRequestEnded(RequestNumber request, TimePoint now)
 {
     if (trials_.release(request)) {
-        tellClaims();
+        tellClaims(now);
     }
 }
 
@@ -143,9 +144,11 @@
     tellPeers_(update);
 }
 
-void PromptPartGuard::tellClaims()
+void PromptPartGuard::tellClaims(TimePoint now)
 {
-    tellPeers_(TrialUpdate{.sender = self_, .sequence = ++sequence_, .claims = trials_.ownClaims()});
+    auto claims = trials_.ownClaims(now);
+    hasToldClaims_ = !claims.empty();
+    tellPeers_(TrialUpdate{.sender = self_, .sequence = ++sequence_, .claims = std::move(claims)});
 }
 
 void PromptPartGuard::merge(const CrashUpdate &update, TimePoint now)
@@ -173,7 +176,7 @@
     }
     newest = update.sequence;
     if (trials_.onClaims(update.sender, update.claims, now)) {
-        tellClaims();
+        tellClaims(now);
     }
 }
 
@@ -190,8 +193,10 @@
 {
     evidence_.expire(now);
     trials_.expire(now);
-    if (!trials_.ownClaims().empty()) {
-        tellClaims();
+    // Told once more when the last claim has ended by its time.
+    const bool hasClaims = !trials_.ownClaims(now).empty();
+    if (hasClaims || hasToldClaims_) {
+        tellClaims(now);
     }
 }
 
--- a/modules/hornbeamlane_entry/PromptPartGuard.h
+++ b/modules/hornbeamlane_entry/PromptPartGuard.h
@@ -32,7 +32,7 @@
     /** Only after Decision::Refuse. */
     Refusal refusal(const CallerRequest &request, TimePoint now);
 
-    void onDispatched(const AttemptId &attempt, const CallerRequest &request, Incarnation agent);
+    void onDispatched(const AttemptId &attempt, const CallerRequest &request, Incarnation agent, TimePoint now);
 
     /** The head of an answer has come. */
     void onHead(const AttemptId &attempt, int status);
@@ -40,10 +40,10 @@
     /** A part of an answer's body has come, so its server lives. */
     void onAnswerBegun(const AttemptId &attempt, TimePoint now);
 
-    void onEnded(const AttemptId &attempt);
+    void onEnded(const AttemptId &attempt, TimePoint now);
 
     /** The request is over, whatever has become of it. */
-    void onRequestEnded(RequestNumber request);
+    void onRequestEnded(RequestNumber request, TimePoint now);
 
     /** The agent's engine broke off what it ran, so it may have crashed; loss 0 stands for the end of the agent itself.
      */
@@ -71,7 +71,7 @@
     };
 
     void tellCrashes(const std::vector<CrashId> &ids, TimePoint now);
-    void tellClaims();
+    void tellClaims(TimePoint now);
 
     Incarnation self_;
     std::function<void(const Message &)> tellPeers_;
@@ -79,6 +79,8 @@
     SuspectTrials trials_;
     std::unordered_map<AttemptId, Attempt> attempts_;
     std::uint64_t sequence_ = 0;
+    /** Whether the last message to the peers held claims. */
+    bool hasToldClaims_ = false;
     std::unordered_map<Incarnation, std::uint64_t> sequences_;
 };
 
--- a/modules/hornbeamlane_gateway/crashes/CrashExchange.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashExchange.cpp
@@ -49,7 +49,7 @@
 
 void CrashExchange::tellClaims()
 {
-    const auto claims = trials_.ownClaims();
+    const auto claims = trials_.ownClaims(loop_.now());
     hooks_.sendToAll(
         encodeMessage(TrialUpdate{.sender = options_.incarnation, .sequence = ++sequence_, .claims = claims}));
     if (!claims.empty()) {
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.cpp
@@ -60,14 +60,19 @@
     case CrashEvidence::Verdict::Suspect:
         break;
     }
-    const auto claimsBefore = trials_.ownClaims().size();
+    const auto claimsBefore = trials_.ownClaims(now).size();
     const bool mayRun = trials_.mayRun(request, evidence_.suspectsAmong(traits, now), now);
-    if (trials_.ownClaims().size() != claimsBefore) {
+    if (trials_.ownClaims(now).size() != claimsBefore) {
         exchange_.tellClaims();
     }
     return mayRun ? Decision::Send : Decision::Wait;
 }
 
+bool CrashGuard::isQuarantined(const RequestTraits &traits)
+{
+    return evidence_.judge(traits, loop_.now()) == CrashEvidence::Verdict::Quarantined;
+}
+
 bool CrashGuard::mustLearn(TimePoint now)
 {
     if (hasLearned_) {
@@ -120,7 +125,7 @@
 
 void CrashGuard::onSent(RequestNumber request, const ServerId &server)
 {
-    if (!trials_.onSent(request)) {
+    if (!trials_.onSent(request, loop_.now())) {
         return;
     }
     running_[request] = server;
--- a/modules/hornbeamlane_gateway/crashes/CrashGuard.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashGuard.h
@@ -48,8 +48,12 @@
     CrashGuard(EventLoop &loop, RandomSource &random, MetricsRegistry &metrics, const BackendBook &servers,
                Options options, Hooks hooks);
 
+    /** Whether the request may be sent now; may make it the one that is tried. */
     Decision decide(RequestNumber request, const RequestTraits &traits);
 
+    /** Whether requests like it are known to crash servers; unlike decide() also for one that has been sent. */
+    bool isQuarantined(const RequestTraits &traits);
+
     /** Whether requests wait because this entry has just started. */
     bool isLearning() const
     {
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -118,8 +118,9 @@
         dispatch(true);
         return;
     }
-    // What has been sent and not begun can still be spared the server.
-    if (send_ && send_->isUnanswered() && gateway_.crashes_.decide(number_, traits_) == CrashGuard::Decision::Refuse) {
+    // What has been sent and not begun can still be spared the server. It must not become the one that is tried: a claim
+    // of a request that is not sent again would keep all others waiting.
+    if (send_ && send_->isUnanswered() && gateway_.crashes_.isQuarantined(traits_)) {
         ++runs_;
         endSend(BackendOutcome::Cancelled);
         refuseAsQuarantined();
--- a/modules/hornbeamlane_routing/crashes/SuspectTrials.cpp
+++ b/modules/hornbeamlane_routing/crashes/SuspectTrials.cpp
@@ -19,27 +19,27 @@
 {
     const auto own = own_.find(request);
     if (own != own_.end() && own->second.traits == suspects) {
-        return own->second.isRunning || now - own->second.claimedAt >= options_.claimWait;
+        return own->second.sentAt || now - own->second.claimedAt >= options_.claimWait;
     }
     if (own != own_.end()) {
         // What is suspect has changed while the request waited.
         own_.erase(own);
     }
     const bool isTaken =
-        std::any_of(suspects.begin(), suspects.end(), [this](TraitHash trait) { return isClaimed(trait); });
+        std::any_of(suspects.begin(), suspects.end(), [&](TraitHash trait) { return isClaimed(trait, now); });
     if (!isTaken) {
         own_.emplace(request, OwnTrial{.traits = suspects, .claimedAt = now});
     }
     return false;
 }
 
-bool SuspectTrials::onSent(RequestNumber request)
+bool SuspectTrials::onSent(RequestNumber request, TimePoint now)
 {
     const auto own = own_.find(request);
     if (own == own_.end()) {
         return false;
     }
-    own->second.isRunning = true;
+    own->second.sentAt = now;
     return true;
 }
 
@@ -48,10 +48,16 @@
     return own_.erase(request) > 0;
 }
 
-bool SuspectTrials::isClaimed(TraitHash trait) const
+bool SuspectTrials::isOverdue(const OwnTrial &trial, TimePoint now) const
 {
-    const bool isOwn = std::any_of(own_.begin(), own_.end(),
-                                   [trait](const auto &entry) { return containsTrait(entry.second.traits, trait); });
+    return trial.sentAt && now - *trial.sentAt >= options_.trialTime;
+}
+
+bool SuspectTrials::isClaimed(TraitHash trait, TimePoint now) const
+{
+    const bool isOwn = std::any_of(own_.begin(), own_.end(), [&](const auto &entry) {
+        return !isOverdue(entry.second, now) && containsTrait(entry.second.traits, trait);
+    });
     const bool isPeers = std::any_of(peers_.begin(), peers_.end(), [trait](const auto &entry) {
         const auto &claims = entry.second.claims;
         return std::any_of(claims.begin(), claims.end(),
@@ -62,7 +68,7 @@
 
 bool SuspectTrials::givesWay(const OwnTrial &own, Incarnation peer, const std::vector<TrialClaim> &claims) const
 {
-    return !own.isRunning && std::any_of(claims.begin(), claims.end(), [&](const TrialClaim &claim) {
+    return !own.sentAt && std::any_of(claims.begin(), claims.end(), [&](const TrialClaim &claim) {
         return containsTrait(own.traits, claim.trait) && (claim.isRunning || peer < self_);
     });
 }
@@ -82,12 +88,15 @@
     std::erase_if(peers_, [&](const auto &entry) { return now - entry.second.heardAt >= options_.silence; });
 }
 
-std::vector<TrialClaim> SuspectTrials::ownClaims() const
+std::vector<TrialClaim> SuspectTrials::ownClaims(TimePoint now) const
 {
     std::vector<TrialClaim> claims;
     for (const auto &[request, trial] : own_) {
+        if (isOverdue(trial, now)) {
+            continue;
+        }
         for (const auto trait : trial.traits) {
-            claims.push_back({.trait = trait, .isRunning = trial.isRunning});
+            claims.push_back({.trait = trait, .isRunning = trial.sentAt.has_value()});
         }
     }
     return claims;
--- a/modules/hornbeamlane_routing/crashes/SuspectTrials.h
+++ b/modules/hornbeamlane_routing/crashes/SuspectTrials.h
@@ -3,6 +3,7 @@
 #include "hornbeamlane_routing/crashes/RequestTraits.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace hornbeamlane {
@@ -26,6 +27,9 @@
         std::chrono::milliseconds claimWait{60};
         /** Claims of an entry that has told nothing for this time are void. */
         std::chrono::milliseconds silence{1500};
+        /** Time after which a request that is still unanswered keeps no other from being tried: its server is slow or
+            silent. Well above the target for a first event of 150 ms. */
+        std::chrono::milliseconds trialTime{250};
     };
 
     explicit SuspectTrials(Incarnation self);
@@ -35,7 +39,7 @@
     bool mayRun(RequestNumber request, const std::vector<TraitHash> &suspects, TimePoint now);
 
     /** The request goes to a server now; true if it is a trial. */
-    bool onSent(RequestNumber request);
+    bool onSent(RequestNumber request, TimePoint now);
 
     bool hasClaim(RequestNumber request) const
     {
@@ -51,14 +55,16 @@
     /** Drops the claims of entries that have fallen silent. */
     void expire(TimePoint now);
 
-    std::vector<TrialClaim> ownClaims() const;
+    /** What other entries have to know; without the claims of trials that have run for too long. */
+    std::vector<TrialClaim> ownClaims(TimePoint now) const;
 
 private:
     struct OwnTrial
     {
         std::vector<TraitHash> traits;
         TimePoint claimedAt;
-        bool isRunning = false;
+        /** Empty before the request is sent. */
+        std::optional<TimePoint> sentAt;
     };
 
     struct PeerClaims
@@ -67,7 +73,8 @@
         TimePoint heardAt;
     };
 
-    bool isClaimed(TraitHash trait) const;
+    bool isClaimed(TraitHash trait, TimePoint now) const;
+    bool isOverdue(const OwnTrial &trial, TimePoint now) const;
     bool givesWay(const OwnTrial &own, Incarnation peer, const std::vector<TrialClaim> &claims) const;
 
     Incarnation self_;
--- a/tests/gateway/CrashingPartTest.cpp
+++ b/tests/gateway/CrashingPartTest.cpp
@@ -184,6 +184,32 @@
     EXPECT_GE(servedOf(sound), 28);
 }
 
+// Guards against a suspect that is tried at a silent server: until the deadline of the trial all other requests with
+// its parts were refused.
+TEST(CrashingPartTest, ServesSoundRequestsBesideATrialThatIsNotAnswered)
+{
+    GatewayWorld world({.entries = 3, .servers = 6});
+    world.silentParts = {"a:40,c:8,x:1"};
+    world.runFor(std::chrono::milliseconds(100));
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        for (int i = 0; i < 4; ++i) {
+            world.send(entry, "a:40,c:8,x:1");
+        }
+    }
+    world.runFor(std::chrono::milliseconds(20));
+    world.crashServer(0);
+    // The trial is sent within this time; its server does not answer it.
+    world.runFor(std::chrono::milliseconds(150));
+    world.silentParts.clear();
+    std::vector<std::shared_ptr<CallerAnswer>> sound;
+    for (int round = 0; round < 30; ++round) {
+        sound.push_back(world.send(round % 3, "a:40,c:8," + uniquePart(round)));
+        world.runFor(std::chrono::milliseconds(20));
+    }
+    world.runFor(std::chrono::milliseconds(700));
+    EXPECT_GE(servedOf(sound), 28);
+}
+
 // Guards against requests without a prompt that crash server after server: no two of them are alike, and all they share
 // is the caller's team and the route. Requests of other teams are served meanwhile.
 TEST(CrashingPartTest, StopsLookupsOfOneTeamThatCrashServers)
--- a/tests/path/PromptPartGuardTest.cpp
+++ b/tests/path/PromptPartGuardTest.cpp
@@ -27,9 +27,9 @@
     void lose(std::uint64_t number, std::uint64_t loss, TimePoint at)
     {
         const AttemptId attempt{.entry = Incarnation(1), .sequence = number};
-        guard_.onDispatched(attempt, request(number), Incarnation(number));
+        guard_.onDispatched(attempt, request(number), Incarnation(number), at);
         guard_.onEngineLost(Incarnation(number), loss, at);
-        guard_.onEnded(attempt);
+        guard_.onEnded(attempt, at);
     }
 
     PromptPartGuard guard_{Incarnation(1), [](const Message &) {}};
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -631,12 +631,12 @@
 {
     EXPECT_FALSE(low_.mayRun(RequestNumber(1), suspects_, start));
     EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start));
-    EXPECT_FALSE(low_.onClaims(Incarnation(2), high_.ownClaims(), start));
-    EXPECT_TRUE(high_.onClaims(Incarnation(1), low_.ownClaims(), start));
+    EXPECT_FALSE(low_.onClaims(Incarnation(2), high_.ownClaims(start), start));
+    EXPECT_TRUE(high_.onClaims(Incarnation(1), low_.ownClaims(start), start));
     EXPECT_TRUE(low_.mayRun(RequestNumber(1), suspects_, start + wait));
     EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + wait));
     low_.release(RequestNumber(1));
-    high_.onClaims(Incarnation(1), low_.ownClaims(), start + wait);
+    high_.onClaims(Incarnation(1), low_.ownClaims(start + wait), start + wait);
     EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + wait));
     EXPECT_TRUE(high_.mayRun(RequestNumber(1), suspects_, start + 2 * wait));
 }
@@ -646,10 +646,10 @@
 {
     high_.mayRun(RequestNumber(1), suspects_, start);
     EXPECT_TRUE(high_.mayRun(RequestNumber(1), suspects_, start + wait));
-    EXPECT_TRUE(high_.onSent(RequestNumber(1)));
+    EXPECT_TRUE(high_.onSent(RequestNumber(1), start + wait));
     low_.mayRun(RequestNumber(1), suspects_, start + wait);
-    EXPECT_FALSE(high_.onClaims(Incarnation(1), low_.ownClaims(), start + wait));
-    EXPECT_TRUE(low_.onClaims(Incarnation(2), high_.ownClaims(), start + wait));
+    EXPECT_FALSE(high_.onClaims(Incarnation(1), low_.ownClaims(start + wait), start + wait));
+    EXPECT_TRUE(low_.onClaims(Incarnation(2), high_.ownClaims(start + wait), start + wait));
 }
 
 // Guards against two requests of one entry with the same suspect, and against a suspect that nobody tries any more
@@ -659,13 +659,32 @@
     low_.mayRun(RequestNumber(1), suspects_, start);
     EXPECT_FALSE(low_.mayRun(RequestNumber(2), suspects_, start));
     EXPECT_FALSE(low_.mayRun(RequestNumber(2), suspects_, start + wait));
-    EXPECT_EQ(low_.ownClaims().size(), 1U);
-    high_.onClaims(Incarnation(1), low_.ownClaims(), start);
+    EXPECT_EQ(low_.ownClaims(start).size(), 1U);
+    high_.onClaims(Incarnation(1), low_.ownClaims(start), start);
     EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + wait));
     high_.expire(start + std::chrono::seconds(2));
     EXPECT_FALSE(high_.mayRun(RequestNumber(1), suspects_, start + std::chrono::seconds(2)));
     EXPECT_TRUE(high_.mayRun(RequestNumber(1), suspects_, start + std::chrono::seconds(2) + wait));
 }
 
+// Guards against a trial at a silent server that keeps all other requests with its traits waiting until its deadline.
+TEST_F(SuspectTrialsTest, LetsTheNextRequestRunBesideAnUnansweredTrial)
+{
+    constexpr std::chrono::milliseconds trialTime{250};
+    low_.mayRun(RequestNumber(1), suspects_, start);
+    const auto sent = start + wait;
+    ASSERT_TRUE(low_.mayRun(RequestNumber(1), suspects_, sent));
+    ASSERT_TRUE(low_.onSent(RequestNumber(1), sent));
+    const auto before = sent + trialTime - std::chrono::milliseconds(1);
+    EXPECT_FALSE(low_.mayRun(RequestNumber(2), suspects_, before));
+    EXPECT_EQ(low_.ownClaims(before).size(), 1U);
+    const auto after = sent + trialTime;
+    EXPECT_TRUE(low_.ownClaims(after).empty());
+    EXPECT_FALSE(low_.mayRun(RequestNumber(2), suspects_, after));
+    EXPECT_FALSE(low_.mayRun(RequestNumber(3), suspects_, after + wait)) << "one request at a time";
+    EXPECT_TRUE(low_.mayRun(RequestNumber(2), suspects_, after + wait));
+    EXPECT_TRUE(low_.hasClaim(RequestNumber(1))) << "its server is still avoided by other trials";
+}
+
 } // namespace
 } // namespace hornbeamlane
