Split the sendings of a forwarded request from the request

BackendExchange now has the side towards servers: it sends the request, reads and judges the answer, and tells through hooks what became of it.

--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -71,6 +71,7 @@
     std::optional<EngineModel> engineOf(const ServiceId &service) const;
 
 private:
+    friend class BackendExchange;
     friend class ForwardedRequest;
 
     void handle(const std::shared_ptr<Http1Exchange> &exchange);
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -118,23 +118,18 @@
         dispatch(true);
         return;
     }
-    // What has been sent and not begun can still be spared the server. It must not become the one that is tried: a claim
-    // of a request that is not sent again would keep all others waiting.
-    if (send_ && send_->isUnanswered() && gateway_.crashes_.isQuarantined(traits_)) {
+    // What has been sent and not begun can still be spared the server. It must not become the one that is tried: a
+    // claim of a request that is not sent again would keep all others waiting.
+    if (backend_ && backend_->isUnanswered() && gateway_.crashes_.isQuarantined(traits_)) {
         ++runs_;
-        endSend(BackendOutcome::Cancelled);
+        backend_->cancel();
         refuseAsQuarantined();
     }
 }
 
 std::optional<LostRequest> ForwardedRequest::unansweredAt(const ServerId &server) const
 {
-    if (!send_ || send_->start.server != server || !send_->isUnanswered()) {
-        return std::nullopt;
-    }
-    return LostRequest{.candidate = {.traits = traits_, .hadHead = send_->head.has_value()},
-                       .sentAt = send_->startedAt,
-                       .lostAt = now()};
+    return backend_ ? backend_->unansweredAt(server) : std::nullopt;
 }
 
 bool ForwardedRequest::admit()
@@ -167,6 +162,11 @@
     if (const auto *position = request.header(names.lastEventId)) {
         answers_.events().setLastEventId(*position);
     }
+    backend_.emplace(
+        gateway_, exchange_, answers_,
+        BackendExchange::Options{
+            .number = number_, .attemptId = attemptId_, .route = route_, .service = service_, .traits = traits_},
+        backendHooks());
     return true;
 }
 
@@ -324,169 +324,25 @@
 
 void ForwardedRequest::send(const ServerId &server)
 {
-    const auto *backend = gateway_.backends_.find(server);
-    const auto &request = exchange_->request();
-    auto &sending = send_.emplace();
-    sending.start = {.server = server, .incarnation = backend->spec.incarnation, .address = backend->spec.address};
-    sending.groupEpoch = gateway_.backends_.groupEpochOf(server);
-    sending.paceUnit = backend->paceUnit;
-    sending.startedAt = now();
-    sending.connection = gateway_.pool_.acquire(server, sending.start.address);
-    sending.isKept = sending.connection->isReusable();
     tried_.push_back(server);
     ++sends_;
     holdsUntil_.reset();
-    gateway_.crashes_.onSent(number_, server);
-    gateway_.backends_.onSent(server, sending.startedAt);
-    sending.inFlightAtStart = backend->inFlight();
-    gateway_.rateLimits_.onSent(sending.start, sends_ > 1);
-    gateway_.queues_.of(service_).starts.count(sending.startedAt);
-    gateway_.peers_.markChanged();
-    // The request outlives the connection, which it owns; the callbacks end with the connection. A reference held by
-    // them would keep both for good when the gateway ends with requests running.
-    sending.connection->call(
-        {.method = request.method, .target = request.target, .headers = requestHeaders(server), .body = request.body},
-        {.head = [this](const Http1ResponseHead &head) { return handleHead(head); },
-         .data = [this](std::string_view bytes) { handleData(bytes); },
-         .end = [this](Http1CallEnd end) { handleEnd(end); }});
-}
-
-bool ForwardedRequest::handleHead(const Http1ResponseHead &head)
-{
-    const auto &names = gateway_.settings_.headers;
-    const auto *echoed = head.header(names.attemptId);
-    if (echoed != nullptr && *echoed != attemptId_) {
-        logEvent(LogLevel::Warning, "answer_of_other_request",
-                 {{"id", attemptId_}, {"server", send_->start.server.name()}, {"answered", *echoed}});
-        return false;
-    }
-    if (const auto left = parseMilliseconds(head.header(names.warmup))) {
-        gateway_.backends_.onWarmup(send_->start.server, *left, now());
-    }
-    gateway_.crashes_.onServerAnswered(send_->start, send_->startedAt,
-                                       head.status == statusMisdirected && isOwnAnswer(head));
-    if (head.status != statusMisdirected && isOwnAnswer(head)) {
-        gateway_.notices_.onAnswer(attemptId_, send_->start, head);
-    }
-    gateway_.rateLimits_.onAnswer(attemptId_, send_->start, send_->startedAt, head);
-    send_->head = head;
-    send_->isStreamed = route_->kind == RequestKind::Stream && head.status == 200 && isValidSuccess(head, names)
-        && answers_.mayGoOnWith(head);
-    if (firstByteAt_ == TimePoint{}) {
-        firstByteAt_ = now();
-    }
-    return true;
+    backend_->send(server, requestHeaders(server), sends_ > 1);
 }
 
-void ForwardedRequest::handleData(std::string_view bytes)
+BackendExchange::Hooks ForwardedRequest::backendHooks()
 {
-    const auto progress = send_->isStreamed ? answers_.passEvents(*send_, bytes) : answers_.collect(*send_, bytes);
-    switch (progress) {
-    case AnswerRelay::Progress::None:
-        return;
-    case AnswerRelay::Progress::TooLarge:
-        failAsTooLarge();
-        return;
-    case AnswerRelay::Progress::Passed:
-        noteEvents();
-        return;
-    }
-}
-
-void ForwardedRequest::failAsTooLarge()
-{
-    logEvent(LogLevel::Warning, "answer_too_large",
-             {{"id", attemptId_},
-              {"server", send_->start.server.name()},
-              {"bytes", std::to_string(answers_.waitingBytes(*send_))},
-              {"of_all_requests", std::to_string(gateway_.collectedBytes_)}});
-    ++runs_;
-    endSend(BackendOutcome::Failed);
-    retryOrRefuse(GatewayRefusal::ServerFailed);
+    return {.mayHaveRun = [this] { ++runs_; },
+            .failed = [this](GatewayRefusal reason) { retryOrRefuse(reason); },
+            .brokenOff = [this](const ServerStart &start,
+                                const LostRequest &request) { retryUnlessCrashed(start, request); },
+            .served = [this](const std::string &outcome) { finish(outcome); },
+            .unusable = [this] { refuse(GatewayRefusal::ServerFailed); }};
 }
 
-void ForwardedRequest::noteEvents()
+void ForwardedRequest::retryUnlessCrashed(const ServerStart &start, const LostRequest &request)
 {
-    notePace();
-    if (gateway_.backends_.onProgress(send_->start.server)) {
-        gateway_.groupHasFormed(send_->start.server);
-    }
-    if (!answers_.isCallerSlow()) {
-        return;
-    }
-    send_->connection->pauseReading();
-    exchange_->onDrained([weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (self && self->send_) {
-            self->send_->connection->resumeReading();
-        }
-    });
-}
-
-void ForwardedRequest::notePace()
-{
-    const auto time = now();
-    auto &queues = gateway_.queues_;
-    if (send_->lastEventAt == TimePoint{}) {
-        queues.onFirstEvent(service_, time - send_->startedAt);
-        gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
-    } else {
-        longestPause_ = std::max(longestPause_, time - send_->lastEventAt);
-        queues.paces().onPause(send_->paceUnit, time - send_->lastEventAt, route_->pauseTarget, time);
-    }
-    send_->lastEventAt = time;
-}
-
-void ForwardedRequest::reportFailedSend(Http1CallEnd end) const
-{
-    const auto *backend = gateway_.backends_.find(send_->start.server);
-    logFailedSend(*send_,
-                  {.attemptId = attemptId_,
-                   .end = end,
-                   .events = answers_.events().completeEvents(),
-                   .sinceSent = now() - send_->startedAt,
-                   .inFlight = backend == nullptr ? std::nullopt : std::optional(backend->inFlight()),
-                   .parts = exchange_->request().header(gateway_.settings_.headers.promptParts),
-                   .traits = traits_});
-    gateway_.metrics_.addToCounter("sends_failed_total", {{"reason", std::string(toString(end))}});
-}
-
-void ForwardedRequest::handleEnd(Http1CallEnd end)
-{
-    if (end != Http1CallEnd::Complete) {
-        reportFailedSend(end);
-    }
-    switch (end) {
-    case Http1CallEnd::Complete:
-        handleCompleteAnswer();
-        return;
-    case Http1CallEnd::NotSent:
-        handleUnreachable();
-        return;
-    case Http1CallEnd::BrokenOff:
-        handleBrokenOff();
-        return;
-    case Http1CallEnd::BadResponse:
-        ++runs_;
-        endSend(BackendOutcome::Failed);
-        retryOrRefuse(GatewayRefusal::ServerFailed);
-        return;
-    }
-}
-
-void ForwardedRequest::handleBrokenOff()
-{
-    ++runs_;
-    const auto start = send_->start;
-    const auto unanswered = unansweredAt(start.server);
-    const bool wasStale = send_->wasStale(now());
-    endSend(BackendOutcome::Failed);
-    if (!unanswered || wasStale) {
-        retryOrRefuse(GatewayRefusal::ServerFailed);
-        return;
-    }
-    // Whether the server has crashed decides whether another one may be tried.
-    gateway_.crashes_.detector().onBrokenOff(start, *unanswered, [weak = weak_from_this()] {
+    gateway_.crashes_.detector().onBrokenOff(start, request, [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && !self->isFinished_) {
             self->retryOrRefuse(GatewayRefusal::ServerFailed);
@@ -494,138 +350,6 @@
     });
 }
 
-void ForwardedRequest::handleUnreachable()
-{
-    auto &backends = gateway_.backends_;
-    backends.onRankTurnedAway(send_->start.server, send_->groupEpoch, now());
-    const bool isGroupClosed = backends.isInClosedGroup(send_->start.server, now());
-    endSend(BackendOutcome::Unreachable);
-    retryOrRefuse(isGroupClosed ? GatewayRefusal::GroupBroken : GatewayRefusal::NoServer);
-}
-
-void ForwardedRequest::handleCompleteAnswer()
-{
-    const auto &names = gateway_.settings_.headers;
-    const auto &head = *send_->head;
-    if (send_->isStreamed) {
-        endStream();
-        return;
-    }
-    if (isNotRun(head, names) && isOwnAnswer(head)) {
-        handleRejection();
-        return;
-    }
-    ++runs_;
-    const bool isSuccess = head.status / 100 == 2;
-    // Another program may listen at the address that an entry names, and answer any status.
-    const bool isUnproven = head.header(names.attemptId) == nullptr && head.header(names.signature) == nullptr;
-    if (isUnproven || (isSuccess && !isValidSuccess(head, names)) || isPromiseOfNotRun(head.status)) {
-        dropDoubtfulConnection();
-        endSend(BackendOutcome::Failed);
-        retryOrRefuse(GatewayRefusal::ServerFailed);
-        return;
-    }
-    if (isServerError(head.status)) {
-        // A server that fails may not have looked at the request, so that proves nothing for it.
-        answers_.keepFailure(*send_);
-        endSend(BackendOutcome::Failed);
-        retryOrRefuse(GatewayRefusal::ServerFailed);
-        return;
-    }
-    gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
-    if (!exchange_->isStreaming()) {
-        deliverAnswer();
-        return;
-    }
-    // The rest of a stream cannot be continued by an answer of another kind.
-    endSend(BackendOutcome::Failed);
-    refuse(GatewayRefusal::ServerFailed);
-}
-
-bool ForwardedRequest::isOwnAnswer(const Http1ResponseHead &head) const
-{
-    // Answers with another id have been skipped. One without an id may be that of an earlier request, written once
-    // more.
-    return !send_->isKept || head.header(gateway_.settings_.headers.attemptId) != nullptr;
-}
-
-void ForwardedRequest::dropDoubtfulConnection()
-{
-    logEvent(LogLevel::Warning, "answer_doubtful",
-             {{"id", attemptId_},
-              {"server", send_->start.server.name()},
-              {"status", std::to_string(send_->head->status)},
-              {"has_id", send_->head->header(gateway_.settings_.headers.attemptId) == nullptr ? "no" : "yes"},
-              {"kept", send_->isKept ? "yes" : "no"}});
-    gateway_.metrics_.addToCounter("answers_doubtful_total");
-    // The request's own answer may still come on it.
-    send_->connection->cancel();
-}
-
-void ForwardedRequest::handleRejection()
-{
-    const auto status = send_->head->status;
-    const auto *named = send_->head->header(gateway_.settings_.headers.faultyServer);
-    const std::string faulty = named == nullptr ? "" : *named;
-    logEvent(LogLevel::Info, "request_rejected",
-             {{"id", attemptId_},
-              {"server", send_->start.server.name()},
-              {"status", std::to_string(status)},
-              {"faulty", faulty}});
-    // A rank that rejects a request because of a server elsewhere speaks for its whole group. One that names itself is
-    // full or cut off itself.
-    auto &backends = gateway_.backends_;
-    if (status != statusMisdirected && !faulty.empty() && faulty != send_->start.address) {
-        backends.onRankLost(send_->start.server, send_->groupEpoch, now());
-    } else if (status == statusUnavailable && send_->head->header("Retry-After") == nullptr) {
-        // One that names a time speaks for itself, not for a group that stalls.
-        backends.onRankTurnedAway(send_->start.server, send_->groupEpoch, now());
-    }
-    const bool isGroupClosed = backends.isInClosedGroup(send_->start.server, now());
-    endSend(status == statusMisdirected ? BackendOutcome::Misdirected : BackendOutcome::Rejected);
-    retryOrRefuse(isGroupClosed ? GatewayRefusal::GroupBroken : GatewayRefusal::RetriesUsedUp);
-}
-
-void ForwardedRequest::deliverAnswer()
-{
-    const auto status = send_->head->status;
-    if (!hasCallerLeft_) {
-        answers_.deliver(*send_);
-    }
-    // Errors come fast; only work that was done tells how fast the server is.
-    if (status / 100 == 2 && route_->kind != RequestKind::Stream) {
-        gateway_.serverLimits_.onAnswered(send_->start.server, send_->start.incarnation, send_->startedAt,
-                                          send_->inFlightAtStart);
-    }
-    endSend(BackendOutcome::Served);
-    finish("answered_" + std::to_string(status));
-}
-
-void ForwardedRequest::endStream()
-{
-    // The framing cannot be trusted: a server that fails may close its connection, or end its chunks, inside an event.
-    // An answer whose only end is that of the connection has begun only with its first event.
-    const auto &events = answers_.events();
-    const bool isEmpty = events.completeEvents() == 0 && endsWithConnection(*send_->head);
-    if (!events.partialEvent().empty() || isEmpty) {
-        reportFailedSend(Http1CallEnd::BrokenOff);
-        handleBrokenOff();
-        return;
-    }
-    finishStream();
-}
-
-void ForwardedRequest::finishStream()
-{
-    gateway_.crashes_.onAnswerBegun(number_, attemptId_, traits_);
-    gateway_.queues_.paces().onStreamEnded(send_->paceUnit, answers_.events().completeEvents());
-    if (!hasCallerLeft_) {
-        answers_.finishStream(*send_);
-    }
-    endSend(BackendOutcome::Served);
-    finish("streamed");
-}
-
 bool ForwardedRequest::mayRepeat() const
 {
     return route_->kind == RequestKind::Idempotent || (route_->kind == RequestKind::Stream && route_->isResumable);
@@ -642,30 +366,6 @@
     refuse(reason);
 }
 
-void ForwardedRequest::endSend(BackendOutcome outcome)
-{
-    if (!send_) {
-        return;
-    }
-    const auto &start = send_->start;
-    const auto unanswered = unansweredAt(start.server);
-    if (unanswered && outcome == BackendOutcome::Cancelled) {
-        gateway_.crashes_.detector().onGivenUp(start, *unanswered);
-    }
-    auto sending = std::move(*send_);
-    send_.reset();
-    answers_.dropSend();
-    gateway_.backends_.onEnded(sending.start.server, outcome, now());
-    if (outcome == BackendOutcome::Served || outcome == BackendOutcome::Failed
-        || outcome == BackendOutcome::Cancelled) {
-        gateway_.queues_.onPlaceFreed(service_, now() - sending.startedAt);
-    }
-    gateway_.peers_.markChanged();
-    gateway_.pool_.release(sending.start.server, sending.start.address, std::move(sending.connection));
-    // On the next turn, so that a chain of ends does not nest.
-    gateway_.loop_.post([&gateway = gateway_, service = service_] { gateway.queues_.serve(service); });
-}
-
 void ForwardedRequest::refuse(GatewayRefusal refusal)
 {
     if (hasCallerLeft_ || exchange_->isClosed()) {
@@ -727,11 +427,10 @@
         refuse(runs_ > 0 ? GatewayRefusal::ServerFailed : beforeSending);
         return;
     }
-    if (send_ && atServer == GatewayRefusal::TimedOut && route_->kind != RequestKind::Stream) {
-        gateway_.serverLimits_.onTimedOut(send_->start.server, send_->start.incarnation, send_->startedAt,
-                                          send_->inFlightAtStart);
+    if (atServer == GatewayRefusal::TimedOut) {
+        backend_->noteTimeout();
     }
-    endSend(BackendOutcome::Cancelled);
+    backend_->cancel();
     refuse(atServer);
 }
 
@@ -741,13 +440,19 @@
     const auto self = shared_from_this();
     wait_->leave();
     // An order that a server has may be carried out to its end; all else is work that nobody waits for.
-    if (send_ && route_->kind == RequestKind::NonIdempotent) {
+    if (backend_->isActive() && route_->kind == RequestKind::NonIdempotent) {
         return;
     }
-    endSend(BackendOutcome::Cancelled);
+    backend_->cancel();
     finish("caller_left");
 }
 
+std::optional<Duration> ForwardedRequest::timeToFirstByte() const
+{
+    const auto firstByteAt = backend_ ? backend_->firstByteAt() : std::nullopt;
+    return firstByteAt ? std::optional(*firstByteAt - arrivedAt_) : std::nullopt;
+}
+
 void ForwardedRequest::finish(std::string_view outcome)
 {
     if (std::exchange(isFinished_, true)) {
@@ -774,8 +479,8 @@
                     .priority = wait_ ? std::optional(wait_->priority()) : std::nullopt,
                     .isLate = wait_ && wait_->isLate(),
                     .events = answers_.events().completeEvents(),
-                    .firstByte = firstByteAt_ == TimePoint{} ? std::nullopt : std::optional(firstByteAt_ - arrivedAt_),
-                    .longestPause = longestPause_,
+                    .firstByte = timeToFirstByte(),
+                    .longestPause = backend_ ? backend_->longestPause() : Duration::zero(),
                     .total = total,
                     .outcome = outcome});
     gateway_.forget(this);
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.h
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.h
@@ -3,7 +3,7 @@
 #include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
 #include "hornbeamlane_gateway/queue/PlaceWait.h"
 #include "hornbeamlane_gateway/request/AnswerRelay.h"
-#include "hornbeamlane_gateway/request/BackendSend.h"
+#include "hornbeamlane_gateway/request/BackendExchange.h"
 #include "hornbeamlane_gateway/request/GatewayRefusal.h"
 #include "hornbeamlane_network/http1/Http1Server.h"
 #include "hornbeamlane_network/loop/Timer.h"
@@ -79,30 +79,12 @@
     bool isWorthWaiting() const;
     void send(const ServerId &server);
     HttpHeaders requestHeaders(const ServerId &server) const;
-    bool handleHead(const Http1ResponseHead &head);
-    void handleData(std::string_view bytes);
-    void handleEnd(Http1CallEnd end);
-    void reportFailedSend(Http1CallEnd end) const;
-    void handleBrokenOff();
-    void handleUnreachable();
-    void handleCompleteAnswer();
-    void handleRejection();
-    /** Whether the answer belongs to this request and not to an earlier one on its connection. */
-    bool isOwnAnswer(const Http1ResponseHead &head) const;
-    /** The answer is none that can be passed on; nothing more is read from its connection. */
-    void dropDoubtfulConnection();
+    BackendExchange::Hooks backendHooks();
+    /** Whether the server has crashed decides whether another one may be tried. */
+    void retryUnlessCrashed(const ServerStart &start, const LostRequest &request);
     /** Sends the request again if it may be repeated and the retry budget allows it; refuses it otherwise. */
     void retryOrRefuse(GatewayRefusal reason);
     bool mayRepeat() const;
-    void deliverAnswer();
-    void notePace();
-    /** Events have been passed on to the caller. */
-    void noteEvents();
-    void failAsTooLarge();
-    /** The server has ended the stream; whether it is whole remains to be seen. */
-    void endStream();
-    void finishStream();
-    void endSend(BackendOutcome outcome);
     void refuse(GatewayRefusal refusal);
     /** When the caller should come back. */
     Duration retryAfter(GatewayRefusal refusal);
@@ -110,6 +92,7 @@
     /** Ends the request for the caller, wherever it is. */
     void giveUp(GatewayRefusal beforeSending, GatewayRefusal atServer);
     void onCallerLeft();
+    std::optional<Duration> timeToFirstByte() const;
     void finish(std::string_view outcome);
     TimePoint now() const;
 
@@ -130,7 +113,8 @@
     /** Empty before the request is admitted. */
     std::optional<PlaceWait> wait_;
     AnswerRelay answers_;
-    std::optional<detail::BackendSend> send_;
+    /** Empty before the request is admitted. */
+    std::optional<BackendExchange> backend_;
     std::vector<ServerId> tried_;
     /** Servers that may have run the request. */
     std::uint32_t runs_ = 0;
@@ -140,8 +124,6 @@
     Duration shareRetryAfter_{};
     /** Until when it waits as a suspect, from its first such wait on. */
     std::optional<TimePoint> holdsUntil_;
-    TimePoint firstByteAt_;
-    Duration longestPause_{};
     bool hasCallerLeft_ = false;
     bool isFinished_ = false;
 };
