Check a catalogue for entries without effect before it is applied

`validate` names faults, but a valid catalogue may still hold a service that no server offers, a rule for calls behind one that matches first, or floors that the servers of a data centre cannot bear.

`hornbeamlanectl check` lists such findings, as a table or as JSON, with what differs from the newest version; exit code 8 tells of findings. It is for the catalogue of directories only; rows of the platform are not checked yet.

--- a/modules/hornbeamlane_catalogue/hornbeamlane_catalogue.h
+++ b/modules/hornbeamlane_catalogue/hornbeamlane_catalogue.h
@@ -1,11 +1,12 @@
 /**
     The catalogue: declarative entries that state what may run, for whom and how much.
 
-    Holds the typed model, its reading from JSON with every fault named by its path, the loading of a directory's files
-    and the comparison of two documents. Depends on hornbeamlane_base.
+    Holds the typed model, its reading from JSON with every fault named by its path, the loading of a directory's files,
+    the comparison of two documents and the search for entries without effect. Depends on hornbeamlane_base.
 */
 #pragma once
 
+#include "hornbeamlane_catalogue/checking/CatalogueCheck.h"
 #include "hornbeamlane_catalogue/comparison/CatalogueDiff.h"
 #include "hornbeamlane_catalogue/loading/CatalogueLoader.h"
 #include "hornbeamlane_catalogue/model/Catalogue.h"
--- a/programs/ctl/CommandLine.cpp
+++ b/programs/ctl/CommandLine.cpp
@@ -36,6 +36,13 @@
                 "Examples:\n"
                 "  hornbeamlanectl validate examples/catalogue\n"
                 "  hornbeamlanectl validate --output json examples/catalogue\n"},
+    CommandHelp{
+        "check", 1, "check DIR [--table HOST:PORT]",
+        "Checks the directory before an apply: its faults, entries that can never match, limits that contradict\n"
+        "each other, and what differs from the newest version. Without a table service the last is left out.\n"
+        "Examples:\n"
+        "  hornbeamlanectl check examples/catalogue --table 127.0.0.1:7400\n"
+        "  hornbeamlanectl check --output json examples/catalogue\n"},
     CommandHelp{"diff", 1, "diff DIR [--table HOST:PORT]",
                 "Lists the entries that an apply of the directory would add, remove or change.\n"
                 "Example:\n"
@@ -69,7 +76,9 @@
                                       "  4 the platform or the entry cannot be reached; nothing was changed\n"
                                       "  5 the change may or may not take effect; see status\n"
                                       "  6 accepted, but not confirmed everywhere in time\n"
-                                      "  7 a stored row or an answer has an unknown form; nothing was changed\n";
+                                      "  7 a stored row or an answer has an unknown form; nothing was changed\n"
+                                      "  8 the catalogue is valid, but entries in it have no effect or contradict\n"
+                                      "    each other\n";
 
 constexpr std::array ownFlags = {"table",  "entry",           "base",         "dry_run", "wait",   "local",
                                  "output", "timeout_seconds", "wait_seconds", "help",    "version"};
--- a/programs/ctl/Commands.cpp
+++ b/programs/ctl/Commands.cpp
@@ -63,6 +63,19 @@
     return array;
 }
 
+Json findingsToJson(const std::vector<CatalogueFinding> &findings)
+{
+    Json array = Json::array();
+    for (const auto &finding : findings) {
+        array.push_back({{"code", toString(finding.kind)},
+                         {"kind", finding.entry.kind},
+                         {"name", finding.entry.name},
+                         {"path", finding.path.empty() ? "/" : finding.path},
+                         {"finding", finding.text}});
+    }
+    return array;
+}
+
 Json reportToJson(const StatusReport &report)
 {
     Json dataCentres = Json::array();
@@ -95,6 +108,8 @@
     auto code = ExitCode::Usage;
     if (line_.command == "validate") {
         code = validate();
+    } else if (line_.command == "check") {
+        code = check();
     } else if (line_.command == "diff") {
         code = diff();
     } else if (line_.command == "apply") {
@@ -214,6 +229,37 @@
     return finish(ExitCode::Done, "the catalogue is valid");
 }
 
+ExitCode Commands::check()
+{
+    auto code = ExitCode::Done;
+    const auto loaded = load(code);
+    if (!loaded) {
+        return code;
+    }
+    const auto findings = checkCatalogue(loaded->catalogue);
+    result_["findings"] = findingsToJson(findings);
+    addDifferenceIfKnown(loaded->document);
+    if (findings.empty()) {
+        return finish(ExitCode::Done, "nothing was found");
+    }
+    return finish(ExitCode::Findings,
+                  std::to_string(findings.size()) + (findings.size() == 1 ? " finding" : " findings"));
+}
+
+void Commands::addDifferenceIfKnown(const std::string &document)
+{
+    const auto head = platform_.read(catalogueHeadKey);
+    if (head.status != TableStatus::Ok && head.status != TableStatus::NotFound) {
+        result_["compared"] = "no, the table service at " + platform_.address() + " cannot be reached";
+        return;
+    }
+    auto code = ExitCode::Done;
+    const auto current = readCurrent(code);
+    if (!current || !addDifference(*current, document)) {
+        result_["compared"] = "no, the newest version cannot be read";
+    }
+}
+
 ExitCode Commands::diff()
 {
     auto code = ExitCode::Done;
--- a/programs/ctl/Commands.h
+++ b/programs/ctl/Commands.h
@@ -30,6 +30,7 @@
     };
 
     ExitCode validate();
+    ExitCode check();
     ExitCode diff();
     ExitCode apply();
     ExitCode status();
@@ -41,6 +42,8 @@
     std::optional<LoadedCatalogue> load(ExitCode &code);
     std::optional<Current> readCurrent(ExitCode &code);
     std::optional<StatusReport> readStatus(ExitCode &code);
+    /** Adds what differs from the newest version, or why that cannot be told. */
+    void addDifferenceIfKnown(const std::string &document);
     bool addDifference(const Current &current, const std::string &document);
     ExitCode waitForConfirmation(CatalogueVersion version);
     std::string unknownNameFault(DrainScope scope, const std::string &name);
--- a/programs/ctl/ExitCode.h
+++ b/programs/ctl/ExitCode.h
@@ -12,6 +12,7 @@
     OutcomeUnknown = 5, ///< The change may or may not take effect.
     NotConfirmed = 6, ///< The change was accepted, and not every process confirmed it in time.
     MalformedRow = 7, ///< A row or an answer has a form that this release does not know; nothing was changed.
+    Findings = 8, ///< The catalogue is valid, but entries in it have no effect or contradict each other.
 };
 
 } // namespace hornbeamlane::ctl
--- a/tests/ctl/ControlCommandTest.cpp
+++ b/tests/ctl/ControlCommandTest.cpp
@@ -138,6 +138,31 @@
     EXPECT_EQ(run("status --table 127.0.0.1:1").exitCode, 4);
 }
 
+// Guards against a catalogue that is applied although entries in it have no effect, and against a check that fails or
+// changes something because the table service is away.
+TEST(ControlCommand, ChecksACatalogueBeforeItIsApplied)
+{
+    testing::PlatformServer server;
+    const auto sound = run("check --output json --table " + server.address() + " " EXAMPLE_CATALOGUE);
+    EXPECT_EQ(sound.exitCode, 0) << sound.output;
+    const auto report = nlohmann::json::parse(sound.output);
+    EXPECT_TRUE(report["findings"].empty());
+    EXPECT_FALSE(report["added"].empty());
+    EXPECT_EQ(server.value(catalogueHeadKey), "");
+    const auto away = run("check --table 127.0.0.1:1 " EXAMPLE_CATALOGUE);
+    EXPECT_EQ(away.exitCode, 0) << away.output;
+    EXPECT_NE(away.output.find("cannot be reached"), std::string::npos) << away.output;
+    const std::string unusedModel =
+        R"({"entries": [{"kind": "class", "name": "c", "owner": "o", "class": "c", "limits": {}, "priority": 1},
+                        {"kind": "model", "name": "m", "owner": "o", "class": "c", "limits": {}}]})";
+    const ScopedDirectory unused(std::vector<std::pair<std::string, std::string>>{{"model.json", unusedModel}});
+    const auto findings = run("check --table 127.0.0.1:1 " + unused.path());
+    EXPECT_EQ(findings.exitCode, 8) << findings.output;
+    EXPECT_NE(findings.output.find("no backend server offers it"), std::string::npos) << findings.output;
+    const ScopedDirectory faulty(std::vector<std::pair<std::string, std::string>>{{"bad.json", "{}"}});
+    EXPECT_EQ(run("check " + faulty.path()).exitCode, 1);
+}
+
 // Guards against a drain of a mistyped name, and against an undrain that leaves a drain in force.
 TEST(ControlCommand, DrainsAndUndrains)
 {
