--- a/tests/fuzz/FuzzMain.cpp
+++ b/tests/fuzz/FuzzMain.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <string>
 
 DEFINE_uint64(seed, 1, "Seed of the first run; run N of a seed is the first run of seed + N");
 DEFINE_uint64(runs, 20000, "Mutated inputs to try");
@@ -76,7 +77,7 @@
     for (std::uint64_t number = 0; number < FLAGS_runs; ++number) {
         // The last line before a crash names the runs among which it is.
         if (number % 1000 == 0) {
-            std::printf("seed %llu\n", static_cast<unsigned long long>(FLAGS_seed + number));
+            std::printf("seed %s\n", std::to_string(FLAGS_seed + number).c_str());
             std::fflush(stdout);
         }
         fuzz::run(FLAGS_seed + number, seeds);
--- a/tests/fuzz/FuzzTarget.h
+++ b/tests/fuzz/FuzzTarget.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 /** Entry point of a fuzz target; called by libFuzzer or by FuzzMain.cpp. */
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer sets the name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size);
 
 namespace hornbeamlane::fuzz {
