Merge the pauses of a pass only beyond 32 of them

From 33 on the last sample counts for the rest. SharedPaceTest passes, also with one entry that sees 200 streams.

--- a/modules/hornbeamlane_dispatch/pace/StreamGovernor.cpp
+++ b/modules/hornbeamlane_dispatch/pace/StreamGovernor.cpp
@@ -71,10 +71,12 @@
                         .pressure = pressure,
                         .fixedPressure = std::min(pressure, fixed),
                         .load = std::max(load_, smallestLoad)};
-    if (!samples_.empty() && isOfSamePass(samples_.back(), sample)) {
+    const bool isOfLastPass = !samples_.empty() && isOfSamePass(samples_.back(), sample);
+    if (isOfLastPass && samplesOfPass_ >= options_.maxSamplesOfPass) {
         ++samples_.back().count;
         return;
     }
+    samplesOfPass_ = isOfLastPass ? samplesOfPass_ + 1 : 1;
     samples_.push_back(sample);
     if (samples_.size() > options_.maxSamples) {
         samples_.pop_front();
--- a/modules/hornbeamlane_dispatch/pace/StreamGovernor.h
+++ b/modules/hornbeamlane_dispatch/pace/StreamGovernor.h
@@ -28,11 +28,12 @@
         std::chrono::milliseconds sampleAge{2000};
         /** Samples kept at most. */
         std::size_t maxSamples = 384;
-        /** Pauses that end within this time and differ by less than this part of the target make one sample: all
-           streams of a pass pause alike, and the samples of an entry with many streams would be of the last passes
-           only. */
+        /** Pauses that end within this time and differ by less than this part of the target are of one pass. All its
+            streams pause alike, so only so many of them get a sample each, and the last one counts for the rest:
+            otherwise the samples of an entry with many streams are of the last passes only. */
         std::chrono::milliseconds samePassTime{10};
         double samePassPressure = 0.02;
+        std::size_t maxSamplesOfPass = 32;
         /** Pauses needed before the bound moves; with fewer the entry follows the bound of the others. */
         std::size_t minSamples = 8;
         /** Time between two moves of the bound. */
@@ -175,6 +176,8 @@
     double inTimeShare_ = 1;
     double meanPressure_ = 0;
     std::deque<Sample> samples_;
+    /** Samples of the last pass. */
+    std::size_t samplesOfPass_ = 0;
     TimePoint movedAt_;
 };
 
