Declare the JSON alias of the control program once

The grouped build puts Output.cpp and ResultJson.cpp into one unit, where the alias in the anonymous namespace of one shadowed that of the other; the linter refused it. Both use the alias of Output.h now.

--- a/programs/ctl/Commands.cpp
+++ b/programs/ctl/Commands.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-using Json = nlohmann::ordered_json;
-
 constexpr const char *emptyDocument = R"({"entries":[]})";
 
 std::optional<std::vector<CatalogueFile>> readDirectory(const std::string &directory)
--- a/programs/ctl/Output.cpp
+++ b/programs/ctl/Output.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-using Json = nlohmann::ordered_json;
-
 std::string cell(const Json &value)
 {
     if (value.is_string()) {
--- a/programs/ctl/ResultJson.cpp
+++ b/programs/ctl/ResultJson.cpp
@@ -4,8 +4,6 @@
 
 namespace hornbeamlane::ctl {
 
-using Json = nlohmann::ordered_json;
-
 Json drainsToJson(const std::vector<DrainRecord> &drains)
 {
     Json array = Json::array();
