Fill the ranks of a group that spans data centres evenly

Ranks in the caller's data centre were charged less than the others of their own group, so they were filled first: 52 of 76 streams of callers at one of two data centres went to the nearer half. A pass is as long as its fullest rank makes it, so this made the streams of all ranks slower. All servers of a pace unit cost the same now.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -42,6 +42,9 @@
             figure, they go over to others the more the fuller it is. */
         double homeFill = 0.5;
         double spillFill = 0.9;
+        /** Load over its bound that a unit without servers in the own data centre costs; more than the difference at
+            which servers count as equal. */
+        double farUnitPenalty = 0.1;
         /** Load over slots that a unit costs whose streams are late with however few requests. */
         double outOfReachPenalty = 1.0;
         /** Servers of a service compared in one choice at most, drawn at random where there are more. */
--- a/modules/hornbeamlane_dispatch/servers/BackendSelector.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendSelector.cpp
@@ -16,7 +16,7 @@
                 .request = request,
                 .now = now,
                 .random = random,
-                .fills = {},
+                .units = {},
                 .candidates = {},
                 .avoided = {},
                 .findings = {}};
@@ -71,7 +71,7 @@
 
 void BackendSelector::collect(Round &round, const std::vector<Backend *> &servers)
 {
-    auto &[book, request, now, random, fills, candidates, avoided, findings] = round;
+    auto &[book, request, now, random, units, candidates, avoided, findings] = round;
     /** Ranks of broken groups whose entries say so. */
     std::map<GroupId, std::uint32_t> listed;
     for (auto *server : servers) {
@@ -100,14 +100,19 @@
             findings.anyRateLimited = true;
             continue;
         }
-        const double fill = paceFill(round, backend);
-        if (request.shareOfPaceBound && fill >= *request.shareOfPaceBound) {
-            findings.anyAtPaceBound = true;
-            continue;
+        double unitScore = 0;
+        if (request.isStream) {
+            const auto &unit = viewOf(round, backend);
+            if (request.shareOfPaceBound && unit.fill >= *request.shareOfPaceBound) {
+                findings.anyAtPaceBound = true;
+                continue;
+            }
+            // Between units the fill decides, and the load of a server counts against the others of its unit only: a
+            // unit that takes fewer requests in time than it has slots would look empty beside one that takes all.
+            unitScore = paceScore(round, backend.paceUnit, unit) - unit.load;
         }
-        const double pace = request.isStream ? paceScore(round, backend, fill) : 0;
         auto &list = now < backend.avoidUntil ? avoided : candidates;
-        list.push_back({.backend = &backend, .score = score(round, backend) + pace});
+        list.push_back({.backend = &backend, .score = score(round, backend) + unitScore});
     }
 }
 
@@ -161,28 +166,34 @@
     return backend.inFlight() >= std::min<double>(backend.spec.slots, takesWell(round, backend)) * withQueue;
 }
 
-double BackendSelector::paceFill(Round &round, const Backend &backend)
+const BackendSelector::PaceUnitView &BackendSelector::viewOf(Round &round, const Backend &backend)
 {
-    if (!round.request.isStream) {
-        return 0;
-    }
-    const auto [found, isNew] = round.fills.try_emplace(backend.paceUnit, 0);
+    const auto [found, isNew] = round.units.try_emplace(backend.paceUnit);
+    auto &unit = found->second;
     if (isNew) {
         const auto &book = round.book;
-        found->second = book.options_.paceFill(backend.paceUnit, book.loadOf(backend.paceUnit, round.now));
-    }
-    return found->second;
+        const auto load = book.loadOf(backend.paceUnit, round.now);
+        unit.fill = book.options_.paceFill(backend.paceUnit, load);
+        unit.load = static_cast<double>(load.inFlight) / std::max(1U, load.places);
+        const auto &servers = book.index_.ofUnit(backend.paceUnit);
+        unit.isHome = std::any_of(servers.begin(), servers.end(), [&](const Backend *server) {
+            return server->spec.dataCentre == round.request.dataCentre && book.isUsable(*server, round.now);
+        });
+    }
+    return unit;
 }
 
-double BackendSelector::paceScore(const Round &round, const Backend &backend, double fill)
+// All servers of a unit cost the same, in whatever data centre: its fullest server sets the pace of the others, so ranks
+// near the callers must not be filled first.
+double BackendSelector::paceScore(const Round &round, const PaceUnitId &id, const PaceUnitView &unit)
 {
     const auto &options = round.book.options_;
-    const double slow = options.isPaceOutOfReach(backend.paceUnit) ? options.outOfReachPenalty : 0;
-    if (backend.spec.dataCentre != round.request.dataCentre) {
-        return fill + slow;
+    const double slow = options.isPaceOutOfReach(id) ? options.outOfReachPenalty : 0;
+    if (!unit.isHome) {
+        return unit.fill + options.farUnitPenalty + slow;
     }
-    const double spill = std::clamp((fill - options.homeFill) / (options.spillFill - options.homeFill), 0.0, 1.0);
-    return fill * spill + slow;
+    const double spill = std::clamp((unit.fill - options.homeFill) / (options.spillFill - options.homeFill), 0.0, 1.0);
+    return unit.fill * spill + slow;
 }
 
 // A server whose answers come late by the whole of their target is worth as little as a full one.
--- a/modules/hornbeamlane_dispatch/servers/BackendSelector.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendSelector.h
@@ -69,6 +69,17 @@
         NoChoice failure() const;
     };
 
+    /** What a choice needs to know of a pace unit. */
+    struct PaceUnitView
+    {
+        /** Load over bound. */
+        double fill = 0;
+        /** Requests over slots of all its servers. */
+        double load = 0;
+        /** Whether any of its servers is in the data centre of the request. */
+        bool isHome = false;
+    };
+
     /** One choice: the servers that may take the request, by what is known of them now. */
     struct Round
     {
@@ -76,8 +87,8 @@
         const Request &request;
         TimePoint now;
         RandomSource &random;
-        /** Loads over bounds of the units seen so far. */
-        std::unordered_map<PaceUnitId, double> fills;
+        /** The units seen so far. */
+        std::unordered_map<PaceUnitId, PaceUnitView> units;
         std::vector<BackendCandidate> candidates;
         /** Used if there are no others. */
         std::vector<BackendCandidate> avoided;
@@ -93,10 +104,9 @@
     /** Requests that the server takes well: its slots, or fewer as learned for requests that are no streams. */
     static double takesWell(const Round &round, const Backend &backend);
     static bool isFull(const Round &round, const Backend &backend);
-    /** Load over its bound of the unit of a server; zero for a request that is no stream. */
-    static double paceFill(Round &round, const Backend &backend);
-    /** What a unit costs a stream, from its load over its bound. */
-    static double paceScore(const Round &round, const Backend &backend, double fill);
+    static const PaceUnitView &viewOf(Round &round, const Backend &backend);
+    /** What a unit costs a stream. */
+    static double paceScore(const Round &round, const PaceUnitId &id, const PaceUnitView &unit);
     /** What its longer answers cost, by their part of the latency target. */
     static double latencyScore(const Round &round, const Backend &backend);
     static double score(const Round &round, const Backend &backend);
--- a/tests/dispatch/BackendSelectorTest.cpp
+++ b/tests/dispatch/BackendSelectorTest.cpp
@@ -97,5 +97,95 @@
     EXPECT_EQ(seen, ranks);
 }
 
+struct Ranks
+{
+    std::string group;
+    std::string dataCentre;
+    std::uint32_t from = 0;
+    std::uint32_t to = 0;
+    std::uint32_t size = 0;
+};
+
+void addRanks(BackendBook &book, const Ranks &ranks)
+{
+    for (auto i = ranks.from; i < ranks.to; ++i) {
+        book.update({.id = ServerId(ranks.group + std::to_string(i)),
+                     .service = pool,
+                     .dataCentre = DataCentreId(ranks.dataCentre),
+                     .slots = 12,
+                     .group = GroupPlace{.group = GroupId(ranks.group),
+                                         .epoch = 1,
+                                         .rank = i,
+                                         .size = ranks.size,
+                                         .isOpen = true}},
+                    start);
+    }
+}
+
+/** Sends streams from one data centre, none of which ends; how many went to servers of each. */
+std::map<std::string, std::uint32_t> sendStreams(BackendBook &book, const std::string &from, std::uint32_t count)
+{
+    RandomSource random(3);
+    std::map<std::string, std::uint32_t> sent;
+    for (std::uint32_t i = 0; i < count; ++i) {
+        const auto server =
+            book.choose({.service = pool, .dataCentre = DataCentreId(from), .isStream = true}, start, random);
+        if (!server) {
+            break;
+        }
+        book.onSent(*server, start);
+        ++sent[book.find(*server)->spec.dataCentre.name()];
+    }
+    return sent;
+}
+
+// Load pattern "a group that spans data centres, callers at one of them": a pass is as long as its fullest rank makes
+// it, so ranks near the callers that are filled first make the streams of all ranks late.
+TEST(BackendSelectorTest, FillsTheRanksOfAGroupThatSpansDataCentresEvenly)
+{
+    constexpr std::uint32_t ranksPerDataCentre = 6;
+    BackendBook book({.paceFill = [](const PaceUnitId &, const PaceUnitLoad &load) {
+        return static_cast<double>(load.inFlight) / load.places;
+    }});
+    addRanks(book, {.group = "g", .dataCentre = "here", .from = 0, .to = 6, .size = 12});
+    addRanks(book, {.group = "g", .dataCentre = "there", .from = 6, .to = 12, .size = 12});
+    auto sent = sendStreams(book, "here", 70);
+    // One stream more at each of the nearer ranks is what the distance may cost.
+    EXPECT_LE(sent["here"], sent["there"] + ranksPerDataCentre);
+    EXPECT_LE(sent["there"], sent["here"] + ranksPerDataCentre);
+}
+
+// Guards against streams that cross to another data centre while the group in their own has room.
+TEST(BackendSelectorTest, KeepsStreamsAtTheGroupOfTheirDataCentreWhileItHasRoom)
+{
+    BackendBook book({.paceFill = [](const PaceUnitId &, const PaceUnitLoad &load) {
+        return static_cast<double>(load.inFlight) / load.places;
+    }});
+    addRanks(book, {.group = "near", .dataCentre = "here", .from = 0, .to = 6, .size = 6});
+    addRanks(book, {.group = "far", .dataCentre = "there", .from = 0, .to = 6, .size = 6});
+    auto sent = sendStreams(book, "here", 30);
+    EXPECT_EQ(sent["here"], 30U);
+    sent = sendStreams(book, "here", 60);
+    EXPECT_GT(sent["there"], 15U);
+}
+
+// Failure "a data centre is cut off": an entry on either side cannot reach some ranks of the group that spans it. Guards
+// against streams that go on to its other ranks, which cannot finish a pass, until the store says that it is broken.
+TEST(BackendSelectorTest, SendsStreamsToTheWholeGroupOnceRanksOfAnotherCannotBeReached)
+{
+    BackendBook book;
+    RandomSource random(3);
+    addRanks(book, {.group = "cut", .dataCentre = "here", .from = 0, .to = 3, .size = 6});
+    addRanks(book, {.group = "cut", .dataCentre = "gone", .from = 3, .to = 6, .size = 6});
+    addRanks(book, {.group = "whole", .dataCentre = "there", .from = 0, .to = 6, .size = 6});
+    for (const auto *rank : {"cut3", "cut4"}) {
+        book.onSent(ServerId(rank), start);
+        book.onEnded(ServerId(rank), BackendOutcome::Unreachable, start);
+        book.onRankTurnedAway(ServerId(rank), 1, start);
+    }
+    auto sent = sendStreams(book, "here", 20);
+    EXPECT_EQ(sent["there"], 20U);
+}
+
 } // namespace
 } // namespace hornbeamlane
