Compute the bound of a pace unit from weights taken once

The governor took the weight of each sample anew for each candidate bound, with two exponentials and an error function, and kept the loop of an entry with a quarter of a core busy for 1 to 3 ms four times a second, which made pauses late that were in time. Weights are taken once in a move of the bound, and the error function only near the target.

--- a/modules/hornbeamlane_dispatch/pace/StreamGovernor.cpp
+++ b/modules/hornbeamlane_dispatch/pace/StreamGovernor.cpp
@@ -24,6 +24,9 @@
 /** Bounds whose value is this close to the best one count as equal; the largest of them is taken. */
 constexpr double valueTolerance = 0.005;
 
+/** Standard errors beyond which the chance of the other side is below one in a hundred thousand. */
+constexpr double farFromTarget = 4.5;
+
 double ratio(Duration time, std::chrono::milliseconds target)
 {
     return std::chrono::duration<double>(time) / std::chrono::duration<double>(target);
@@ -32,6 +35,10 @@
 /** Chance that a pause exceeds its target if it is predicted as this part of it, with a normal error. */
 double chanceAboveTarget(double pressure, double standardError)
 {
+    // Most pauses are far from their target, and the error function is most of the time that a forecast takes.
+    if (std::abs(1 - pressure) > farFromTarget * standardError) {
+        return pressure > 1 ? 1 : 0;
+    }
     return 0.5 * std::erfc((1 - pressure) / (standardError * std::numbers::sqrt2));
 }
 
@@ -101,14 +108,20 @@
     usualPauses_ += (pauses - usualPauses_) * streamWeight;
 }
 
-double StreamGovernor::weightOf(const Sample &sample, TimePoint now) const
+std::vector<double> StreamGovernor::weightsOfSamples(TimePoint now) const
 {
-    const auto age = std::chrono::duration<double>(now - sample.at);
-    // The further the load has moved, the less sure is what a pause would be at the present one.
-    const double distance = std::abs(std::log(sample.load / std::max(load_, smallestLoad)));
-    return static_cast<double>(sample.count)
-        * std::exp2(-age / std::chrono::duration<double>(options_.sampleHalfLife)
-                    - distance / options_.sampleLoadRange);
+    const double present = std::log(std::max(load_, smallestLoad));
+    std::vector<double> weights;
+    weights.reserve(samples_.size());
+    for (const auto &sample : samples_) {
+        const auto age = std::chrono::duration<double>(now - sample.at);
+        // The further the load has moved, the less sure is what a pause would be at the present one.
+        const double distance = std::abs(std::log(sample.load) - present);
+        const double halvings = age / std::chrono::duration<double>(options_.sampleHalfLife)
+            + distance / options_.sampleLoadRange;
+        weights.push_back(static_cast<double>(sample.count) * std::exp2(-halvings));
+    }
+    return weights;
 }
 
 void StreamGovernor::dropOld(TimePoint now)
@@ -118,32 +131,42 @@
     }
 }
 
-double StreamGovernor::meanLoad(TimePoint now) const
+double StreamGovernor::mean(double Sample::*value, const std::vector<double> &weights) const
 {
-    double weights = 0;
-    double loads = 0;
-    for (const auto &sample : samples_) {
-        const double weight = weightOf(sample, now);
-        weights += weight;
-        loads += weight * sample.load;
+    const double total = std::accumulate(weights.begin(), weights.end(), 0.0);
+    double sum = 0;
+    for (std::size_t i = 0; i < samples_.size(); ++i) {
+        sum += weights[i] * samples_[i].*value;
     }
-    return weights > 0 ? loads / weights : 0;
+    return total > 0 ? sum / total : 0;
+}
+
+std::vector<StreamGovernor::WeightedSample>
+StreamGovernor::weightedSamples(PassModel model, const std::vector<double> &weights) const
+{
+    std::vector<WeightedSample> weighted;
+    weighted.reserve(samples_.size());
+    for (std::size_t i = 0; i < samples_.size(); ++i) {
+        const auto &sample = samples_[i];
+        const double fixed = model == PassModel::PartlyFixed ? sample.fixedPressure : 0;
+        weighted.push_back(
+            {.weight = weights[i], .fixed = fixed, .perShare = (sample.pressure - fixed) / sample.load});
+    }
+    return weighted;
 }
 
 // A pass takes a fixed time and a time in proportion to its requests, so each pause that was seen tells how long it
 // would have been at another load. A stream is in time if none of its pauses is too long.
-StreamGovernor::Forecast StreamGovernor::forecast(double share, PassModel model, TimePoint now) const
+StreamGovernor::Forecast StreamGovernor::forecast(double share, const std::vector<WeightedSample> &samples) const
 {
     double weights = 0;
     double tooLong = 0;
     double pressures = 0;
-    for (const auto &sample : samples_) {
-        const double weight = weightOf(sample, now);
-        const double fixed = model == PassModel::PartlyFixed ? sample.fixedPressure : 0;
-        const double pressure = fixed + (sample.pressure - fixed) * share / sample.load;
-        weights += weight;
-        pressures += weight * pressure;
-        tooLong += weight * chanceAboveTarget(pressure, options_.predictionError);
+    for (const auto &sample : samples) {
+        const double pressure = sample.fixed + sample.perShare * share;
+        weights += sample.weight;
+        pressures += sample.weight * pressure;
+        tooLong += sample.weight * chanceAboveTarget(pressure, options_.predictionError);
     }
     if (weights <= 0 || pressures <= 0) {
         return {.inTime = 1, .value = share};
@@ -155,25 +178,26 @@
 
 // Far above the load that the engines bear, the fixed part is overrated, since it is not known how much of a long pass
 // it is. Out of reach is the target only if pauses in full proportion to the requests would still be too long.
-std::optional<StreamGovernor::PassModel> StreamGovernor::usableModel(TimePoint now) const
+std::optional<std::vector<StreamGovernor::WeightedSample>> StreamGovernor::usableSamples(const std::vector<double> &weights) const
 {
     for (const auto model : {PassModel::PartlyFixed, PassModel::Proportional}) {
-        if (forecast(options_.smallestShare, model, now).inTime >= options_.smallestInTime) {
-            return model;
+        auto samples = weightedSamples(model, weights);
+        if (forecast(options_.smallestShare, samples).inTime >= options_.smallestInTime) {
+            return samples;
         }
     }
     return std::nullopt;
 }
 
-double StreamGovernor::bestShare(TimePoint now)
+double StreamGovernor::bestShare(const std::vector<double> &weights)
 {
-    const auto usable = usableModel(now);
+    const auto usable = usableSamples(weights);
     isTargetOutOfReach_ = !usable;
-    const auto model = usable.value_or(PassModel::PartlyFixed);
+    const auto samples = usable ? *usable : weightedSamples(PassModel::PartlyFixed, weights);
     double best = options_.largestShare;
     double bestValue = 0;
     for (double share = options_.largestShare; share >= options_.smallestShare - shareStep / 2; share -= shareStep) {
-        const double value = forecast(share, model, now).value;
+        const double value = forecast(share, samples).value;
         if (value > bestValue * (1 + valueTolerance)) {
             best = share;
             bestValue = value;
@@ -210,18 +234,11 @@
         return;
     }
     movedAt_ = now;
-    const double load = meanLoad(now);
-    const auto present = forecast(load, PassModel::PartlyFixed, now);
-    inTimeShare_ = present.inTime;
-    meanPressure_ = 0;
-    double weights = 0;
-    for (const auto &sample : samples_) {
-        const double weight = weightOf(sample, now);
-        weights += weight;
-        meanPressure_ += weight * sample.pressure;
-    }
-    meanPressure_ /= weights;
-    moveTo(bestShare(now), std::max(load, load_));
+    const auto weights = weightsOfSamples(now);
+    const double load = mean(&Sample::load, weights);
+    inTimeShare_ = forecast(load, weightedSamples(PassModel::PartlyFixed, weights)).inTime;
+    meanPressure_ = mean(&Sample::pressure, weights);
+    moveTo(bestShare(weights), std::max(load, load_));
 }
 
 void StreamGovernor::updateTrust(TimePoint now)
--- a/modules/hornbeamlane_dispatch/pace/StreamGovernor.h
+++ b/modules/hornbeamlane_dispatch/pace/StreamGovernor.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <vector>
 
 namespace hornbeamlane {
 
@@ -147,17 +148,27 @@
         Proportional, ///< All of it grows; the best that a smaller bound can bring.
     };
 
-    Forecast forecast(double share, PassModel model, TimePoint now) const;
-    /** The model by which a smaller bound helps; empty if none does. */
-    std::optional<PassModel> usableModel(TimePoint now) const;
-    double weightOf(const Sample &sample, TimePoint now) const;
+    /** A sample as a forecast uses it: its pressure at a bound is the fixed part and the other part times the bound. */
+    struct WeightedSample
+    {
+        double weight = 0;
+        double fixed = 0;
+        double perShare = 0;
+    };
+
+    /** Weights of the samples at one moment, in their order. */
+    std::vector<double> weightsOfSamples(TimePoint now) const;
+    std::vector<WeightedSample> weightedSamples(PassModel model, const std::vector<double> &weights) const;
+    Forecast forecast(double share, const std::vector<WeightedSample> &samples) const;
+    /** The samples by the model by which a smaller bound helps; empty if none does. */
+    std::optional<std::vector<WeightedSample>> usableSamples(const std::vector<double> &weights) const;
     void dropOld(TimePoint now);
     std::size_t pauseCount() const;
     bool isOfSamePass(const Sample &one, const Sample &other) const;
     /** Trusts the bounds of other entries again once they have had time to learn of new engines. */
     void updateTrust(TimePoint now);
-    double meanLoad(TimePoint now) const;
-    double bestShare(TimePoint now);
+    double mean(double Sample::*value, const std::vector<double> &weights) const;
+    double bestShare(const std::vector<double> &weights);
     void moveTo(double share, double load);
 
     Options options_;
