Use one fair queue in both daemons

The gateway kept requests that wait for a server in an AdmissionQueue of its own, by rank and age, beside the agent's FairQueue. A team with many waiting requests was served before a single one of another team behind it, and each expiry looked at all of them. FairQueue is a template over the id now and lies in hornbeamlane_base; the gateway's requests of one rank take turns by team, and expiry takes logarithmic time.

--- a/modules/hornbeamlane_admission/controller/AdmissionController.cpp
+++ b/modules/hornbeamlane_admission/controller/AdmissionController.cpp
@@ -93,15 +93,15 @@
         start(request.attempt, entry, now);
         return Admitted();
     }
-    const auto dropped = queue_.push({.attempt = request.attempt,
+    const auto dropped = queue_.push({.id = request.attempt,
                                       .team = request.team,
                                       .priority = request.priority,
                                       .cost = request.tokens,
-                                      .firstTokenDeadline = firstTokenDeadline});
+                                      .deadline = firstTokenDeadline});
     if (!dropped) {
         return Queued();
     }
-    if (dropped->attempt != request.attempt) {
+    if (dropped->id != request.attempt) {
         refuseQueued(*dropped, RefusalReason::Overloaded, "the queue is full of more urgent requests", now);
         return Queued();
     }
@@ -279,14 +279,14 @@
     teams_.writeFinished(team, reply, now);
 }
 
-void AdmissionController::refuseQueued(const FairQueue::Item &item, RefusalReason reason, const char *detail,
+void AdmissionController::refuseQueued(const FairQueue<AttemptId>::Item &item, RefusalReason reason, const char *detail,
                                        TimePoint now)
 {
-    const auto position = entries_.find(item.attempt);
+    const auto position = entries_.find(item.id);
     HORNBEAMLANE_ASSERT(position != entries_.end() && !position->second.isRunning);
     teams_.giveBack(item.team, position->second.tokens, now);
     entries_.erase(position);
-    actions_.refuse.emplace_back(item.attempt, notRun(reason, detail));
+    actions_.refuse.emplace_back(item.id, notRun(reason, detail));
 }
 
 void AdmissionController::startQueued(TimePoint now)
@@ -300,8 +300,8 @@
             refuseQueued(*item, RefusalReason::TeamLimitReached, "the team's share of this server has shrunk", now);
             continue;
         }
-        start(item->attempt, entries_.at(item->attempt), now);
-        actions_.start.push_back(item->attempt);
+        start(item->id, entries_.at(item->id), now);
+        actions_.start.push_back(item->id);
     }
 }
 
--- a/modules/hornbeamlane_admission/controller/AdmissionController.h
+++ b/modules/hornbeamlane_admission/controller/AdmissionController.h
@@ -5,7 +5,6 @@
 #include "hornbeamlane_admission/concurrency/EngineRateLimit.h"
 #include "hornbeamlane_admission/concurrency/EngineWatch.h"
 #include "hornbeamlane_admission/controller/LatencyEstimate.h"
-#include "hornbeamlane_admission/queue/FairQueue.h"
 #include "hornbeamlane_admission/teams/TeamLimits.h"
 #include "hornbeamlane_messages/hornbeamlane_messages.h"
 
@@ -35,7 +34,7 @@
         AdaptiveConcurrency::Options adaptive;
         EngineWatch::Options engine;
         RateBucket::Options engineRate;
-        FairQueue::Options queue;
+        FairQueue<AttemptId>::Options queue;
         TeamLimits::Options teams;
         /** Bounds the size of a load report; the rest follows with the next one. */
         std::size_t budgetsPerReport = 64;
@@ -169,7 +168,7 @@
     Duration predictedFirstToken() const;
     Duration predictedWait(std::size_t ahead, TimePoint now);
     std::uint32_t reportedLimit() const;
-    void refuseQueued(const FairQueue::Item &item, RefusalReason reason, const char *detail, TimePoint now);
+    void refuseQueued(const FairQueue<AttemptId>::Item &item, RefusalReason reason, const char *detail, TimePoint now);
     void noteFirstToken(Entry &entry, TimePoint now);
     void startQueued(TimePoint now);
     void noteLeftovers();
@@ -180,7 +179,7 @@
     AdaptiveConcurrency adaptive_;
     EngineWatch engine_;
     EngineRateLimit rate_;
-    FairQueue queue_;
+    FairQueue<AttemptId> queue_;
     TeamLimits teams_;
     std::map<ClassId, ClassEntry> classes_;
     CatalogueVersion newest_;
--- a/modules/hornbeamlane_base/hornbeamlane_base.h
+++ b/modules/hornbeamlane_base/hornbeamlane_base.h
@@ -1,5 +1,5 @@
 /**
-    Time, identifiers, failures, random numbers, hashes and token buckets that every other module uses.
+    Time, identifiers, failures, random numbers, hashes, token buckets and the queue that every other module uses.
 
     Depends on nothing of the project. Public headers include the standard library only.
 */
@@ -11,6 +11,7 @@
 #include "hornbeamlane_base/hash/Hash.h"
 #include "hornbeamlane_base/identity/AttemptId.h"
 #include "hornbeamlane_base/identity/Identifiers.h"
+#include "hornbeamlane_base/queue/FairQueue.h"
 #include "hornbeamlane_base/random/RandomSource.h"
 #include "hornbeamlane_base/rate/RateBucket.h"
 #include "hornbeamlane_base/rate/TokenBucket.h"
--- a/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
+++ b/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
@@ -9,7 +9,6 @@
 #include "hornbeamlane_dispatch/catalogue/RouteTable.h"
 #include "hornbeamlane_dispatch/pace/PaceBook.h"
 #include "hornbeamlane_dispatch/pace/RateMeter.h"
-#include "hornbeamlane_dispatch/queue/AdmissionQueue.h"
 #include "hornbeamlane_dispatch/queue/ArrivalAdmission.h"
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
 #include "hornbeamlane_dispatch/retry/RetryAllowance.h"
--- a/modules/hornbeamlane_gateway/queue/PlaceWait.cpp
+++ b/modules/hornbeamlane_gateway/queue/PlaceWait.cpp
@@ -42,8 +42,7 @@
 
 bool PlaceWait::isBehindOthers(Stage stage) const
 {
-    const auto first = queues_.of(options_.service).queue.front();
-    return first && first->priority <= rank(stage);
+    return queues_.isAnyWaiting(options_.service, rank(stage));
 }
 
 Duration PlaceWait::longestWait(Stage stage, TimePoint now) const
@@ -83,7 +82,11 @@
 
 void PlaceWait::take(Stage stage, TimePoint latestStart, const std::weak_ptr<ForwardedRequest> &request)
 {
-    ticket_ = queues_.join(options_.service, rank(stage), std::min(latestStart, options_.deadline), request);
+    ticket_ = queues_.join(options_.service,
+                           {.rank = rank(stage),
+                            .team = options_.team,
+                            .latestStart = std::min(latestStart, options_.deadline)},
+                           request);
 }
 
 void PlaceWait::leave()
--- a/modules/hornbeamlane_gateway/queue/PlaceWait.h
+++ b/modules/hornbeamlane_gateway/queue/PlaceWait.h
@@ -11,6 +11,8 @@
     struct Options
     {
         ServiceId service;
+        /** Empty for a caller without a team. */
+        TeamId team;
         RequestKind kind = RequestKind::NonIdempotent;
         std::chrono::milliseconds latencyTarget{0};
         /** 0 is the most urgent. */
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace hornbeamlane {
 
@@ -54,6 +55,19 @@
 constexpr milliseconds longestBacklog{1000};
 constexpr double minBacklog = 4;
 
+/** Teams of one rank take turns by requests; the length of the queue is bounded by what can start in time. */
+FairQueue<TicketNumber>::Options waitingOptions()
+{
+    return {.capacity = std::numeric_limits<std::size_t>::max(),
+            .quantum = 1,
+            .isLate = [](TimePoint predicted, TimePoint latestStart) { return predicted >= latestStart; }};
+}
+
+std::uint32_t queuePriority(std::uint32_t rank)
+{
+    return std::numeric_limits<std::uint32_t>::max() - rank;
+}
+
 const RetryAfterRange &rangeFor(GatewayRefusal refusal)
 {
     switch (refusal) {
@@ -109,7 +123,8 @@
     }
     return services_
         .emplace(service,
-                 State{.queue = {},
+                 State{.queue = FairQueue<TicketNumber>(waitingOptions()),
+                       .lastTicket = {},
                        .waiting = {},
                        .retries = RetryAllowance({.ratio = settings_.retryRatio,
                                                   .allowance = settings_.retryAllowance,
@@ -118,11 +133,12 @@
         .first->second;
 }
 
-TicketNumber ServiceQueues::join(const ServiceId &service, std::uint32_t rank, TimePoint latestStart,
-                                 std::weak_ptr<ForwardedRequest> request)
+TicketNumber ServiceQueues::join(const ServiceId &service, const Turn &turn, std::weak_ptr<ForwardedRequest> request)
 {
     auto &state = of(service);
-    const auto ticket = state.queue.add(rank, latestStart);
+    const auto ticket = state.lastTicket = state.lastTicket.next();
+    state.queue.push(
+        {.id = ticket, .team = turn.team, .priority = queuePriority(turn.rank), .deadline = turn.latestStart});
     state.waiting.emplace(ticket, std::move(request));
     armWaitTimer();
     watchRateLimits();
@@ -132,23 +148,31 @@
 void ServiceQueues::leave(const ServiceId &service, TicketNumber ticket)
 {
     auto &state = of(service);
-    state.queue.remove(ticket);
+    state.queue.cancel(ticket);
     state.waiting.erase(ticket);
 }
 
+bool ServiceQueues::isAnyWaiting(const ServiceId &service, std::uint32_t rank)
+{
+    const auto highest = of(service).queue.highestPriority();
+    return highest && *highest >= queuePriority(rank);
+}
+
 void ServiceQueues::serve(const ServiceId &service)
 {
     auto &state = of(service);
-    while (const auto ticket = state.queue.front()) {
-        const auto found = state.waiting.find(ticket->number);
+    while (const auto *front = state.queue.front()) {
+        const auto item = *front;
+        const auto found = state.waiting.find(item.id);
         const auto request = found == state.waiting.end() ? nullptr : found->second.lock();
         if (request == nullptr) {
-            leave(service, ticket->number);
+            leave(service, item.id);
             continue;
         }
         if (!request->tryLeaveQueue()) {
             return;
         }
+        state.queue.charge(item);
     }
 }
 
@@ -163,7 +187,7 @@
 {
     std::optional<TimePoint> next;
     for (const auto &[service, state] : services_) {
-        if (const auto expiry = state.queue.nextExpiry(); expiry && (!next || *expiry < *next)) {
+        if (const auto expiry = state.queue.earliestDeadline(); expiry && (!next || *expiry < *next)) {
             next = expiry;
         }
     }
@@ -176,10 +200,10 @@
 {
     const auto now = loop_.now();
     for (auto &[service, state] : services_) {
-        for (const auto &ticket : state.queue.takeExpired(now)) {
-            const auto found = state.waiting.find(ticket.number);
+        for (const auto &item : state.queue.dropLate(now, Duration::zero())) {
+            const auto found = state.waiting.find(item.id);
             const auto request = found == state.waiting.end() ? nullptr : found->second.lock();
-            state.waiting.erase(ticket.number);
+            state.waiting.erase(item.id);
             if (request != nullptr) {
                 request->onWaitExpired();
             }
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.h
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.h
@@ -18,13 +18,18 @@
 
 class ForwardedRequest;
 
+/** Number of a request that waits. */
+using TicketNumber = Number<struct TicketTag>;
+
 /** Requests that wait for a server, by service, and what decides how many may run and how many may wait. */
 class ServiceQueues final
 {
 public:
     struct State
     {
-        AdmissionQueue queue;
+        /** Requests that wait for a place at a server. */
+        FairQueue<TicketNumber> queue;
+        TicketNumber lastTicket;
         std::unordered_map<TicketNumber, std::weak_ptr<ForwardedRequest>> waiting;
         RetryAllowance retries;
         RateMeter starts;
@@ -44,10 +49,23 @@
     /** A service that is asked for the first time is added. */
     State &of(const ServiceId &service);
 
-    TicketNumber join(const ServiceId &service, std::uint32_t rank, TimePoint latestStart,
-                      std::weak_ptr<ForwardedRequest> request);
+    /** What decides when a waiting request is served. */
+    struct Turn
+    {
+        /** 0 is served first. */
+        std::uint32_t rank = 0;
+        /** Teams of one rank take turns. */
+        TeamId team;
+        /** When waiting longer makes no sense. */
+        TimePoint latestStart;
+    };
+
+    TicketNumber join(const ServiceId &service, const Turn &turn, std::weak_ptr<ForwardedRequest> request);
     void leave(const ServiceId &service, TicketNumber ticket);
 
+    /** Whether requests of this rank or a lower one wait. */
+    bool isAnyWaiting(const ServiceId &service, std::uint32_t rank);
+
     /** Sends on what can be sent on, the most urgent request first. */
     void serve(const ServiceId &service);
     void serveAll();
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -153,6 +153,7 @@
     deadline_ = arrivedAt_ + std::min(stated.value_or(route_->timeout), route_->timeout);
     wait_.emplace(gateway_.queues_,
                   PlaceWait::Options{.service = service_,
+                                     .team = team_ == nullptr ? TeamId() : team_->name,
                                      .kind = route_->kind,
                                      .latencyTarget = route_->latencyTarget,
                                      .priority = match->priority(),
