Mend faults that a review of the decisions under load has found

- A unit of one or two places got a bound of none and never a stream again; it has a bound of one at least.
- A target counted as out of reach by a forecast far from what was seen, and a unit to which no stream went kept the mark after it had recovered.
- One caller that stated a long time made all others of its route late for the life of the process.
- Late requests waited before less urgent ones that could still be on time, and the rest of a stream whose first event was late was not waited for.
- Units without streams told their last bound for a minute; those that were never updated were kept for ever.
- The capacity of plain services counted all slots of servers that slow down before, and servers that fail at once made it look larger.
- A rejection from an earlier epoch closed a group that had formed, and a caller with little time took back the turns given to others.

--- a/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
+++ b/modules/hornbeamlane_dispatch/hornbeamlane_dispatch.h
@@ -10,6 +10,7 @@
 #include "hornbeamlane_dispatch/pace/PaceBook.h"
 #include "hornbeamlane_dispatch/pace/RateMeter.h"
 #include "hornbeamlane_dispatch/queue/ArrivalAdmission.h"
+#include "hornbeamlane_dispatch/queue/ReturningCallers.h"
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
 #include "hornbeamlane_dispatch/retry/RetryAllowance.h"
 #include "hornbeamlane_dispatch/servers/BackendBook.h"
--- a/modules/hornbeamlane_dispatch/pace/PaceBook.cpp
+++ b/modules/hornbeamlane_dispatch/pace/PaceBook.cpp
@@ -113,10 +113,12 @@
 
 void PaceBook::sweep(TimePoint now)
 {
-    std::erase_if(units_, [now](const auto &entry) {
-        const auto updatedAt = entry.second.updatedAt;
-        return updatedAt != TimePoint{} && now - updatedAt > unitAge;
-    });
+    for (auto &[unit, known] : units_) {
+        if (known.updatedAt == TimePoint{}) {
+            known.updatedAt = now;
+        }
+    }
+    std::erase_if(units_, [now](const auto &entry) { return now - entry.second.updatedAt > unitAge; });
 }
 
 void PaceBook::forEach(
--- a/modules/hornbeamlane_dispatch/pace/PaceBook.h
+++ b/modules/hornbeamlane_dispatch/pace/PaceBook.h
@@ -24,6 +24,8 @@
 struct PaceUnitLoad
 {
     std::uint32_t places = 0;
+    /** Requests that are no streams which the servers take without slowing down. */
+    std::uint32_t takesWell = 0;
     std::uint32_t inFlight = 0;
 };
 
@@ -46,7 +48,7 @@
     /** Requests that the unit may have at once, of all entries; empty if nothing is known of it. */
     std::optional<std::uint32_t> limitOf(const PaceUnitId &unit, std::uint32_t places) const;
 
-    /** Requests over the bound if one more came; 1 or more: no room. Zero for a unit without places. */
+    /** Requests over the bound; 1 or more: no room. Zero for a unit without places. */
     double fillOf(const PaceUnitId &unit, const PaceUnitLoad &load) const;
 
     /** Whether streams of the unit are late with however few requests. */
--- a/modules/hornbeamlane_dispatch/pace/StreamGovernor.cpp
+++ b/modules/hornbeamlane_dispatch/pace/StreamGovernor.cpp
@@ -117,8 +117,8 @@
         const auto age = std::chrono::duration<double>(now - sample.at);
         // The further the load has moved, the less sure is what a pause would be at the present one.
         const double distance = std::abs(std::log(sample.load) - present);
-        const double halvings = age / std::chrono::duration<double>(options_.sampleHalfLife)
-            + distance / options_.sampleLoadRange;
+        const double halvings =
+            age / std::chrono::duration<double>(options_.sampleHalfLife) + distance / options_.sampleLoadRange;
         weights.push_back(static_cast<double>(sample.count) * std::exp2(-halvings));
     }
     return weights;
@@ -141,16 +141,15 @@
     return total > 0 ? sum / total : 0;
 }
 
-std::vector<StreamGovernor::WeightedSample>
-StreamGovernor::weightedSamples(PassModel model, const std::vector<double> &weights) const
+std::vector<StreamGovernor::WeightedSample> StreamGovernor::weightedSamples(PassModel model,
+                                                                            const std::vector<double> &weights) const
 {
     std::vector<WeightedSample> weighted;
     weighted.reserve(samples_.size());
     for (std::size_t i = 0; i < samples_.size(); ++i) {
         const auto &sample = samples_[i];
         const double fixed = model == PassModel::PartlyFixed ? sample.fixedPressure : 0;
-        weighted.push_back(
-            {.weight = weights[i], .fixed = fixed, .perShare = (sample.pressure - fixed) / sample.load});
+        weighted.push_back({.weight = weights[i], .fixed = fixed, .perShare = (sample.pressure - fixed) / sample.load});
     }
     return weighted;
 }
@@ -178,7 +177,8 @@
 
 // Far above the load that the engines bear, the fixed part is overrated, since it is not known how much of a long pass
 // it is. Out of reach is the target only if pauses in full proportion to the requests would still be too long.
-std::optional<std::vector<StreamGovernor::WeightedSample>> StreamGovernor::usableSamples(const std::vector<double> &weights) const
+std::optional<std::vector<StreamGovernor::WeightedSample>>
+StreamGovernor::usableSamples(const std::vector<double> &weights) const
 {
     for (const auto model : {PassModel::PartlyFixed, PassModel::Proportional}) {
         auto samples = weightedSamples(model, weights);
@@ -192,7 +192,8 @@
 double StreamGovernor::bestShare(const std::vector<double> &weights)
 {
     const auto usable = usableSamples(weights);
-    isTargetOutOfReach_ = !usable;
+    // With few requests a forecast for many is far from what was seen.
+    isTargetOutOfReach_ = !usable && inTimeShare_ < options_.smallestInTime;
     const auto samples = usable ? *usable : weightedSamples(PassModel::PartlyFixed, weights);
     double best = options_.largestShare;
     double bestValue = 0;
@@ -231,6 +232,8 @@
     // An entry that sees few streams of a large group must neither keep an old bound nor tell it to the others.
     isMeasured_ = pauseCount() >= options_.minSamples;
     if (!isMeasured_) {
+        // Units whose target is out of reach get few streams, so nothing else would show that they are fast again.
+        isTargetOutOfReach_ = false;
         return;
     }
     movedAt_ = now;
@@ -276,7 +279,8 @@
 
 std::uint32_t StreamGovernor::limit(std::uint32_t places) const
 {
-    return static_cast<std::uint32_t>(share_ * places);
+    // A unit of one or two places would otherwise get no stream, and its bound would never rise again.
+    return places == 0 ? 0 : std::max(1U, static_cast<std::uint32_t>(share_ * places));
 }
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_dispatch/queue/ArrivalAdmission.cpp
+++ b/modules/hornbeamlane_dispatch/queue/ArrivalAdmission.cpp
@@ -160,11 +160,14 @@
     // within the time that it waits comes as late as it may, since the demand can fall until then.
     const double room = shares_.roomPerSecond() * ownPart_;
     const auto latest = now + std::chrono::duration_cast<Duration>(longest);
-    nextRoomAt_ = std::max(nextRoomAt_, now);
-    const bool isRoomExpected = room * longest.count() > 1;
-    nextRoomAt_ = isRoomExpected ? nextRoomAt_ + std::chrono::duration_cast<Duration>(Seconds(1 / room)) : latest;
-    nextRoomAt_ = std::min(nextRoomAt_, latest);
-    const Seconds turn = std::clamp<Seconds>(nextRoomAt_ - now, shortest, longest);
+    auto turnAt = latest;
+    if (room * longest.count() > 1) {
+        const auto next = std::max(nextRoomAt_, now) + std::chrono::duration_cast<Duration>(Seconds(1 / room));
+        turnAt = std::min(next, latest);
+        // A caller with little time gets no turn, and must not take back those that were given to others.
+        nextRoomAt_ = next <= latest ? next : nextRoomAt_;
+    }
+    const Seconds turn = std::clamp<Seconds>(turnAt - now, shortest, longest);
     const Seconds spread = turn * options_.retryAfterSpread;
     const Seconds from = std::min(turn, longest - spread);
     return std::chrono::duration_cast<Duration>(from + spread * random.unit());
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -191,7 +191,11 @@
     std::map<PaceUnitId, PaceUnitLoad> units;
     for (const auto *backend : usable(service, now)) {
         auto &unit = units[backend->paceUnit];
-        unit.places += backend->spec.slots;
+        const auto slots = backend->spec.slots;
+        const auto *finding = options_.findingOf(*backend);
+        unit.places += slots;
+        unit.takesWell +=
+            finding == nullptr ? slots : std::min(slots, static_cast<std::uint32_t>(std::ceil(finding->takesWell)));
         unit.inFlight += backend->inFlight();
     }
     return units;
--- a/modules/hornbeamlane_dispatch/servers/BackendSelector.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendSelector.cpp
@@ -183,8 +183,8 @@
     return unit;
 }
 
-// All servers of a unit cost the same, in whatever data centre: its fullest server sets the pace of the others, so ranks
-// near the callers must not be filled first.
+// All servers of a unit cost the same, in whatever data centre: its fullest server sets the pace of the others, so
+// ranks near the callers must not be filled first.
 double BackendSelector::paceScore(const Round &round, const PaceUnitId &id, const PaceUnitView &unit)
 {
     const auto &options = round.book.options_;
--- a/modules/hornbeamlane_dispatch/servers/GroupWatch.cpp
+++ b/modules/hornbeamlane_dispatch/servers/GroupWatch.cpp
@@ -73,8 +73,10 @@
 
 void GroupWatch::onRankLost(const GroupId &group, std::uint64_t epoch, TimePoint now)
 {
-    forming_.erase(group);
     // A rejection may arrive after the group has formed again; the epoch tells which of the two it speaks of.
+    if (const auto forming = forming_.find(group); forming != forming_.end() && forming->second.epoch <= epoch) {
+        forming_.erase(forming);
+    }
     auto &lost = lostRanks_[group];
     if (epoch >= lost.epoch) {
         lost = {.epoch = epoch, .until = now + options_.lostRankTime};
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -31,9 +31,6 @@
 /** Time in which the last answers leave the process; the process ends before the grace period does. */
 constexpr milliseconds lastAnswersTime{250};
 
-/** Callers' patience differs by some 15 %; one with less time than this share of the longest has come back. */
-constexpr double comeBackShare = 0.8;
-
 /** Time of a pass of an engine without requests. */
 Duration fixedPassTime(const EngineModel &engine)
 {
@@ -233,13 +230,6 @@
     queues_.serveAll();
 }
 
-bool Gateway::isShortened(const RouteSpec &route, milliseconds timeLeft)
-{
-    auto &longest = longestTimeLeft_[route.name];
-    longest = std::max(longest, timeLeft);
-    return timeLeft < longest * comeBackShare;
-}
-
 void Gateway::groupHasFormed(const ServerId &rank)
 {
     const auto *backend = backends_.find(rank);
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -78,8 +78,6 @@
     void handleStatusRequest(const std::shared_ptr<Http1Exchange> &exchange);
     /** Another entry has told its load; comes many times a second with many entries. */
     void peerLoadsChanged();
-    /** Whether the caller has less time than callers of the route usually have, because it comes back. */
-    bool isShortened(const RouteSpec &route, std::chrono::milliseconds timeLeft);
     /** A group runs that is broken by the entries of its ranks, of which this is one. */
     void groupHasFormed(const ServerId &rank);
     /** Requests that all entries are likely to send to the service before this one hears of them. */
@@ -121,8 +119,7 @@
     GroupProbe groupProbe_;
     /** Shared with the requests that were admitted under it. */
     std::shared_ptr<const RouteTable> table_;
-    /** Longest time that a caller of each route has stated. */
-    std::unordered_map<RouteId, std::chrono::milliseconds> longestTimeLeft_;
+    ReturningCallers returningCallers_;
     std::unordered_map<ForwardedRequest *, std::shared_ptr<ForwardedRequest>> requests_;
     RequestNumber lastRequest_;
     /** Bytes of answers that all requests together have collected. */
--- a/modules/hornbeamlane_gateway/queue/PlaceWait.cpp
+++ b/modules/hornbeamlane_gateway/queue/PlaceWait.cpp
@@ -37,7 +37,8 @@
     if (stage == Stage::Streaming) {
         return 0;
     }
-    return 1 + std::min(options_.priority, largestPriority) * 2 + (options_.isLate ? 1 : 0);
+    // Late requests get what those that can be on time leave, however urgent they are.
+    return 1 + std::min(options_.priority, largestPriority) + (options_.isLate ? largestPriority + 1 : 0);
 }
 
 bool PlaceWait::isBehindOthers(Stage stage) const
@@ -60,7 +61,9 @@
 bool PlaceWait::join(Stage stage, TimePoint now, const std::weak_ptr<ForwardedRequest> &request)
 {
     const auto wait = longestWait(stage, now);
-    if (!options_.isLate && wait > Duration::zero() && !queues_.isRateTooLow(options_.service, wait)) {
+    // The rest of a stream is waited for also if its first event was late.
+    const bool mayBeWanted = stage == Stage::Streaming || !options_.isLate;
+    if (mayBeWanted && wait > Duration::zero() && !queues_.isRateTooLow(options_.service, wait)) {
         take(stage, now + wait, request);
         return true;
     }
@@ -82,11 +85,9 @@
 
 void PlaceWait::take(Stage stage, TimePoint latestStart, const std::weak_ptr<ForwardedRequest> &request)
 {
-    ticket_ = queues_.join(options_.service,
-                           {.rank = rank(stage),
-                            .team = options_.team,
-                            .latestStart = std::min(latestStart, options_.deadline)},
-                           request);
+    ticket_ = queues_.join(
+        options_.service,
+        {.rank = rank(stage), .team = options_.team, .latestStart = std::min(latestStart, options_.deadline)}, request);
 }
 
 void PlaceWait::leave()
--- a/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
+++ b/modules/hornbeamlane_gateway/queue/ServiceQueues.cpp
@@ -235,7 +235,7 @@
     state.placesAt = now;
     state.places = {};
     for (const auto &[unit, load] : backends_.paceUnits(service, now)) {
-        state.places.bound += paces_.limitOf(unit, load.places).value_or(load.places);
+        state.places.bound += paces_.limitOf(unit, load.places).value_or(load.takesWell);
         state.places.inFlight += load.inFlight;
     }
     return state.places;
@@ -391,6 +391,12 @@
 
 void ServiceQueues::sweep()
 {
+    // A unit without streams is listed all the same, and its old bound must not be told.
+    for (const auto &[service, state] : services_) {
+        if (state.paceUpdatedAt != TimePoint{}) {
+            updatePace(service);
+        }
+    }
     paces_.sweep(loop_.now());
 }
 
--- a/modules/hornbeamlane_gateway/request/BackendExchange.cpp
+++ b/modules/hornbeamlane_gateway/request/BackendExchange.cpp
@@ -361,8 +361,8 @@
     const auto sending = std::exchange(send_, nullptr);
     answers_.dropSend();
     gateway_.backends_.onEnded(sending->start.server, outcome, now());
-    if (outcome == BackendOutcome::Served || outcome == BackendOutcome::Failed
-        || outcome == BackendOutcome::Cancelled) {
+    // A server that fails at once would make the usual time look short, and the capacity large.
+    if (outcome == BackendOutcome::Served || outcome == BackendOutcome::Cancelled) {
         gateway_.queues_.onPlaceFreed(options_.service, now() - sending->startedAt);
     }
     gateway_.peers_.markChanged();
--- a/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
+++ b/modules/hornbeamlane_gateway/request/ForwardedRequest.cpp
@@ -159,7 +159,7 @@
                                      .priority = match->priority(),
                                      .arrivedAt = arrivedAt_,
                                      .deadline = deadline_,
-                                     .isLate = stated && gateway_.isShortened(*route_, *stated)});
+                                     .isLate = stated && gateway_.returningCallers_.isReturning(*route_, *stated)});
     if (const auto *position = request.header(names.lastEventId)) {
         answers_.events().setLastEventId(*position);
     }
--- a/tests/base/FairQueueTest.cpp
+++ b/tests/base/FairQueueTest.cpp
@@ -14,7 +14,7 @@
 using Queue = FairQueue<AttemptId>;
 
 Queue::Item item(std::uint64_t sequence, const std::string &team, std::uint32_t priority, std::uint32_t cost = 100,
-                     Duration deadline = 1s)
+                 Duration deadline = 1s)
 {
     return {.id = {.entry = Incarnation(1), .sequence = sequence},
             .team = TeamId(team),
@@ -91,8 +91,8 @@
     EXPECT_EQ(queue.ahead(TeamId("small"), 2), 0U);
 }
 
-// Guards against a less urgent request that starts before a more urgent one, against unfairness among equals, and against
-// one that waits longer than makes sense.
+// Guards against a less urgent request that starts before a more urgent one, against unfairness among equals, and
+// against one that waits longer than makes sense.
 TEST(FairQueue, ServesTheMostUrgentThenTheOldest)
 {
     Queue queue({});
--- a/tests/dispatch/ArrivalAdmissionTest.cpp
+++ b/tests/dispatch/ArrivalAdmissionTest.cpp
@@ -489,5 +489,38 @@
     EXPECT_TRUE(meter.ratesToTell(start + seconds(20)).empty());
 }
 
+// Load pattern "callers with little time among others": guards against a caller whose time is too short for a turn and
+// who takes back the turns that were given to others, so that all of these come back at once.
+TEST(ArrivalAdmissionTest, KeepsTheTurnsOfOthersWhenACallerHasLittleTime)
+{
+    constexpr double places = 40;
+    RandomSource random(3);
+    ArrivalAdmission admission;
+    for (int i = 0; i < 20; ++i) {
+        admission.onPlaceFreed(streamTime);
+    }
+    const ArrivalClass arrivals{.priority = 0};
+    auto now = start;
+    for (int i = 0; i < 300; ++i) {
+        now += milliseconds(10);
+        admission.onArrival(arrivals, now);
+        admission.update({.bound = places, .inFlight = places}, {.heard = 0, .entryCount = 1}, now);
+    }
+    ASSERT_TRUE(admission.shares().isShort());
+    const auto draw = [&](milliseconds timeLeft) {
+        std::optional<Duration> retryAfter;
+        while (!retryAfter) {
+            retryAfter = admission.rejectionOf(arrivals, 1.0, timeLeft, now, random);
+        }
+        return *retryAfter;
+    };
+    Duration last{};
+    for (int i = 0; i < 20; ++i) {
+        last = draw(timeOfCaller);
+    }
+    draw(milliseconds(900));
+    EXPECT_GT(draw(timeOfCaller), last / 2);
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/dispatch/BackendSelectorTest.cpp
+++ b/tests/dispatch/BackendSelectorTest.cpp
@@ -109,16 +109,14 @@
 void addRanks(BackendBook &book, const Ranks &ranks)
 {
     for (auto i = ranks.from; i < ranks.to; ++i) {
-        book.update({.id = ServerId(ranks.group + std::to_string(i)),
-                     .service = pool,
-                     .dataCentre = DataCentreId(ranks.dataCentre),
-                     .slots = 12,
-                     .group = GroupPlace{.group = GroupId(ranks.group),
-                                         .epoch = 1,
-                                         .rank = i,
-                                         .size = ranks.size,
-                                         .isOpen = true}},
-                    start);
+        book.update(
+            {.id = ServerId(ranks.group + std::to_string(i)),
+             .service = pool,
+             .dataCentre = DataCentreId(ranks.dataCentre),
+             .slots = 12,
+             .group =
+                 GroupPlace{.group = GroupId(ranks.group), .epoch = 1, .rank = i, .size = ranks.size, .isOpen = true}},
+            start);
     }
 }
 
@@ -169,8 +167,9 @@
     EXPECT_GT(sent["there"], 15U);
 }
 
-// Failure "a data centre is cut off": an entry on either side cannot reach some ranks of the group that spans it. Guards
-// against streams that go on to its other ranks, which cannot finish a pass, until the store says that it is broken.
+// Failure "a data centre is cut off": an entry on either side cannot reach some ranks of the group that spans it.
+// Guards against streams that go on to its other ranks, which cannot finish a pass, until the store says that it is
+// broken.
 TEST(BackendSelectorTest, SendsStreamsToTheWholeGroupOnceRanksOfAnotherCannotBeReached)
 {
     BackendBook book;
@@ -187,5 +186,38 @@
     EXPECT_EQ(sent["there"], 20U);
 }
 
+// Failure "a group forms again": an answer from the epoch before comes last. Guards against a group that is closed for
+// seconds although it serves.
+TEST(GroupWatchTest, IgnoresARejectionFromBeforeTheGroupHasFormed)
+{
+    GroupWatch watch({});
+    const GroupPlace place{.group = GroupId("g"), .epoch = 5, .rank = 0, .size = 2, .isOpen = false};
+    watch.onAllRanksListed(place.group, place.epoch, start);
+    ASSERT_TRUE(watch.onProgress(place));
+    watch.onRankLost(place.group, 4, start);
+    EXPECT_TRUE(watch.isOpen(place, start));
+    watch.onRankLost(place.group, 5, start);
+    EXPECT_FALSE(watch.isOpen(place, start));
+}
+
+// Load pattern "a server that slows down long before it is full": guards against a capacity that counts all its slots,
+// so that nothing is rejected on arrival.
+TEST(BackendSelectorTest, CountsWhatServersOfAPlainServiceTakeWell)
+{
+    const ServerFinding slow{.takesWell = 2.2};
+    BackendBook book(
+        {.findingOf = [&slow](const Backend &backend) { return backend.spec.id == ServerId("1") ? &slow : nullptr; }});
+    book.update(server(1), start);
+    book.update(server(2), start);
+    std::uint32_t places = 0;
+    std::uint32_t takesWell = 0;
+    for (const auto &[unit, load] : book.paceUnits(pool, start)) {
+        places += load.places;
+        takesWell += load.takesWell;
+    }
+    EXPECT_EQ(places, 8U);
+    EXPECT_EQ(takesWell, 7U);
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/dispatch/StreamGovernorTest.cpp
+++ b/tests/dispatch/StreamGovernorTest.cpp
@@ -375,5 +375,55 @@
     EXPECT_NE(paceUnitOf(GroupId("g")), paceUnitOf(ServerId("g")));
 }
 
+// Guards against a unit of one or two places whose bound is rounded to nothing: it would get no stream, so no pause
+// would raise its bound again.
+TEST(PaceBookTest, LeavesAPlaceAtUnitsWithFewOfThem)
+{
+    for (const std::uint32_t places : {1U, 2U, 3U}) {
+        PaceBook book;
+        const auto unit = paceUnitOf(GroupId("g"));
+        book.restart(unit, StreamGovernor::RestartCause::FirstSight);
+        EXPECT_GE(book.limitOf(unit, places), 1U) << places;
+        EXPECT_LT(book.fillOf(unit, {.places = places}), 1.0) << places;
+    }
+}
+
+// Load pattern "few requests, all in time": guards against a target that counts as out of reach because a forecast for
+// many requests from the pauses of a few is far off.
+TEST(StreamGovernorTest, KeepsATargetInReachWhileFewRequestsAreInTime)
+{
+    StreamGovernor governor;
+    auto now = start;
+    for (int i = 0; i < 40; ++i) {
+        now += milliseconds(50);
+        governor.setLoad(10, 192);
+        governor.onPause(milliseconds(36), milliseconds(120), now);
+        governor.update(now);
+    }
+    ASSERT_TRUE(governor.measuredShare());
+    EXPECT_GT(governor.inTimeShare(), 0.9);
+    EXPECT_FALSE(governor.isTargetOutOfReach());
+}
+
+// Failure "a rank twelve times slower that recovers": streams go elsewhere meanwhile. Guards against a unit that is
+// avoided for good because nothing is seen of it any more.
+TEST(StreamGovernorTest, TriesAUnitAgainThatNothingIsSeenOf)
+{
+    StreamGovernor governor;
+    auto now = start;
+    for (int i = 0; i < 40; ++i) {
+        now += milliseconds(50);
+        governor.setLoad(60, 192);
+        governor.onPause(milliseconds(1000), milliseconds(120), now);
+        governor.update(now);
+    }
+    ASSERT_TRUE(governor.isTargetOutOfReach());
+    now += seconds(3);
+    governor.setLoad(0, 192);
+    governor.update(now);
+    EXPECT_FALSE(governor.isTargetOutOfReach());
+    EXPECT_FALSE(governor.measuredShare());
+}
+
 } // namespace
 } // namespace hornbeamlane
