Pass on as many loads as fit into a datagram

While capacity is short each entry tells the arrivals of up to 24 classes for each service, and with hundreds of entries 200 loads came to 81,593 bytes (two services); a datagram above 65,507 bytes is not sent, so nothing was passed on. A round takes at most 48 kB of loads now, the others follow in the next one.

--- a/modules/hornbeamlane_gateway/peers/LoadGossip.cpp
+++ b/modules/hornbeamlane_gateway/peers/LoadGossip.cpp
@@ -128,9 +128,16 @@
 std::vector<RelayedLoad> LoadGossip::takeNews()
 {
     std::vector<RelayedLoad> relayed;
+    std::size_t bytes = 0;
     while (!news_.empty() && relayed.size() < options_.relayedAtOnce) {
-        const auto sender = news_.extract(news_.begin()).value();
-        if (const auto *known = loads_.find(sender)) {
+        const auto *known = loads_.find(*news_.begin());
+        bytes += known == nullptr ? 0 : mostBytesOf(known->last);
+        // One load at least, so that none is kept back for ever.
+        if (bytes > options_.relayedBytesAtOnce && !relayed.empty()) {
+            break;
+        }
+        news_.erase(news_.begin());
+        if (known != nullptr) {
             relayed.push_back({.load = known->last, .address = known->address, .heardAt = known->heardAt});
         }
     }
--- a/modules/hornbeamlane_gateway/peers/LoadGossip.h
+++ b/modules/hornbeamlane_gateway/peers/LoadGossip.h
@@ -45,6 +45,8 @@
         /** Peers told in a round, and loads of others that one message carries. */
         std::size_t relayFanOut = 4;
         std::size_t relayedAtOnce = 200;
+        /** Bytes of these loads at most; a datagram has room for 65,507, and one that is larger is not sent at all. */
+        std::size_t relayedBytesAtOnce = 48 * 1024;
         /** Load of a peer that has told nothing for this time is forgotten. */
         std::chrono::milliseconds silence{1500};
         std::chrono::milliseconds crowdSilence{2200};
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -268,6 +268,24 @@
     return static_cast<PaceUnitHash>(hash64(unit.name()));
 }
 
+std::size_t mostBytesOf(const LoadMessage &load)
+{
+    // A number below 2^32 takes five bytes; keys, sequence, start, age and address come to less than 96.
+    constexpr std::size_t bytesOfNumber = 5;
+    constexpr std::size_t bytesOfHead = 96;
+    constexpr std::size_t numbersOfPair = 2;
+    constexpr std::size_t bytesOfService = 8;
+    constexpr std::size_t bytesOfRate = 7;
+    const auto pairs = load.inFlight.size() + load.bounds.size() + load.demands.size();
+    const auto numbers = numbersOfPair * pairs + numbersOfReport * load.rateLimits.size()
+        + numbersOfLatency * load.latencies.size();
+    std::size_t bytes = bytesOfHead + load.sender.size() + bytesOfNumber * numbers;
+    for (const auto &service : load.arrivals.value_or(std::vector<ServiceArrivals>())) {
+        bytes += bytesOfService + bytesOfRate * service.rates.size();
+    }
+    return bytes;
+}
+
 std::string encodeLoadMessage(const LoadMessage &message, TimePoint now)
 {
     auto document = encodeLoad(message, now);
--- a/modules/hornbeamlane_gateway/peers/PeerLoads.h
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.h
@@ -88,6 +88,9 @@
     TimePoint heardAt;
 };
 
+/** Upper estimate of the bytes that a load takes in the message of an entry that passes it on. */
+std::size_t mostBytesOf(const LoadMessage &load);
+
 /** CBOR form of the message; decode() is empty for bytes that are no such message. */
 std::string encodeLoadMessage(const LoadMessage &message, TimePoint now);
 std::optional<LoadMessage> decodeLoadMessage(std::string_view bytes, TimePoint now);
--- a/tests/dispatch/ArrivalAdmissionTest.cpp
+++ b/tests/dispatch/ArrivalAdmissionTest.cpp
@@ -499,18 +499,25 @@
     for (int i = 0; i < 20; ++i) {
         admission.onPlaceFreed(streamTime);
     }
-    const ArrivalClass arrivals{.priority = 0};
+    const ArrivalClass inTime{.priority = 0};
+    const ArrivalClass late{.priority = 0, .isLate = true};
     auto now = start;
     for (int i = 0; i < 300; ++i) {
         now += milliseconds(10);
-        admission.onArrival(arrivals, now);
+        // A half of the capacity is left for late ones, of which twice as many come.
+        if (i % 8 == 0) {
+            admission.onArrival(inTime, now);
+        }
+        if (i % 4 == 0) {
+            admission.onArrival(late, now);
+        }
         admission.update({.bound = places, .inFlight = places}, {.heard = 0, .entryCount = 1}, now);
     }
     ASSERT_TRUE(admission.shares().isShort());
     const auto draw = [&](milliseconds timeLeft) {
         std::optional<Duration> retryAfter;
         while (!retryAfter) {
-            retryAfter = admission.rejectionOf(arrivals, 1.0, timeLeft, now, random);
+            retryAfter = admission.rejectionOf(late, 1.0, timeLeft, now, random);
         }
         return *retryAfter;
     };
--- a/tests/gateway/LoadGossipTest.cpp
+++ b/tests/gateway/LoadGossipTest.cpp
@@ -267,5 +267,40 @@
     EXPECT_EQ(entries.knowing(6), 8U);
 }
 
+// Load pattern "capacity short at hundreds of entries": each tells the arrivals of 24 classes of two services. Guards
+// against a message that is larger than a datagram, so that nothing of what was heard is passed on.
+TEST(LoadGossipTest, PassesOnWhatFitsIntoADatagramAndTheRestNext)
+{
+    constexpr std::size_t peers = 200;
+    constexpr std::size_t mostBytesOfDatagram = 65507;
+    LoadGossip gossip({.name = "self", .address = "10.0.0.1:1"});
+    auto now = firstMoment;
+    for (std::size_t i = 0; i < peers; ++i) {
+        LoadMessage message{.sender = "entry-" + std::to_string(i), .sequence = 1, .incarnation = Incarnation(i + 1)};
+        std::vector<ServiceArrivals> arrivals(2);
+        for (std::uint32_t service = 0; service < 2; ++service) {
+            arrivals[service].service = 4000000000U + service;
+            for (std::uint32_t team = 0; team < 24; ++team) {
+                arrivals[service].rates.push_back(
+                    {.arrivals = {.priority = 1, .team = 4000000000U + team}, .perSecond = 9});
+            }
+        }
+        message.arrivals = arrivals;
+        message.inFlight.emplace_back(4000000000U, 9U);
+        gossip.onMessage(message, "10.0.1." + std::to_string(i) + ":1", now);
+    }
+    std::size_t passedOn = 0;
+    for (int round = 0; round < 10; ++round) {
+        now += seconds(1);
+        if (auto due = gossip.poll(now)) {
+            passedOn += due->relayed.size();
+            LoadMessage own{.sender = "self"};
+            own.relayed = std::move(due->relayed);
+            EXPECT_LE(encodeLoadMessage(own, now).size(), mostBytesOfDatagram);
+        }
+    }
+    EXPECT_EQ(passedOn, peers);
+}
+
 } // namespace
 } // namespace hornbeamlane
