--- a/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
+++ b/modules/hornbeamlane_gateway/peers/PeerLoads.cpp
@@ -277,8 +277,8 @@
     constexpr std::size_t bytesOfService = 8;
     constexpr std::size_t bytesOfRate = 7;
     const auto pairs = load.inFlight.size() + load.bounds.size() + load.demands.size();
-    const auto numbers = numbersOfPair * pairs + numbersOfReport * load.rateLimits.size()
-        + numbersOfLatency * load.latencies.size();
+    const auto numbers =
+        numbersOfPair * pairs + numbersOfReport * load.rateLimits.size() + numbersOfLatency * load.latencies.size();
     std::size_t bytes = bytesOfHead + load.sender.size() + bytesOfNumber * numbers;
     for (const auto &service : load.arrivals.value_or(std::vector<ServiceArrivals>())) {
         bytes += bytesOfService + bytesOfRate * service.rates.size();
