Leave answers alone that look like error pages of evhttp

The callback that replaces the pages which evhttp writes for requests that it refuses also saw our own answers. An engine's answer of up to 1,024 bytes with the type text/html and a body that ends in "</HTML>" was replaced by the refusal page, which states that the request has not run.

A flag is set while an exchange writes, and nothing is replaced meanwhile. It covers complete answers and streams.

HttpServerTest.LeavesAnswersThatLookLikePagesOfTheLibrary failed before (503 in place of 200 for a complete answer and for a stream of HTTP/1.0) and passes now; it also checks that pages of the library are still replaced.

--- a/modules/hornbeamlane_network/http/HttpServer.cpp
+++ b/modules/hornbeamlane_network/http/HttpServer.cpp
@@ -21,6 +21,8 @@
     evhttp_request *handle = nullptr;
     HttpConnectionWatch *watch = nullptr;
     bool isStreaming = false;
+    /** Flag of the server that an answer of ours is being written. */
+    bool *isOwnOutput = nullptr;
     std::function<void()> closedHandler;
     std::function<void()> drainedHandler;
     /** Keeps the exchange alive while the library holds a pointer to it. */
@@ -139,6 +141,28 @@
 
 using Buffer = std::unique_ptr<evbuffer, BufferDeleter>;
 
+/** Sets a flag for its own life. */
+class FlagScope final
+{
+public:
+    explicit FlagScope(bool &flag)
+        : flag_(flag)
+    {
+        flag_ = true;
+    }
+
+    ~FlagScope()
+    {
+        flag_ = false;
+    }
+
+    FlagScope(const FlagScope &) = delete;
+    FlagScope &operator=(const FlagScope &) = delete;
+
+private:
+    bool &flag_;
+};
+
 } // namespace
 
 HttpExchange::HttpExchange(std::unique_ptr<Implementation> implementation)
@@ -163,6 +187,7 @@
     addHeaders(handle, response);
     const Buffer body(evbuffer_new());
     evbuffer_add(body.get(), response.body.data(), response.body.size());
+    const FlagScope ownOutput(*implementation_->isOwnOutput);
     evhttp_send_reply(handle, response.status, nullptr, body.get());
 }
 
@@ -173,6 +198,7 @@
     }
     implementation_->isStreaming = true;
     addHeaders(implementation_->handle, head);
+    const FlagScope ownOutput(*implementation_->isOwnOutput);
     evhttp_send_reply_start(implementation_->handle, head.status, nullptr);
 }
 
@@ -183,6 +209,7 @@
     }
     const Buffer chunk(evbuffer_new());
     evbuffer_add(chunk.get(), bytes.data(), bytes.size());
+    const FlagScope ownOutput(*implementation_->isOwnOutput);
     evhttp_send_reply_chunk_with_cb(
         implementation_->handle, chunk.get(),
         [](evhttp_connection *, void *context) {
@@ -201,6 +228,7 @@
     }
     auto *handle = implementation_->handle;
     const auto keep = implementation_->release();
+    const FlagScope ownOutput(*implementation_->isOwnOutput);
     evhttp_send_reply_end(handle);
 }
 
@@ -248,7 +276,8 @@
     EventLoop *loop = nullptr;
     Options options;
     std::unique_ptr<HttpConnectionWatch> watch;
-    bool isReplacingPage = false;
+    /** The bytes being written are ours and no page of the library. */
+    bool isOwnOutput = false;
     evhttp *server = nullptr;
     evhttp_bound_socket *socket = nullptr;
     Handler handler;
@@ -274,14 +303,15 @@
     /**
         Replaces the HTML page that the library sends for a request that it refuses before any handler sees it.
 
-        The library offers no hook for it before version 2.2; head and page are written in one turn of the loop.
+        The library offers no hook for it before version 2.2; head and page are written in one turn of the loop. Answers
+        of ours are not looked at: one that resembles such a page may be that of a request which has run.
     */
     void replaceLibraryPage(evbuffer *output)
     {
         constexpr std::size_t maxPageBytes = 1024;
         constexpr std::string_view pageEnd = "</HTML>\n";
         const auto size = evbuffer_get_length(output);
-        if (isReplacingPage || !options.refusalPage || size > maxPageBytes) {
+        if (isOwnOutput || !options.refusalPage || size > maxPageBytes) {
             return;
         }
         const std::string_view text(reinterpret_cast<const char *>(evbuffer_pullup(output, -1)), size);
@@ -293,7 +323,7 @@
         int status = 0;
         std::from_chars(text.data() + statusAt, text.data() + text.size(), status);
         const auto page = options.refusalPage(status);
-        isReplacingPage = true;
+        const FlagScope ownOutput(isOwnOutput);
         evbuffer_drain(output, size);
         evbuffer_add_printf(output, "HTTP/1.1 %d Refused\r\nContent-Type: %s\r\nContent-Length: %zu\r\n", page.status,
                             page.contentType.c_str(), page.body.size());
@@ -301,7 +331,6 @@
             evbuffer_add_printf(output, "%s: %s\r\n", name.c_str(), value.c_str());
         }
         evbuffer_add_printf(output, "Connection: close\r\n\r\n%s", page.body.c_str());
-        isReplacingPage = false;
     }
 
     void handle(evhttp_request *handle)
@@ -309,6 +338,7 @@
         auto state = std::make_unique<HttpExchange::Implementation>();
         state->handle = handle;
         state->watch = watch.get();
+        state->isOwnOutput = &isOwnOutput;
         state->request = readRequest(handle);
         auto *raw = state.get();
         const auto exchange = std::make_shared<HttpExchange>(std::move(state));
