Read again on a connection that is kept after its call

Reading from a server is paused while its caller is slow. When the last event and the end of the body came in one read, the call completed while paused, and the connection was kept with reading disabled: the next request on it got no answer, and the server's close went unnoticed.

A connection that is kept reads again at once.

Http1ClientConnectionTest.ReadsTheNextAnswerAfterAnEndWhilePaused and NoticesTheServersCloseAfterAnEndWhilePaused failed before (no answer within 3 s, still reusable after 3 s) and pass now.

--- a/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
@@ -163,6 +163,9 @@
         }
         if (end == Http1CallEnd::Complete && canBeKept()) {
             state = State::Idle;
+            // Reading may be paused for a slow caller of this call; without it neither the next answer nor the peer's
+            // close is noticed.
+            bufferevent_enable(stream, EV_READ);
         } else {
             close();
         }
--- a/modules/hornbeamlane_network/http1/Http1ClientConnection.h
+++ b/modules/hornbeamlane_network/http1/Http1ClientConnection.h
@@ -69,7 +69,7 @@
     /** Closes the connection; no callback runs any more. */
     void cancel();
 
-    /** Stops reading from the peer, which then sees its own writes block. */
+    /** Stops reading from the peer, which then sees its own writes block; at most until the call is complete. */
     void pauseReading();
     void resumeReading();
 
