Send no chunks in an answer to HEAD

A stream route answered HEAD with chunks and the last chunk behind the head. On a kept connection the caller took them for the start of the next answer.

Http1ServerTest.SendsNoBodyInAStreamedAnswerToHead failed before and passes now.

--- a/modules/hornbeamlane_network/http1/Http1Server.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Server.cpp
@@ -74,7 +74,7 @@
 void Http1Exchange::sendPiece(std::string_view bytes)
 {
     auto *connection = implementation_->connection;
-    if (connection == nullptr || bytes.empty()) {
+    if (connection == nullptr || bytes.empty() || connection->isHeadRequest()) {
         return;
     }
     if (!implementation_->isChunked) {
@@ -93,7 +93,8 @@
     if (connection == nullptr) {
         return;
     }
-    if (implementation_->isChunked) {
+    // Behind a head without body even the last chunk would be taken for the start of the next answer.
+    if (implementation_->isChunked && !connection->isHeadRequest()) {
         connection->write("0\r\n\r\n");
     }
     connection->finishAnswer();
--- a/tests/network/Http1ServerTest.cpp
+++ b/tests/network/Http1ServerTest.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamlane_network/http1/Http1Server.h"
 #include "hornbeamlane_network/http1/Http1ClientConnection.h"
 #include "hornbeamlane_network/loop/Timer.h"
+#include "network/RawCaller.h"
 
 #include <gtest/gtest.h>
 
@@ -37,5 +38,27 @@
     account.reset();
 }
 
+// Guards against bytes behind an answer to HEAD, which the caller takes for the start of the next answer.
+TEST(Http1ServerTest, SendsNoBodyInAStreamedAnswerToHead)
+{
+    EventLoop loop;
+    Http1Server server(loop, {.limits = [] { return Http1Server::Limits(); }}, [](const auto &exchange) {
+        exchange->startStream(200, {});
+        exchange->sendPiece("piece");
+        exchange->finishStream();
+    });
+    ASSERT_TRUE(server.listen("127.0.0.1:0"));
+    RawCaller caller(server.port());
+    caller.send("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(runLoopUntil(loop, [&] {
+        caller.read();
+        return caller.received().find("\r\n\r\n") != std::string::npos;
+    }));
+    runLoopFor(loop, std::chrono::milliseconds(50));
+    caller.read();
+    EXPECT_TRUE(caller.received().ends_with("chunked\r\n\r\n")) << caller.received();
+    EXPECT_EQ(caller.end(), RawCaller::End::Open);
+}
+
 } // namespace
 } // namespace hornbeamlane
