Write no refusal into an answer that the caller has not taken

A caller on a kept connection left an answer unread and sent a part of its next request. The connection then counted as reading, and when memory ran short the refusal was written straight to the socket, into the middle of the answer.

The connection stays unread while output is pending and counts as reading, with the request's time limit, from then on. The text is written only where no output waits. An unread connection is not refused as it grows, so no more than 16 kB of the next request are read ahead of it; before, all of it was read. A connection whose answer has been taken counts as idle, as in the gateway's server.

--- a/modules/hornbeamlane_network/http/HttpConnectionWatch.cpp
+++ b/modules/hornbeamlane_network/http/HttpConnectionWatch.cpp
@@ -24,7 +24,7 @@
 /** The library keeps pieces of a body in blocks that are not filled, so that they take more than their bytes. */
 constexpr std::size_t copiesOfBody = 2;
 
-/** Bytes of a following request that are read ahead while one is being answered. */
+/** Bytes of a following request that are read ahead until the answer before it has been taken. */
 constexpr std::size_t maxReadAheadBytes = 16 * 1024;
 
 /** Connections that have been told to give way and are not closed yet, beyond the bound of open ones. */
@@ -59,7 +59,12 @@
     {
         auto *self = static_cast<Connection *>(context);
         self->hold.noteProgress(change->n_deleted);
-        self->watch.updateHold(*self);
+        self->watch.handleOutput(*self);
+    }
+
+    bool hasOutput() const
+    {
+        return evbuffer_get_length(bufferevent_get_output(stream)) > 0;
     }
 
     HttpConnectionWatch &watch;
@@ -136,13 +141,40 @@
     if (bytes == 0 || connection.isRefused || connection.hold.phase() == HoldPhase::Running) {
         return;
     }
-    if (connection.hold.phase() != HoldPhase::Reading) {
-        connection.hold.enter(HoldPhase::Reading, loop_.now());
-        connection.startedAt = loop_.now();
-        connection.requestBytes = 0;
-    }
-    connection.hold.noteProgress(bytes);
     connection.requestBytes += bytes * copiesOfBody;
+    if (connection.hold.phase() != HoldPhase::Reading && !connection.hasOutput()) {
+        startReading(connection);
+    }
+    if (connection.hold.phase() == HoldPhase::Reading) {
+        connection.hold.noteProgress(bytes);
+    }
+    updateHold(connection);
+}
+
+void HttpConnectionWatch::startReading(Connection &connection)
+{
+    connection.hold.enter(HoldPhase::Reading, loop_.now());
+    connection.startedAt = loop_.now();
+    liftReadBound(connection);
+}
+
+void HttpConnectionWatch::liftReadBound(Connection &connection)
+{
+    // The library moves a chunk only once it has all of it, so there is no bound while a body is read.
+    bufferevent_setwatermark(connection.stream, EV_READ, 0, 0);
+}
+
+void HttpConnectionWatch::handleOutput(Connection &connection)
+{
+    // The library reads the next request only once the answer before it has been taken.
+    if (!connection.isRefused && connection.hold.phase() == HoldPhase::Unread && !connection.hasOutput()) {
+        if (connection.requestBytes > 0) {
+            startReading(connection);
+        } else {
+            connection.hold.enter(HoldPhase::Idle, loop_.now());
+            liftReadBound(connection);
+        }
+    }
     updateHold(connection);
 }
 
@@ -172,8 +204,6 @@
     if (const auto found = connections_.find(stream); found != connections_.end()) {
         found->second->hold.enter(HoldPhase::Unread, loop_.now());
         found->second->requestBytes = 0;
-        // The library moves a chunk only once it has all of it, so there is no bound while a body is read.
-        bufferevent_setwatermark(stream, EV_READ, 0, 0);
         updateHold(*found->second);
     }
 }
@@ -184,8 +214,9 @@
         return;
     }
     const auto socket = bufferevent_getfd(connection.stream);
-    if (connection.hold.phase() == HoldPhase::Reading || connection.requestBytes > 0) {
-        // The library has written nothing yet, so the answer can go straight to the socket.
+    const bool isReading = connection.hold.phase() == HoldPhase::Reading || connection.requestBytes > 0;
+    if (isReading && !connection.hasOutput()) {
+        // Nothing waits before it, so the answer can go straight to the socket.
         std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
         text.append(reasonPhrase(status)).append("\r\nContent-Length: 0\r\nConnection: close\r\n");
         text.append(status == 503 ? "Retry-After: 1\r\n\r\n" : "\r\n");
@@ -209,6 +240,10 @@
     });
     updateAccepting();
     for (const auto &[stream, connection] : connections_) {
+        // A stream without chunks may end when there is nothing left to write.
+        if (connection->hold.phase() == HoldPhase::Unread) {
+            handleOutput(*connection);
+        }
         if (connection->hold.phase() == HoldPhase::Reading && now - connection->startedAt > options_.requestTimeout) {
             refuse(*connection, 408, "too_slow");
         }
--- a/modules/hornbeamlane_network/http/HttpConnectionWatch.h
+++ b/modules/hornbeamlane_network/http/HttpConnectionWatch.h
@@ -62,6 +62,10 @@
 
     void remove(Connection &connection);
     void handleInput(Connection &connection, std::size_t bytes);
+    /** The output has grown or the caller has taken some of it. */
+    void handleOutput(Connection &connection);
+    void startReading(Connection &connection);
+    void liftReadBound(Connection &connection);
     void updateAccepting();
     void updateHold(Connection &connection);
     void refuse(Connection &connection, int status, std::string_view cause);
--- a/tests/network/HttpServerTest.cpp
+++ b/tests/network/HttpServerTest.cpp
@@ -67,5 +67,94 @@
         << "pages of the library must still be replaced: " << malformed.received();
 }
 
+// Guards against the refusal of a request that has begun to come being written into the middle of the answer before it,
+// which the caller has not taken yet.
+TEST_F(HttpServerTest, WritesNoRefusalIntoAnAnswerThatIsNotTaken)
+{
+    constexpr std::size_t answerBytes = std::size_t{16} * 1024 * 1024;
+    constexpr std::size_t limit = std::size_t{64} * 1024 * 1024;
+    account_.emplace(MemoryAccount::Options{.limit = limit});
+    const std::string body(answerBytes, 'x');
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->reply({.status = 200, .contentType = "text/plain", .body = body});
+    });
+    RawCaller caller(server_->port(), 16 * 1024);
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runLoopUntil(loop_, [&] { return account_->heldBytes() > answerBytes / 2; }));
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nbody");
+    runLoopFor(loop_, milliseconds(50));
+    // The caller makes room in the system's buffers in the same turn in which memory runs short.
+    for (int i = 0; i < 100; ++i) {
+        caller.read();
+    }
+    ASSERT_LT(caller.received().size(), answerBytes);
+    MemoryHold large(*account_, [] {});
+    MemoryHold small(*account_, [] {});
+    large.enter(HoldPhase::Running, loop_.now());
+    small.enter(HoldPhase::Running, loop_.now());
+    large.resize(limit - account_->heldBytes(), loop_.now());
+    small.resize(std::size_t{1024} * 1024, loop_.now());
+    EXPECT_TRUE(runLoopUntil(loop_, [&] {
+        caller.read();
+        return caller.end() != RawCaller::End::Open;
+    }));
+    EXPECT_EQ(caller.received().find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_LT(caller.received().size(), answerBytes);
+}
+
+// Guards against memory that a caller takes by sending on while it leaves an answer unread.
+TEST_F(HttpServerTest, ReadsLittleBehindAnAnswerThatIsNotTaken)
+{
+    constexpr std::size_t answerBytes = std::size_t{8} * 1024 * 1024;
+    constexpr std::size_t mostReadAhead = std::size_t{256} * 1024;
+    const std::string body(answerBytes, 'x');
+    int requests = 0;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        ++requests;
+        exchange->reply({.status = 200, .contentType = "text/plain", .body = body});
+    });
+    RawCaller caller(server_->port(), 16 * 1024);
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runLoopUntil(loop_, [&] { return account_->heldBytes() > answerBytes / 2; }));
+    runLoopFor(loop_, milliseconds(50));
+    const auto heldBefore = account_->heldBytes();
+    const std::string next(std::size_t{400} * 1024, 'y');
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(next.size()) + "\r\n\r\n" + next);
+    runLoopFor(loop_, milliseconds(200));
+    EXPECT_LE(account_->heldBytes(), heldBefore + mostReadAhead);
+    EXPECT_EQ(requests, 1);
+    // The request is read on once the answer has been taken.
+    EXPECT_TRUE(runLoopUntil(loop_, [&] {
+        caller.read();
+        return requests == 2;
+    }));
+}
+
+// Guards against a refused caller that is told nothing: the text is written where no answer waits.
+TEST_F(HttpServerTest, RefusesARequestWhoseAnswerBeforeHasBeenTaken)
+{
+    constexpr std::size_t limit = std::size_t{1024} * 1024;
+    account_.emplace(MemoryAccount::Options{.limit = limit});
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->reply({.status = 200, .contentType = "text/plain", .body = "first"});
+    });
+    RawCaller caller(server_->port());
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runLoopUntil(loop_, [&] {
+        caller.read();
+        return caller.received().ends_with("first");
+    }));
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nbody");
+    runLoopFor(loop_, milliseconds(50));
+    MemoryHold large(*account_, [] {});
+    large.enter(HoldPhase::Running, loop_.now());
+    large.resize(limit, loop_.now());
+    EXPECT_TRUE(runLoopUntil(loop_, [&] {
+        caller.read();
+        return caller.end() != RawCaller::End::Open;
+    }));
+    EXPECT_NE(caller.received().find("HTTP/1.1 503"), std::string::npos);
+}
+
 } // namespace
 } // namespace hornbeamlane
