Reset the connection when a stream without chunks is cut

To a caller of HTTP/1.0 the end of the connection ends the body, so a stream that is cut by an orderly end looks complete. Http1Server reset it only when the answering side aborted, and not when the caller had ended its sending direction or the server was destroyed. evhttp ends the sending direction before it closes, so both its ways of cutting a stream looked orderly, and so did an answer that was dropped for lack of memory.

These ways now reset the connection. For evhttp it is reset at once, since a reset on closing comes too late.

Http1ServerTest.ResetsAStreamWithoutChunksThatIsCut (by the caller, by the end of the server), HttpServerTest.ResetsAStreamWithoutChunksThatIsCut (both ways) and ResetsAStreamWithoutChunksThatIsDropped failed before with an orderly end and pass now.

--- a/modules/hornbeamlane_network/http/HttpConnectionWatch.cpp
+++ b/modules/hornbeamlane_network/http/HttpConnectionWatch.cpp
@@ -1,6 +1,7 @@
 #include "hornbeamlane_network/http/HttpConnectionWatch.h"
 
 #include "hornbeamlane_network/http1/Http1Messages.h"
+#include "hornbeamlane_network/socket/SocketOptions.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -222,7 +223,12 @@
         text.append(status == 503 ? "Retry-After: 1\r\n\r\n" : "\r\n");
         send(socket, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     }
-    shutdown(socket, SHUT_RDWR);
+    if (connection.hasOutput()) {
+        // An orderly end would make an answer without chunks and length look complete.
+        resetConnection(socket);
+    } else {
+        shutdown(socket, SHUT_RDWR);
+    }
     if (options_.onRefused) {
         options_.onRefused(status, cause);
     }
--- a/modules/hornbeamlane_network/http/HttpServer.cpp
+++ b/modules/hornbeamlane_network/http/HttpServer.cpp
@@ -2,12 +2,14 @@
 
 #include "hornbeamlane_network/http/HttpConnectionWatch.h"
 #include "hornbeamlane_network/socket/SocketAddress.h"
+#include "hornbeamlane_network/socket/SocketOptions.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
 
@@ -46,8 +48,18 @@
         return std::move(self);
     }
 
-    void handleClose()
+    /** Resets the connection if an orderly end would make a stream that is cut look complete. */
+    void markCut(evhttp_connection *connectionHandle) const
     {
+        if (isStreaming && handle->chunked == 0) {
+            // The library ends the sending direction before it closes the socket, so a reset on closing is too late.
+            resetConnection(bufferevent_getfd(evhttp_connection_get_bufferevent(connectionHandle)));
+        }
+    }
+
+    void handleClose(evhttp_connection *connectionHandle)
+    {
+        markCut(connectionHandle);
         const auto handler = std::move(closedHandler);
         const auto keep = std::move(self);
         // The library has handed a request whose caller hung up over to us; one that is still queued it frees itself.
@@ -238,6 +250,7 @@
         return;
     }
     auto *connection = implementation_->connection();
+    implementation_->markCut(connection);
     const auto keep = implementation_->release();
     evhttp_connection_free(connection);
 }
@@ -346,8 +359,8 @@
         auto *connection = evhttp_request_get_connection(handle);
         evhttp_connection_set_closecb(
             connection,
-            [](evhttp_connection *, void *context) {
-                static_cast<HttpExchange::Implementation *>(context)->handleClose();
+            [](evhttp_connection *closed, void *context) {
+                static_cast<HttpExchange::Implementation *>(context)->handleClose(closed);
             },
             raw);
         watch->requestStarted(evhttp_connection_get_bufferevent(connection), exchange->request().body.size());
--- a/modules/hornbeamlane_network/http1/Http1Server.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Server.cpp
@@ -103,7 +103,7 @@
 void Http1Exchange::abort()
 {
     if (implementation_->connection != nullptr) {
-        implementation_->connection->abort(implementation_->isStreaming && !implementation_->isChunked);
+        implementation_->connection->abort();
     }
 }
 
--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
@@ -132,7 +132,7 @@
 
 Http1ServerConnection::~Http1ServerConnection()
 {
-    dropExchange();
+    cutExchange();
     bufferevent_free(stream_);
 }
 
@@ -193,12 +193,9 @@
     }
 }
 
-void Http1ServerConnection::abort(bool isEndOfConnectionEndOfBody)
+void Http1ServerConnection::abort()
 {
-    if (isEndOfConnectionEndOfBody) {
-        resetOnClose(bufferevent_getfd(stream_));
-    }
-    dropExchange();
+    cutExchange();
     server_.remove(this);
 }
 
@@ -342,6 +339,14 @@
     exchange_.reset();
 }
 
+void Http1ServerConnection::cutExchange()
+{
+    if (exchange_ != nullptr && exchange_->isStreaming && !exchange_->isChunked) {
+        resetOnClose(bufferevent_getfd(stream_));
+    }
+    dropExchange();
+}
+
 void Http1ServerConnection::closeAfterOutput()
 {
     state_ = State::Lingering;
@@ -401,7 +406,10 @@
 void Http1ServerConnection::handleEnd()
 {
     const auto exchange = exchange_;
-    dropExchange();
+    cutExchange();
+    if (bufferedBytes() > 0) {
+        resetOnClose(bufferevent_getfd(stream_));
+    }
     auto &server = server_;
     server.remove(this);
     if (exchange != nullptr && exchange->closed) {
--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.h
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.h
@@ -82,7 +82,7 @@
     void finishAnswer();
 
     /** Ends the connection at once; by a reset if an orderly end would make the answer look complete. */
-    void abort(bool isEndOfConnectionEndOfBody);
+    void abort();
 
     bool mustClose() const
     {
@@ -111,6 +111,8 @@
     void refuse(int status, std::string_view cause);
     void startExchange();
     void dropExchange();
+    /** Drops the exchange before its answer is complete. Without chunks only a reset shows the caller that. */
+    void cutExchange();
 
     /** Sends what is left, then reads on for a while: closing with unread bytes would reset the connection. */
     void closeAfterOutput();
--- a/modules/hornbeamlane_network/socket/SocketOptions.cpp
+++ b/modules/hornbeamlane_network/socket/SocketOptions.cpp
@@ -37,4 +37,11 @@
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 }
 
+void resetConnection(evutil_socket_t socket)
+{
+    const sockaddr none{.sa_family = AF_UNSPEC, .sa_data = {}};
+    // It fails only where no connection is left.
+    static_cast<void>(connect(socket, &none, sizeof(none)));
+}
+
 } // namespace hornbeamlane
--- a/tests/network/Http1ServerTest.cpp
+++ b/tests/network/Http1ServerTest.cpp
@@ -60,5 +60,44 @@
     EXPECT_EQ(caller.end(), RawCaller::End::Open);
 }
 
+// Guards against a cut stream that looks complete: to a caller of HTTP/1.0 the end of the connection ends the body.
+TEST(Http1ServerTest, ResetsAStreamWithoutChunksThatIsCut)
+{
+    enum class Cut { ByServer, ByCaller, ByEndOfServer };
+    for (const auto cut : {Cut::ByServer, Cut::ByCaller, Cut::ByEndOfServer}) {
+        EventLoop loop;
+        std::shared_ptr<Http1Exchange> running;
+        auto server = std::make_unique<Http1Server>(
+            loop, Http1Server::Options{.limits = [] { return Http1Server::Limits(); }}, [&](const auto &exchange) {
+                running = exchange;
+                exchange->startStream(200, {});
+                exchange->sendPiece("part");
+            });
+        ASSERT_TRUE(server->listen("127.0.0.1:0"));
+        RawCaller caller(server->port());
+        caller.send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+        ASSERT_TRUE(runLoopUntil(loop, [&] {
+            caller.read();
+            return caller.received().ends_with("part");
+        }));
+        switch (cut) {
+        case Cut::ByServer:
+            running->abort();
+            break;
+        case Cut::ByCaller:
+            caller.finishSending();
+            break;
+        case Cut::ByEndOfServer:
+            server.reset();
+            break;
+        }
+        EXPECT_TRUE(runLoopUntil(loop, [&] {
+            caller.read();
+            return caller.end() != RawCaller::End::Open;
+        }));
+        EXPECT_EQ(caller.end(), RawCaller::End::Reset) << static_cast<int>(cut);
+    }
+}
+
 } // namespace
 } // namespace hornbeamlane
--- a/tests/network/HttpServerTest.cpp
+++ b/tests/network/HttpServerTest.cpp
@@ -156,5 +156,62 @@
     EXPECT_NE(caller.received().find("HTTP/1.1 503"), std::string::npos);
 }
 
+// Guards against a cut stream that looks complete: to a caller of HTTP/1.0 the end of the connection ends the body.
+TEST_F(HttpServerTest, ResetsAStreamWithoutChunksThatIsCut)
+{
+    std::shared_ptr<HttpExchange> running;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        running = exchange;
+        exchange->startStream({.status = 200, .contentType = "text/plain"});
+        exchange->sendChunk("part");
+    });
+    for (const bool isCutByCaller : {false, true}) {
+        RawCaller caller(server_->port());
+        caller.send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+        ASSERT_TRUE(runLoopUntil(loop_, [&] {
+            caller.read();
+            return caller.received().ends_with("part");
+        }));
+        isCutByCaller ? caller.finishSending() : running->abortStream();
+        EXPECT_TRUE(runLoopUntil(loop_, [&] {
+            caller.read();
+            return caller.end() != RawCaller::End::Open;
+        }));
+        EXPECT_EQ(caller.end(), RawCaller::End::Reset) << isCutByCaller;
+    }
+}
+
+// Guards against the same when the end of a stream that the caller has not taken is dropped for lack of memory.
+TEST_F(HttpServerTest, ResetsAStreamWithoutChunksThatIsDropped)
+{
+    constexpr std::size_t answerBytes = std::size_t{16} * 1024 * 1024;
+    constexpr std::size_t limit = std::size_t{64} * 1024 * 1024;
+    account_.emplace(MemoryAccount::Options{.limit = limit});
+    const std::string body(answerBytes, 'x');
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->startStream({.status = 200, .contentType = "text/plain"});
+        exchange->sendChunk(body);
+        exchange->finishStream();
+    });
+    RawCaller caller(server_->port(), 16 * 1024);
+    caller.send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runLoopUntil(loop_, [&] { return account_->heldBytes() > answerBytes / 2; }));
+    runLoopFor(loop_, milliseconds(50));
+    MemoryHold large(*account_, [] {});
+    MemoryHold small(*account_, [] {});
+    large.enter(HoldPhase::Running, loop_.now());
+    small.enter(HoldPhase::Running, loop_.now());
+    large.resize(limit - account_->heldBytes(), loop_.now());
+    small.resize(std::size_t{1024} * 1024, loop_.now());
+    EXPECT_TRUE(runLoopUntil(loop_, [&] {
+        caller.read();
+        return caller.end() != RawCaller::End::Open;
+    }));
+    EXPECT_EQ(caller.end(), RawCaller::End::Reset);
+    EXPECT_LT(caller.received().size(), answerBytes);
+    EXPECT_TRUE(runLoopUntil(loop_, [&] { return account_->heldBytes() == large.bytes() + small.bytes(); }))
+        << "the library must free the connection";
+}
+
 } // namespace
 } // namespace hornbeamlane
