Drop the trailers of requests and bound them

The parser added the trailers of a body in chunks to the headers of the request. They were used and forwarded, such as a credential behind the body, and did not count in the limit on a head.

The headers are taken out of the parser once the head is complete. Trailers are dropped; those over the limit on head bytes are refused with 431, also before their end has come, and so is a line before a chunk of that length.

Http1RequestReaderTest.TakesNoTrailerForAHeader (5 headers in place of 3) and BoundsTrailersLikeAHead failed before and pass now.

--- a/modules/hornbeamlane_network/http1/Http1Readers.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Readers.cpp
@@ -56,9 +56,14 @@
     return false;
 }
 
-/** Feeds the parser until it needs more bytes; a parser stops once after the headers and goes on with the body. */
+enum class FeedTo {
+    EndOfHead, ///< A parser that is not eager stops there.
+    EndOfMessage,
+};
+
+/** Feeds the parser until it needs more bytes or has read the part. */
 template <class Parser>
-Http1Progress feed(Parser &parser, std::string_view bytes, std::size_t &consumed)
+Http1Progress feed(Parser &parser, std::string_view bytes, std::size_t &consumed, FeedTo end = FeedTo::EndOfMessage)
 {
     consumed = 0;
     while (!parser.is_done() && consumed < bytes.size()) {
@@ -80,7 +85,7 @@
         if (parser.is_header_done() && hasUnknownTransferCoding(parser.get())) {
             return Http1Progress::Malformed;
         }
-        if (used == 0) {
+        if (used == 0 || (end == FeedTo::EndOfHead && parser.is_header_done())) {
             break;
         }
     }
@@ -92,7 +97,38 @@
 struct Http1RequestReader::Implementation
 {
     std::optional<http::request_parser<http::string_body>> parser;
+    std::size_t maxHeaderBytes = 0;
     std::size_t headBytes = 0;
+    /** The headers, taken out of the parser before it adds trailers to them. */
+    HttpHeaders headers;
+    bool isHeadTaken = false;
+    bool isKeepAlive = true;
+    bool expectsContinue = false;
+
+    void takeHead()
+    {
+        auto &message = parser->get();
+        isHeadTaken = true;
+        isKeepAlive = message.keep_alive();
+        const auto expect = message.find(http::field::expect);
+        expectsContinue = expect != message.end()
+            && isSameHeader(std::string_view(expect->value().data(), expect->value().size()), "100-continue");
+        headers = copyHeaders(message);
+        for (const auto &[name, value] : headers) {
+            headBytes += name.size() + value.size() + headerLineCost;
+        }
+        message.clear();
+    }
+
+    /** Trailers that have been read, or a line behind the head that is still without end. */
+    bool hasTooMuchBehindHead(std::size_t unreadBytes) const
+    {
+        std::size_t bytes = unreadBytes;
+        for (const auto &trailer : parser->get()) {
+            bytes += trailer.name_string().size() + trailer.value().size();
+        }
+        return bytes > maxHeaderBytes;
+    }
 
     /** The text's own growth doubles its memory; this one stays near to what has come. */
     void makeRoom(std::size_t bytes)
@@ -118,23 +154,35 @@
 void Http1RequestReader::start(const Limits &limits)
 {
     auto &parser = implementation_->parser.emplace();
+    implementation_->maxHeaderBytes = limits.maxHeaderBytes;
     implementation_->headBytes = 0;
+    implementation_->headers.clear();
+    implementation_->isHeadTaken = false;
+    implementation_->isKeepAlive = true;
+    implementation_->expectsContinue = false;
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     parser.body_limit(limits.maxBodyBytes);
-    parser.eager(true);
 }
 
 Http1Progress Http1RequestReader::consume(std::string_view bytes, std::size_t &consumed)
 {
     auto &self = *implementation_;
     self.makeRoom(bytes.size());
-    const auto progress = feed(*self.parser, bytes, consumed);
-    if (self.headBytes == 0 && hasHead()) {
-        for (const auto &field : self.parser->get()) {
-            self.headBytes += field.name_string().size() + field.value().size() + headerLineCost;
+    consumed = 0;
+    if (!self.isHeadTaken) {
+        const auto progress = feed(*self.parser, bytes, consumed, FeedTo::EndOfHead);
+        const bool isValid = progress == Http1Progress::NeedMore || progress == Http1Progress::Complete;
+        if (!isValid || !hasHead()) {
+            return progress;
         }
+        self.takeHead();
+        self.parser->eager(true);
     }
-    return progress;
+    std::size_t used = 0;
+    const auto progress = feed(*self.parser, bytes.substr(consumed), used);
+    consumed += used;
+    const auto unread = progress == Http1Progress::NeedMore ? bytes.size() - consumed : 0;
+    return self.hasTooMuchBehindHead(unread) ? Http1Progress::HeadTooLarge : progress;
 }
 
 std::optional<std::uint64_t> Http1RequestReader::announcedBytes() const
@@ -155,10 +203,7 @@
 
 bool Http1RequestReader::expectsContinue() const
 {
-    const auto &message = implementation_->parser->get();
-    const auto field = message.find(http::field::expect);
-    return hasHead() && field != message.end()
-        && isSameHeader(std::string_view(field->value().data(), field->value().size()), "100-continue");
+    return implementation_->expectsContinue;
 }
 
 Http1Request Http1RequestReader::take()
@@ -166,10 +211,10 @@
     auto message = implementation_->parser->release();
     return {.method = std::string(message.method_string()),
             .target = std::string(message.target()),
-            .headers = copyHeaders(message),
+            .headers = std::move(implementation_->headers),
             .body = std::move(message.body()),
             .isHttp11 = message.version() >= 11,
-            .isKeepAlive = message.keep_alive()};
+            .isKeepAlive = implementation_->isKeepAlive};
 }
 
 struct Http1ResponseReader::Implementation
--- a/modules/hornbeamlane_network/http1/Http1Readers.h
+++ b/modules/hornbeamlane_network/http1/Http1Readers.h
@@ -8,7 +8,7 @@
 
 namespace hornbeamlane {
 
-/** Reads one request after the other from the bytes of a connection. */
+/** Reads one request after the other from the bytes of a connection. Trailers are bounded like a head and dropped. */
 class Http1RequestReader final
 {
 public:
--- a/tests/network/Http1ReadersTest.cpp
+++ b/tests/network/Http1ReadersTest.cpp
@@ -146,6 +146,36 @@
     EXPECT_LE(reader.heldBytes(), bodyBytes + 256 * 1024);
 }
 
+// Guards against a credential, or any other header, that a caller adds behind its body, where nothing has checked it.
+TEST(Http1RequestReaderTest, TakesNoTrailerForAHeader)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    Http1RequestReader reader;
+    reader.start({});
+    std::size_t consumed = 0;
+    ASSERT_EQ(reader.consume(head + "2\r\nhi\r\n0\r\nCredential: key\r\nHost: other\r\n\r\n", consumed),
+              Http1Progress::Complete);
+    const auto request = reader.take();
+    EXPECT_EQ(request.header("Credential"), nullptr);
+    ASSERT_EQ(request.headers.size(), 3U);
+    EXPECT_EQ(request.headers.front(), (HttpHeaders::value_type{"Host", "h"}));
+    EXPECT_EQ(request.method, "POST");
+    EXPECT_EQ(request.target, "/");
+    EXPECT_EQ(request.body, "hi");
+    EXPECT_FALSE(request.isKeepAlive);
+}
+
+// Guards against trailers that take the memory which the limit on a head denies, at once and without their end.
+TEST(Http1RequestReaderTest, BoundsTrailersLikeAHead)
+{
+    const Http1RequestReader::Limits limits{.maxHeaderBytes = 256};
+    const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n";
+    const std::string trailer = "Trailer: " + std::string(300, 'x') + "\r\n";
+    EXPECT_EQ(readRequest(head + "Trailer: short\r\n\r\n", limits), Http1Progress::Complete);
+    EXPECT_EQ(readRequest(head + trailer + "\r\n", limits), Http1Progress::HeadTooLarge);
+    EXPECT_EQ(readRequest(head + trailer, limits), Http1Progress::HeadTooLarge);
+}
+
 // Guards against random bytes crashing a reader: each result is allowed, but it must be one.
 TEST(Http1ReadersTest, SurviveRandomBytes)
 {
