Keep the body rule of the call behind a skipped answer

After an answer of another request was skipped, the reader started with the default rule, so that an answer to HEAD with a Content-Length waited for a body until the deadline of the call.

Http1ClientConnectionTest.ReadsAnAnswerToHeadBehindASkippedOne failed before (no end within 3 s) and passes now.

--- a/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ClientConnection.cpp
@@ -127,8 +127,9 @@
     void call(const Request &request, Callbacks newCallbacks)
     {
         callbacks = std::move(newCallbacks);
-        reader.start(request.method == "HEAD" ? Http1ResponseReader::BodyRule::None
-                                              : Http1ResponseReader::BodyRule::AsStated);
+        bodyRule =
+            request.method == "HEAD" ? Http1ResponseReader::BodyRule::None : Http1ResponseReader::BodyRule::AsStated;
+        reader.start(bodyRule);
         isHeadAccepted = false;
         isHeadRejected = false;
         skippedAnswers = 0;
@@ -220,7 +221,7 @@
             return true;
         }
         if (progress == Http1Progress::Complete && isHeadRejected) {
-            reader.start(Http1ResponseReader::BodyRule::AsStated);
+            reader.start(bodyRule);
             isHeadRejected = false;
             ++skippedAnswers;
             return true;
@@ -309,6 +310,7 @@
     State state = State::Fresh;
     bufferevent *stream = nullptr;
     Http1ResponseReader reader;
+    Http1ResponseReader::BodyRule bodyRule = Http1ResponseReader::BodyRule::AsStated;
     Callbacks callbacks;
     std::size_t requestBytes = 0;
     bool isHeadAccepted = false;
--- a/tests/network/Http1ClientConnectionTest.cpp
+++ b/tests/network/Http1ClientConnectionTest.cpp
@@ -51,5 +51,23 @@
     EXPECT_TRUE(runLoopUntil(loop, [&] { return !connection.isReusable(); }));
 }
 
+// Guards against a HEAD request that waits for a body until its deadline because another answer came before its own.
+TEST(Http1ClientConnectionTest, ReadsAnAnswerToHeadBehindASkippedOne)
+{
+    EventLoop loop;
+    testing::ScriptedServer server(loop, [](testing::ScriptedServer::Connection &connection, const std::string &, int) {
+        connection.send("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 7\r\n\r\n"
+                        "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 7\r\n\r\n");
+    });
+    Http1ClientConnection connection(loop, {.address = server.address()});
+    std::optional<Http1CallEnd> result;
+    connection.call({.method = "HEAD", .target = "/", .headers = {{"Host", "h"}}, .body = {}},
+                    {.head = [](const Http1ResponseHead &head) { return *head.header("Id") == "own"; },
+                     .data = [](auto) {},
+                     .end = [&](Http1CallEnd end) { result = end; }});
+    EXPECT_TRUE(runLoopUntil(loop, [&] { return result.has_value(); }));
+    EXPECT_EQ(result, Http1CallEnd::Complete);
+}
+
 } // namespace
 } // namespace hornbeamlane
