Start the timer of a body at the end of its head

The timer that ran from the first byte of a request was not started anew at the end of the head, so a head that was complete just before the header timeout left its body no time, and the request was refused with 408.

Http1ServerTest.GivesABodyItsOwnTimeAfterASlowHead failed before (408) and passes now.

--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.cpp
@@ -244,6 +244,7 @@
     hold_.noteProgress(consumed);
     if (!hadHead && reader_.hasHead()) {
         bodyEndsBy_ = now() + server_.options.limits().bodyTimeout;
+        startReadTimer();
     }
     const bool isRefusal = progress != Http1Progress::NeedMore && progress != Http1Progress::Complete;
     if (isRefusal || admitInput()) {
--- a/tests/network/Http1ServerTest.cpp
+++ b/tests/network/Http1ServerTest.cpp
@@ -99,5 +99,26 @@
     }
 }
 
+// Guards against a slow head that takes the time of the body after it, so that the request is refused as too slow.
+TEST(Http1ServerTest, GivesABodyItsOwnTimeAfterASlowHead)
+{
+    using std::chrono::milliseconds;
+    EventLoop loop;
+    Http1Server server(loop, {.limits = [] { return Http1Server::Limits{.headerTimeout = milliseconds(600)}; }},
+                       [](const auto &exchange) { exchange->reply(200, {}, exchange->request().body); });
+    ASSERT_TRUE(server.listen("127.0.0.1:0"));
+    RawCaller caller(server.port());
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\n");
+    runLoopFor(loop, milliseconds(400));
+    caller.send("Content-Length: 4\r\n\r\n");
+    runLoopFor(loop, milliseconds(400));
+    caller.send("body");
+    EXPECT_TRUE(runLoopUntil(loop, [&] {
+        caller.read();
+        return !caller.received().empty();
+    }));
+    EXPECT_TRUE(caller.received().starts_with("HTTP/1.1 200")) << caller.received();
+}
+
 } // namespace
 } // namespace hornbeamlane
