Close the connection after a stream without chunks

A caller of HTTP/1.0 that asks to keep its connection got a stream without chunks and length on a connection that stayed open. It could not see the end of the body, and would have taken the next answer for a part of it.

Http1ServerTest.EndsAStreamWithoutChunksWithTheConnection failed before (no end within 3 s) and passes now.

--- a/modules/hornbeamlane_network/http1/Http1Server.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Server.cpp
@@ -67,7 +67,10 @@
     }
     implementation_->isStreaming = true;
     implementation_->isChunked = connection->isHttp11();
-    // Without chunks only the end of the connection ends the body.
+    if (!implementation_->isChunked) {
+        // Only the end of the connection ends the body, also for a caller of HTTP/1.0 that asks to keep it.
+        connection->closeAfterAnswer();
+    }
     connection->writeHead(status, headers, implementation_->isChunked ? "Transfer-Encoding: chunked\r\n" : "");
 }
 
--- a/modules/hornbeamlane_network/http1/Http1ServerConnection.h
+++ b/modules/hornbeamlane_network/http1/Http1ServerConnection.h
@@ -84,6 +84,11 @@
     /** Ends the connection at once; by a reset if an orderly end would make the answer look complete. */
     void abort();
 
+    void closeAfterAnswer()
+    {
+        isKeepAlive_ = false;
+    }
+
     bool mustClose() const
     {
         return server_.isClosing || !isKeepAlive_;
--- a/tests/network/Http1ServerTest.cpp
+++ b/tests/network/Http1ServerTest.cpp
@@ -99,6 +99,27 @@
     }
 }
 
+// Guards against a caller of HTTP/1.0 that waits for the end of a stream: it asks to keep the connection, whose end
+// alone ends a body without chunks.
+TEST(Http1ServerTest, EndsAStreamWithoutChunksWithTheConnection)
+{
+    EventLoop loop;
+    Http1Server server(loop, {.limits = [] { return Http1Server::Limits(); }}, [](const auto &exchange) {
+        exchange->startStream(200, {});
+        exchange->sendPiece("whole");
+        exchange->finishStream();
+    });
+    ASSERT_TRUE(server.listen("127.0.0.1:0"));
+    RawCaller caller(server.port());
+    caller.send("GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n");
+    EXPECT_TRUE(runLoopUntil(loop, [&] {
+        caller.read();
+        return caller.end() != RawCaller::End::Open;
+    }));
+    EXPECT_EQ(caller.end(), RawCaller::End::Orderly);
+    EXPECT_TRUE(caller.received().ends_with("\r\n\r\nwhole")) << caller.received();
+}
+
 // Guards against a slow head that takes the time of the body after it, so that the request is refused as too slow.
 TEST(Http1ServerTest, GivesABodyItsOwnTimeAfterASlowHead)
 {
