--- a/modules/hornbeamlane_network/http1/Http1Server.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Server.cpp
@@ -67,14 +67,17 @@
     }
     implementation_->isStreaming = true;
     implementation_->isChunked = connection->isHttp11();
-    // Without chunks only the end of the connection ends the body.
+    if (!implementation_->isChunked) {
+        // Only the end of the connection ends the body, also for a caller of HTTP/1.0 that asks to keep it.
+        connection->closeAfterAnswer();
+    }
     connection->writeHead(status, headers, implementation_->isChunked ? "Transfer-Encoding: chunked\r\n" : "");
 }
 
 void Http1Exchange::sendPiece(std::string_view bytes)
 {
     auto *connection = implementation_->connection;
-    if (connection == nullptr || bytes.empty()) {
+    if (connection == nullptr || bytes.empty() || connection->isHeadRequest()) {
         return;
     }
     if (!implementation_->isChunked) {
@@ -93,7 +96,8 @@
     if (connection == nullptr) {
         return;
     }
-    if (implementation_->isChunked) {
+    // Behind a head without body even the last chunk would be taken for the start of the next answer.
+    if (implementation_->isChunked && !connection->isHeadRequest()) {
         connection->write("0\r\n\r\n");
     }
     connection->finishAnswer();
@@ -102,7 +106,7 @@
 void Http1Exchange::abort()
 {
     if (implementation_->connection != nullptr) {
-        implementation_->connection->abort(implementation_->isStreaming && !implementation_->isChunked);
+        implementation_->connection->abort();
     }
 }
 
