Do not wait for changes that a read already contains

The versions that other entries tell were compared with the newest row seen. If the newest change of a table is a removal, a read contains only the rows that are left, so an entry that starts or reads anew took the removal for missed: it logged a warning and asked the store every 0.9 s until the next change. It now compares with the version of the read or of the changes too.

A version or a later era that the store does not confirm within 9 s, the longest wait, is no longer waited for, and the same or a higher one is not believed again until the store reaches it or comes back in a later era. Lower versions are still waited for.

The option peerLead is a time limit and is called maxPeerLead now.

--- a/modules/hornbeamlane_gateway/state/TableFollower.cpp
+++ b/modules/hornbeamlane_gateway/state/TableFollower.cpp
@@ -63,7 +63,11 @@
     for (const auto &row : rows) {
         newestRow_ = std::max(newestRow_, row.version);
     }
-    if (newestRow_ >= peerVersion_ && !hasPeerLaterEra_) {
+    if (unconfirmedVersion_ && knownVersion() >= *unconfirmedVersion_) {
+        unconfirmedVersion_.reset();
+    }
+    if (!isMissing()) {
+        missingFrom_ = {};
         missingSince_ = {};
     }
 }
@@ -71,10 +75,12 @@
 void TableFollower::onPeerVersion(const TableVersion &seen)
 {
     if (seen.era == era_) {
-        peerVersion_ = std::max(peerVersion_, RowVersion(seen.version));
+        if (!unconfirmedVersion_ || RowVersion(seen.version) < *unconfirmedVersion_) {
+            peerVersion_ = std::max(peerVersion_, RowVersion(seen.version));
+        }
     } else if (seen.era && era_ && *seen.era > *era_) {
         // The peer's word makes this process ask; only the store's own answer moves its era.
-        hasPeerLaterEra_ = true;
+        hasPeerLaterEra_ = !isLaterEraUnconfirmed_;
     } else {
         return;
     }
@@ -91,6 +97,7 @@
 void TableFollower::readAnew()
 {
     needsRead_ = true;
+    missingFrom_ = {};
     missingSince_ = {};
     timer_.stop();
     missingTimer_.stop();
@@ -107,27 +114,59 @@
     return reply.era && era_ && *reply.era > *era_;
 }
 
+RowVersion TableFollower::knownVersion() const
+{
+    // A removal that precedes the read has a version, but leaves no row.
+    return std::max(newestRow_, version_);
+}
+
+bool TableFollower::isMissing() const
+{
+    return knownVersion() < peerVersion_ || hasPeerLaterEra_;
+}
+
+void TableFollower::expirePeerVersion()
+{
+    logEvent(LogLevel::Warning, "table_change_unconfirmed",
+             {{"table", options_.table},
+              {"known", std::to_string(knownVersion().value())},
+              {"told", std::to_string(peerVersion_.value())},
+              {"later_era", hasPeerLaterEra_ ? "yes" : "no"}});
+    if (knownVersion() < peerVersion_) {
+        unconfirmedVersion_ = peerVersion_;
+    }
+    isLaterEraUnconfirmed_ = isLaterEraUnconfirmed_ || hasPeerLaterEra_;
+    peerVersion_ = RowVersion();
+    hasPeerLaterEra_ = false;
+    missingFrom_ = {};
+    missingSince_ = {};
+}
+
 void TableFollower::checkMissing()
 {
-    const bool isMissing = newestRow_ < peerVersion_ || hasPeerLaterEra_;
-    if (!isMissing || isStopped_ || needsRead_) {
+    if (!isMissing() || isStopped_ || needsRead_) {
         return;
     }
     const auto now = loop_.now();
     if (missingSince_ == TimePoint{}) {
+        missingFrom_ = now;
         missingSince_ = now;
-        missingTimer_.startOnce(options_.peerLead);
+        missingTimer_.startOnce(options_.maxPeerLead);
         return;
     }
-    if (now - missingSince_ < options_.peerLead) {
+    if (now - missingSince_ < options_.maxPeerLead) {
+        return;
+    }
+    if (now - missingFrom_ >= options_.peerExpiry) {
+        expirePeerVersion();
         return;
     }
     logEvent(LogLevel::Warning, "table_change_missed",
              {{"table", options_.table},
-              {"known", std::to_string(newestRow_.value())},
+              {"known", std::to_string(knownVersion().value())},
               {"told", std::to_string(peerVersion_.value())}});
     missingSince_ = now;
-    missingTimer_.startOnce(options_.peerLead * 2);
+    missingTimer_.startOnce(options_.maxPeerLead * 2);
     timer_.stop();
     watch();
 }
@@ -163,6 +202,9 @@
         newestRow_ = RowVersion();
         peerVersion_ = RowVersion();
         hasPeerLaterEra_ = false;
+        unconfirmedVersion_.reset();
+        isLaterEraUnconfirmed_ = false;
+        missingFrom_ = {};
         missingSince_ = {};
         callbacks_.restored();
     }
@@ -197,11 +239,11 @@
         return;
     }
     version_ = std::max(version_, reply.version);
+    noteRows(reply.rows);
     if (reply.rows.empty()) {
         watch();
         return;
     }
-    noteRows(reply.rows);
     callbacks_.changes(reply.rows);
     timer_.startOnce(options_.changePause);
 }
--- a/modules/hornbeamlane_gateway/state/TableFollower.h
+++ b/modules/hornbeamlane_gateway/state/TableFollower.h
@@ -60,8 +60,12 @@
         std::chrono::milliseconds maxWait{9000};
         /** Pause after a change, so that changes in quick succession come with one answer. */
         std::chrono::milliseconds changePause{350};
-        /** Time after which a change that another process has seen should have been seen here. */
-        std::chrono::milliseconds peerLead{450};
+        /** Longest time by which another process may be ahead: a wait that has not told of its change is then given up.
+         */
+        std::chrono::milliseconds maxPeerLead{450};
+        /** Time after which what other processes tell is no longer believed, unless the store confirms it. It is as
+           long as the longest wait, after which the store is asked anew in any case. */
+        std::chrono::milliseconds peerExpiry{9000};
         /** Pause after a failure; doubles up to the bound. */
         std::chrono::milliseconds firstPause{150};
         std::chrono::milliseconds maxPause{800};
@@ -109,7 +113,12 @@
     void watch();
     std::chrono::milliseconds nextWait();
     void noteRows(const std::vector<TableChange> &rows);
+    /** Version up to which the store has told all rows, or a newer one of a row. */
+    RowVersion knownVersion() const;
+    bool isMissing() const;
     void checkMissing();
+    /** What others have told is no longer waited for; their telling the same again changes nothing. */
+    void expirePeerVersion();
     bool isOfEarlierEra(const TableFeedReply &reply) const;
     bool isOfLaterEra(const TableFeedReply &reply) const;
     void readAnew();
@@ -133,10 +142,15 @@
     RowVersion newestRow_;
     /** Era of all versions here; empty while the store has told none. */
     std::optional<TableEra> era_;
-    /** Newest row that others have told of and since when it is missing here. */
+    /** Newest row that others have told of. */
     RowVersion peerVersion_;
     /** Others have seen a later era than this process. */
     bool hasPeerLaterEra_ = false;
+    /** The store has not confirmed this version, or a later era, in time; others are not believed from there on. */
+    std::optional<RowVersion> unconfirmedVersion_;
+    bool isLaterEraUnconfirmed_ = false;
+    /** When something that others have told began to be missing, and when the store was last asked for it. */
+    TimePoint missingFrom_;
     TimePoint missingSince_;
     Timer missingTimer_;
     /** Number of the call whose answer counts; answers to calls that were given up are ignored. */
--- a/tests/gateway/TableFollowerTest.cpp
+++ b/tests/gateway/TableFollowerTest.cpp
@@ -29,7 +29,10 @@
     {
         follower_ = std::make_unique<TableFollower>(
             loop_, random_, feed(),
-            TableFollower::Options{.table = "t", .changePause = milliseconds(20), .peerLead = milliseconds(30)},
+            TableFollower::Options{.table = "t",
+                                   .changePause = milliseconds(20),
+                                   .maxPeerLead = milliseconds(30),
+                                   .peerExpiry = milliseconds(150)},
             TableFollower::Callbacks{.snapshot = [this](const auto &rows) { snapshots_.push_back(rows); },
                                      .changes = [this](const auto &rows) { changes_.push_back(rows); },
                                      .reachable = [this](bool isReachable) { reachable_ = isReachable; },
@@ -214,5 +217,64 @@
     ASSERT_EQ(reads_.size(), 2U);
 }
 
+// Guards against an entry that asks again and again for a removal that its read already contains: only the rows that
+// are left have versions, and other entries tell the version of the removal.
+TEST_F(TableFollowerTest, DoesNotMissARemovalBeforeItsRead)
+{
+    start();
+    reads_[0](reply(9, {row("a", 5)}));
+    follower_->onPeerVersion({.version = 9, .era = std::nullopt});
+    runFor(milliseconds(100));
+    EXPECT_EQ(watches_.size(), 1U);
+}
+
+// Guards against the same after a wait that ended without rows: the store has confirmed its version.
+TEST_F(TableFollowerTest, DoesNotMissWhatAnEmptyAnswerConfirms)
+{
+    start();
+    reads_[0](reply(7, {row("a", 5)}));
+    follower_->onPeerVersion({.version = 9, .era = std::nullopt});
+    watches_[0](reply(9));
+    runFor(milliseconds(100));
+    EXPECT_EQ(watches_.size(), 2U);
+}
+
+// Guards against an entry that asks the store without end because another one keeps telling a version that the store
+// has never given; what others tell besides is still waited for.
+TEST_F(TableFollowerTest, StopsWaitingForAVersionThatTheStoreDoesNotConfirm)
+{
+    start();
+    reads_[0](reply(7, {row("a", 7)}));
+    const auto tellFor = [this](milliseconds time, const TableVersion &seen) {
+        Timer tell(loop_, [this, seen] { follower_->onPeerVersion(seen); });
+        tell.startRepeating(milliseconds(10));
+        runFor(time);
+    };
+    tellFor(milliseconds(300), {.version = 1000, .era = std::nullopt});
+    const auto watches = watches_.size();
+    EXPECT_GT(watches, 1U);
+    tellFor(milliseconds(300), {.version = 1000, .era = std::nullopt});
+    EXPECT_EQ(watches_.size(), watches);
+    tellFor(milliseconds(60), {.version = 9, .era = std::nullopt});
+    EXPECT_EQ(watches_.size(), watches + 1);
+}
+
+// Guards against the same with a later era that the store does not tell.
+TEST_F(TableFollowerTest, StopsWaitingForAnEraThatTheStoreDoesNotConfirm)
+{
+    start();
+    reads_[0](replyIn(1, 70, {row("a", 70)}));
+    Timer tell(loop_, [this] { follower_->onPeerVersion({.version = 60, .era = 2}); });
+    tell.startRepeating(milliseconds(10));
+    runFor(milliseconds(300));
+    const auto watches = watches_.size();
+    EXPECT_GT(watches, 1U);
+    runFor(milliseconds(300));
+    EXPECT_EQ(watches_.size(), watches);
+    // The store tells it after all.
+    watches_.back()(replyIn(2, 60));
+    EXPECT_EQ(reads_.size(), 2U);
+}
+
 } // namespace
 } // namespace hornbeamlane
