Forget addresses to which no connection is kept

Http1Caller held an element for each address that it had ever called. It now erases elements without connections, and drops connections that servers have closed when it keeps one to a further address.

Http1CallerTest.ForgetsAddressesWithoutConnections failed before and passes now; its last part also failed in a trial without the drop of closed connections.

--- a/modules/hornbeamlane_network/http1/Http1Caller.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Caller.cpp
@@ -3,6 +3,7 @@
 #include "hornbeamlane_network/loop/Timer.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hornbeamlane {
@@ -36,18 +37,34 @@
 
 std::unique_ptr<Http1ClientConnection> Http1Caller::connectionTo(const Call &call)
 {
-    auto &idle = idle_[call.address];
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
-        if (connection->isReusable()) {
-            return connection;
+    if (const auto found = idle_.find(call.address); found != idle_.end()) {
+        auto &idle = found->second;
+        std::unique_ptr<Http1ClientConnection> reusable;
+        while (!idle.empty() && !reusable) {
+            if (idle.back()->isReusable()) {
+                reusable = std::move(idle.back());
+            }
+            idle.pop_back();
+        }
+        if (idle.empty()) {
+            idle_.erase(found);
+        }
+        if (reusable) {
+            return reusable;
         }
     }
     return std::make_unique<Http1ClientConnection>(
         loop_, Http1ClientConnection::Options{.address = call.address, .peerTimeout = call.timeout});
 }
 
+void Http1Caller::dropClosed()
+{
+    for (auto entry = idle_.begin(); entry != idle_.end();) {
+        std::erase_if(entry->second, [](const auto &connection) { return !connection->isReusable(); });
+        entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+    }
+}
+
 void Http1Caller::call(const Call &call, Handler handler)
 {
     auto owned = std::make_unique<Running>();
@@ -103,9 +120,13 @@
     running_.erase(found);
     heldBytes_ -= ended->reply.body.size();
     ended->timeout->stop();
-    auto &idle = idle_[ended->address];
-    if (ended->connection->isReusable() && idle.size() < maxIdleConnections) {
-        idle.push_back(std::move(ended->connection));
+    const auto idle = idle_.find(ended->address);
+    const auto kept = idle == idle_.end() ? 0 : idle->second.size();
+    if (ended->connection->isReusable() && kept < maxIdleConnections) {
+        if (kept == 0) {
+            dropClosed();
+        }
+        idle_[ended->address].push_back(std::move(ended->connection));
     } else {
         ended->connection->cancel();
     }
--- a/modules/hornbeamlane_network/http1/Http1Caller.h
+++ b/modules/hornbeamlane_network/http1/Http1Caller.h
@@ -54,11 +54,19 @@
         return heldBytes_;
     }
 
+    /** Number of addresses to which connections are kept. */
+    std::size_t keptAddresses() const
+    {
+        return idle_.size();
+    }
+
 private:
     struct Running;
 
     void append(Running *running, std::string_view bytes);
     std::unique_ptr<Http1ClientConnection> connectionTo(const Call &call);
+    /** Drops kept connections that the servers have closed. */
+    void dropClosed();
     void finish(Running *running, Http1CallEnd end);
 
     EventLoop &loop_;
--- a/tests/gateway/Http1CallerTest.cpp
+++ b/tests/gateway/Http1CallerTest.cpp
@@ -87,5 +87,40 @@
     EXPECT_GE(heard, 10);
 }
 
+// Guards against memory that grows with each address that was ever called: servers come and go with new addresses.
+TEST(Http1CallerTest, ForgetsAddressesWithoutConnections)
+{
+    EventLoop loop;
+    Http1Caller caller(loop);
+    std::vector<std::unique_ptr<testing::ScriptedServer>> servers;
+    std::size_t ended = 0;
+    const auto call = [&](const std::string &reply) {
+        servers.push_back(std::make_unique<testing::ScriptedServer>(
+            loop, [reply](testing::ScriptedServer::Connection &connection, const std::string &, int) {
+                connection.send(reply);
+            }));
+        caller.call({.address = servers.back()->address(), .target = "/"}, [&](const Http1Caller::Reply &answer) {
+            EXPECT_EQ(answer.body, "ok");
+            ++ended;
+            loop.stop();
+        });
+        loop.run();
+    };
+    call("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+    EXPECT_EQ(ended, 1U);
+    EXPECT_EQ(caller.keptAddresses(), 0U);
+    call("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_EQ(ended, 2U);
+    EXPECT_EQ(caller.keptAddresses(), 1U);
+    // The server leaves, and another one comes at a new address.
+    servers.clear();
+    Timer pause(loop, [&] { loop.stop(); });
+    pause.startOnce(milliseconds(50));
+    loop.run();
+    call("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_EQ(ended, 3U);
+    EXPECT_EQ(caller.keptAddresses(), 1U);
+}
+
 } // namespace
 } // namespace hornbeamlane
