--- a/tests/dispatch/StreamGovernorTest.cpp
+++ b/tests/dispatch/StreamGovernorTest.cpp
@@ -111,8 +111,8 @@
     EXPECT_GT(pool.inFlight(), 100U);
 }
 
-// Load pattern "pauses late by a hair": passes vary by a seventh. Each pass in ten over the target makes six streams of
-// seven late; a bound on single pauses takes that for good enough.
+// Load pattern "pauses just over their target": passes vary by a seventh. Each pass in ten over the target makes six
+// streams of seven late; a bound on single pauses takes that for good enough.
 TEST(StreamGovernorTest, KeepsWholeStreamsInTimeWherePassesVary)
 {
     Pool pool({.spread = 0.15});
