Send map orders only to servers that report to be the rank

Cause: a group was known by its name, a rank by the row read last, an order by an address. A row of a service that no configuration names, or a second row of the service itself, took the place of a rank, and the answers of the wrong rank confirmed the map. Rows of unnamed services counted in the states of groups and as proofs that a server had ended, too.

Change: servers of services that the catalogue in force does not name are kept apart until one names them (UnnamedServers). A group is known by its service and name. RankDirectory takes a server for a rank once it reports to be that rank of that group, and none while two do. Orders name their server; 421 makes the row count as outdated. States of groups come from rows of ranks that one row names, if there are any.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -29,6 +29,8 @@
     const auto [found, isNew] = backends_.try_emplace(spec.id);
     auto &backend = found->second;
     const auto unit = spec.group ? paceUnitOf(spec.group->group) : paceUnitOf(spec.id);
+    const bool isGroupAsBefore =
+        !isNew && !backend.isGone && backend.replacedUntil <= now && spec.group == backend.spec.group;
     const bool hasMoved = isNew || spec.service != backend.spec.service || unit != backend.paceUnit;
     if (hasMoved && !isNew) {
         index_.remove(backend);
@@ -45,15 +47,17 @@
     backend.isGone = false;
     backend.lapsesAt.reset();
     backend.coldUntil = std::max(backend.coldUntil, now + spec.warmupLeft);
-    refreshGroups(now);
+    if (!isGroupAsBefore) {
+        refreshGroups(now);
+    }
 }
 
 void BackendBook::refreshGroups(TimePoint now)
 {
-    std::vector<GroupPlace> places;
+    std::vector<const GroupPlace *> places;
     for (const auto &[id, backend] : backends_) {
         if (backend.spec.group && !backend.isGone && now >= backend.replacedUntil) {
-            places.push_back(*backend.spec.group);
+            places.push_back(&*backend.spec.group);
         }
     }
     groupStates_.update(places, now);
--- a/modules/hornbeamlane_dispatch/servers/BackendSelector.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendSelector.cpp
@@ -73,7 +73,7 @@
 {
     auto &[book, request, now, random, units, candidates, avoided, findings] = round;
     /** Ranks of broken groups whose entries say so. */
-    std::map<GroupId, std::uint32_t> listed;
+    std::map<GroupId, std::set<std::uint32_t>> listed;
     for (auto *server : servers) {
         auto &backend = *server;
         if (!book.isUsable(backend, now)
@@ -116,7 +116,8 @@
     }
 }
 
-bool BackendSelector::isGroupOpen(Round &round, const Backend &backend, std::map<GroupId, std::uint32_t> &listed)
+bool BackendSelector::isGroupOpen(Round &round, const Backend &backend,
+                                  std::map<GroupId, std::set<std::uint32_t>> &listed)
 {
     auto &book = round.book;
     if (book.isGroupOpen(backend, round.now)) {
@@ -124,7 +125,8 @@
     }
     // A group that has lost a rank serves nothing before it has formed again, which changes its entry.
     const auto &place = *backend.spec.group;
-    if (!place.isOpen && !backend.lapsesAt && ++listed[place.group] == place.size) {
+    if (!place.isOpen && !backend.lapsesAt && listed[place.group].insert(place.rank).second
+        && listed[place.group].size() == place.size) {
         round.findings.anyForming = true;
         book.groups_.onAllRanksListed(place.group, book.placeOf(backend).epoch, round.now);
     }
--- a/modules/hornbeamlane_dispatch/servers/BackendSelector.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendSelector.h
@@ -97,7 +97,7 @@
 
     static void collect(Round &round, const std::vector<Backend *> &servers);
     /** Whether the server's group serves; notes one that is about to form again. */
-    static bool isGroupOpen(Round &round, const Backend &backend, std::map<GroupId, std::uint32_t> &listed);
+    static bool isGroupOpen(Round &round, const Backend &backend, std::map<GroupId, std::set<std::uint32_t>> &listed);
     static bool isExcluded(const Request &request, const ServerId &server);
     /** A rank of a group that should have formed again; empty if there is none to try now. */
     static std::optional<ServerId> chooseTrial(const Round &round, const std::vector<Backend *> &servers);
--- a/modules/hornbeamlane_dispatch/servers/GroupStates.h
+++ b/modules/hornbeamlane_dispatch/servers/GroupStates.h
@@ -20,13 +20,14 @@
     States of all groups, each by the newest entry of its ranks.
 
     A lost rank leaves an entry that still calls the group open, and the others follow one by one. An epoch begins open
-    and ends broken, so of two entries in one epoch the broken one is newer.
+    and ends broken, so of two entries in one epoch the broken one is newer. Entries that name one rank contradict each
+    other, so they count only while no other rank has an entry.
 */
 class GroupStates final
 {
 public:
     /** The places of all ranks whose entries count; replaces what was known. */
-    void update(const std::vector<GroupPlace> &places, TimePoint now);
+    void update(const std::vector<const GroupPlace *> &places, TimePoint now);
 
     /** The place as the state of its group has it. */
     GroupPlace withState(GroupPlace place) const;
--- a/modules/hornbeamlane_gateway/Gateway.cpp
+++ b/modules/hornbeamlane_gateway/Gateway.cpp
@@ -187,6 +187,11 @@
     return bytes;
 }
 
+bool Gateway::isServiceNamed(const ServiceId &service) const
+{
+    return table_ && table_->findService(service) != nullptr;
+}
+
 std::optional<EngineModel> Gateway::engineOf(const ServiceId &service) const
 {
     const auto *spec = table_ ? table_->findService(service) : nullptr;
--- a/modules/hornbeamlane_gateway/Gateway.h
+++ b/modules/hornbeamlane_gateway/Gateway.h
@@ -67,6 +67,9 @@
     /** Bytes of answers that wait for callers to read them. */
     std::size_t bufferedBytes() const;
 
+    /** Whether the catalogue in force names the service. */
+    bool isServiceNamed(const ServiceId &service) const;
+
     /** Engine of a service; empty if it has none. */
     std::optional<EngineModel> engineOf(const ServiceId &service) const;
 
--- a/modules/hornbeamlane_gateway/GatewaySettings.h
+++ b/modules/hornbeamlane_gateway/GatewaySettings.h
@@ -62,7 +62,7 @@
     /** Writes the row of known crashes if it has this version; version 0 means that there is none. */
     std::function<void(const std::string &value, RowVersion expected, TableClient::ReplyHandler)> writeCrashRow =
         [](const auto &, auto, const auto &reply) { reply({.status = TableStatus::Unavailable}); };
-    ReadRankReport readReport = [](const auto &, auto, const auto &reply) { reply(std::nullopt); };
+    ReadRankReport readReport = [](const auto &, const auto &reply) { reply(std::nullopt); };
 };
 
 /** Everything that a gateway has to know before it starts. */
--- a/modules/hornbeamlane_gateway/hornbeamlane_gateway.h
+++ b/modules/hornbeamlane_gateway/hornbeamlane_gateway.h
@@ -12,3 +12,4 @@
 #include "hornbeamlane_gateway/state/EvacuationBook.h"
 #include "hornbeamlane_gateway/state/RestoredServer.h"
 #include "hornbeamlane_gateway/state/TableFollower.h"
+#include "hornbeamlane_gateway/state/UnnamedServers.h"
--- a/modules/hornbeamlane_gateway/maps/EngineApi.h
+++ b/modules/hornbeamlane_gateway/maps/EngineApi.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "hornbeamlane_gateway/maps/RankEndpoint.h"
 #include "hornbeamlane_groups/enginemaps/EngineOrders.h"
 
 #include <functional>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace hornbeamlane {
@@ -25,22 +25,18 @@
     std::vector<std::vector<ExpertIndex>> experts;
 };
 
-/** Reads the report of a rank at an address; empty if there is none or it is of another rank. */
-using ReadRankReport = std::function<void(const std::string &address, RankIndex,
-                                          std::function<void(const std::optional<EngineRankReport> &)>)>;
+/** Reads the report of a rank; empty if there is none or it is of another rank or group. */
+using ReadRankReport =
+    std::function<void(const RankEndpoint &, std::function<void(const std::optional<EngineRankReport> &)>)>;
 
 /** Calls to the engines of a group. Replies come later, on the same thread, each exactly once. */
 struct EngineApi
 {
-    std::function<void(const std::string &address, const EngineOrder &, FencingToken,
-                       std::function<void(EngineOrderResult)>)>
+    std::function<void(const RankEndpoint &, const EngineOrder &, FencingToken, std::function<void(EngineOrderResult)>)>
         sendOrder;
     ReadRankReport readReport;
-    std::function<void(const std::string &address, std::function<void(const std::optional<ExpertCounts> &)>)>
-        readCounts;
-    std::function<void(const std::string &address, RankIndex,
-                       std::function<void(const std::optional<RankPlacement> &)>)>
-        readPlacement;
+    std::function<void(const RankEndpoint &, std::function<void(const std::optional<ExpertCounts> &)>)> readCounts;
+    std::function<void(const RankEndpoint &, std::function<void(const std::optional<RankPlacement> &)>)> readPlacement;
 };
 
 } // namespace hornbeamlane
--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.cpp
@@ -39,6 +39,21 @@
     return "unknown";
 }
 
+std::string_view toString(EngineOrderResult result)
+{
+    switch (result) {
+    case EngineOrderResult::Accepted:
+        return "accepted";
+    case EngineOrderResult::Refused:
+        return "refused";
+    case EngineOrderResult::Misdirected:
+        return "misdirected";
+    case EngineOrderResult::NoReply:
+        return "no_reply";
+    }
+    return "unknown";
+}
+
 std::string formatShare(double value)
 {
     std::array<char, 16> text{};
@@ -64,11 +79,6 @@
 {
 }
 
-void GroupMapKeeper::setRanks(std::map<RankIndex, std::string> addresses)
-{
-    addresses_ = std::move(addresses);
-}
-
 void GroupMapKeeper::tick()
 {
     const auto now = loop_.now();
@@ -78,6 +88,7 @@
         active_.reset();
         lastCounts_.clear();
         paces_.restart();
+        ranks_.restart();
     }
     sendOrders(switch_.poll(now));
     readReports();
@@ -112,69 +123,106 @@
 void GroupMapKeeper::sendOrders(const std::vector<EngineOrder> &orders)
 {
     for (const auto &order : orders) {
-        const auto address = addresses_.find(order.rank);
-        if (address == addresses_.end()) {
+        const auto *endpoint = ranks_.find(order.rank);
+        if (endpoint == nullptr) {
+            // The switch sends the order again; by then the rank may be known.
+            readReport(order.rank);
             continue;
         }
-        api_.sendOrder(address->second, order, options_.token,
-                       [this, guard = Guard(alive_), order](EngineOrderResult result) {
-                           if (guard.expired()) {
-                               return;
+        api_.sendOrder(*endpoint, order, options_.token,
+                       [this, guard = Guard(alive_), endpoint = *endpoint, order](EngineOrderResult result) {
+                           if (!guard.expired()) {
+                               takeResult(endpoint, order, result);
                            }
-                           if (result != EngineOrderResult::Accepted) {
-                               logEvent(LogLevel::Info, "map_order_failed",
-                                        {{"group", options_.group.name()},
-                                         {"rank", std::to_string(order.rank)},
-                                         {"kind", std::to_string(static_cast<int>(order.kind))},
-                                         {"step", std::to_string(order.step.value())},
-                                         {"result", result == EngineOrderResult::Refused ? "refused" : "no_reply"}});
-                           }
-                           switch_.onResult(order, result, loop_.now());
-                           sendOrders(switch_.poll(loop_.now()));
                        });
     }
 }
 
+void GroupMapKeeper::takeResult(const RankEndpoint &endpoint, const EngineOrder &order, EngineOrderResult result)
+{
+    const auto now = loop_.now();
+    if (result != EngineOrderResult::Accepted) {
+        logEvent(LogLevel::Info, "map_order_failed",
+                 {{"group", options_.group.name()},
+                  {"rank", std::to_string(order.rank)},
+                  {"kind", std::to_string(static_cast<int>(order.kind))},
+                  {"step", std::to_string(order.step.value())},
+                  {"result", std::string(toString(result))}});
+    }
+    if (result == EngineOrderResult::Misdirected) {
+        ranks_.onMisdirected(endpoint, now);
+    }
+    switch_.onResult(order, result, now);
+    sendOrders(switch_.poll(now));
+}
+
 void GroupMapKeeper::readReports()
 {
     for (const auto rank : switch_.reportsWanted(loop_.now())) {
-        const auto address = addresses_.find(rank);
-        if (address == addresses_.end()) {
-            continue;
-        }
-        readReport(rank, address->second);
+        readReport(rank);
+    }
+}
+
+void GroupMapKeeper::readReport(RankIndex rank)
+{
+    if (const auto *endpoint = ranks_.find(rank)) {
+        readReportAt(*endpoint);
+        return;
+    }
+    for (const auto &endpoint : ranks_.beginRound(rank, loop_.now())) {
+        readReportAt(endpoint);
     }
 }
 
-void GroupMapKeeper::readReport(RankIndex rank, const std::string &address)
+void GroupMapKeeper::readReportAt(const RankEndpoint &endpoint)
 {
-    api_.readReport(address, rank, [this, guard = Guard(alive_)](const std::optional<EngineRankReport> &report) {
-        if (guard.expired() || !report) {
+    api_.readReport(endpoint, [this, guard = Guard(alive_), endpoint](const std::optional<EngineRankReport> &report) {
+        if (guard.expired()) {
             return;
         }
-        paces_.onPace(report->rank, report->pace, loop_.now());
-        switch_.onReport(*report, loop_.now());
-        sendOrders(switch_.poll(loop_.now()));
+        const auto now = loop_.now();
+        const auto outcome = ranks_.onAnswer(endpoint, report.has_value(), now);
+        logUnclearRank(endpoint, outcome);
+        const auto *known = ranks_.find(endpoint.rank);
+        if (!report || known == nullptr || known->address != endpoint.address) {
+            return;
+        }
+        paces_.onPace(report->rank, report->pace, now);
+        switch_.onReport(*report, now);
+        sendOrders(switch_.poll(now));
     });
 }
 
+void GroupMapKeeper::logUnclearRank(const RankEndpoint &endpoint, RankDirectory::Outcome outcome)
+{
+    if (outcome != RankDirectory::Outcome::NotFound && outcome != RankDirectory::Outcome::Contested) {
+        return;
+    }
+    if (const auto leftOut = unclearRankLog_.tryWrite(loop_.now())) {
+        logEvent(LogLevel::Info, "map_rank_unclear",
+                 {{"group", options_.group.name()},
+                  {"rank", std::to_string(endpoint.rank)},
+                  {"server", endpoint.server.name()},
+                  {"reason", outcome == RankDirectory::Outcome::Contested ? "several_servers" : "no_report"},
+                  {"not_logged_before", std::to_string(*leftOut)}});
+    }
+}
+
 void GroupMapKeeper::readPaces()
 {
     if (!switch_.epoch()) {
         return;
     }
     for (const auto rank : paces_.ranksToAsk(loop_.now())) {
-        if (const auto address = addresses_.find(rank); address != addresses_.end()) {
-            readReport(rank, address->second);
-        }
+        readReport(rank);
     }
 }
 
 void GroupMapKeeper::readMaps()
 {
     for (const auto rank : switch_.mapsWanted(loop_.now())) {
-        if (const auto address = addresses_.find(rank); address != addresses_.end()) {
-            readPlacement(rank, address->second);
+        if (const auto *endpoint = ranks_.find(rank)) {
+            readPlacement(*endpoint);
         }
     }
 }
@@ -183,12 +231,10 @@
 std::vector<RankIndex> GroupMapKeeper::ranksToSample() const
 {
     std::vector<RankIndex> ranks;
-    const auto stride = std::max<std::size_t>(1, addresses_.size() / options_.policy.sampledRanks);
-    std::size_t index = 0;
-    for (const auto &[rank, address] : addresses_) {
-        if (index++ % stride == 0 && ranks.size() < options_.policy.sampledRanks) {
-            ranks.push_back(rank);
-        }
+    const auto named = ranks_.namedRanks();
+    const auto stride = std::max<std::size_t>(1, named.size() / options_.policy.sampledRanks);
+    for (std::size_t index = 0; index < named.size() && ranks.size() < options_.policy.sampledRanks; index += stride) {
+        ranks.push_back(named[index]);
     }
     return ranks;
 }
@@ -196,12 +242,15 @@
 void GroupMapKeeper::readCounts()
 {
     for (const auto rank : ranksToSample()) {
-        api_.readCounts(addresses_.at(rank),
-                        [this, guard = Guard(alive_), rank](const std::optional<ExpertCounts> &counts) {
-                            if (!guard.expired() && counts) {
-                                takeCounts(rank, *counts);
-                            }
-                        });
+        const auto *endpoint = ranks_.find(rank);
+        if (endpoint == nullptr) {
+            continue;
+        }
+        api_.readCounts(*endpoint, [this, guard = Guard(alive_), rank](const std::optional<ExpertCounts> &counts) {
+            if (!guard.expired() && counts) {
+                takeCounts(rank, *counts);
+            }
+        });
     }
 }
 
@@ -307,17 +356,18 @@
         return;
     }
     placementsAskedAt_ = now;
-    for (const auto &[rank, address] : addresses_) {
+    for (const auto rank : ranks_.namedRanks()) {
+        const auto *endpoint = ranks_.find(rank);
         const auto known = placements_.find(rank);
-        if (known == placements_.end() || known->second.maps.active != version) {
-            readPlacement(rank, address);
+        if (endpoint != nullptr && (known == placements_.end() || known->second.maps.active != version)) {
+            readPlacement(*endpoint);
         }
     }
 }
 
-void GroupMapKeeper::readPlacement(RankIndex rank, const std::string &address)
+void GroupMapKeeper::readPlacement(const RankEndpoint &endpoint)
 {
-    api_.readPlacement(address, rank, [this, guard = Guard(alive_)](const std::optional<RankPlacement> &reply) {
+    api_.readPlacement(endpoint, [this, guard = Guard(alive_)](const std::optional<RankPlacement> &reply) {
         if (!guard.expired() && reply) {
             takePlacement(*reply);
         }
--- a/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
+++ b/modules/hornbeamlane_gateway/maps/GroupMapKeeper.h
@@ -2,8 +2,10 @@
 
 #include "hornbeamlane_dispatch/hornbeamlane_dispatch.h"
 #include "hornbeamlane_gateway/maps/EngineApi.h"
+#include "hornbeamlane_gateway/maps/RankDirectory.h"
 #include "hornbeamlane_groups/hornbeamlane_groups.h"
 #include "hornbeamlane_network/loop/EventLoop.h"
+#include "hornbeamlane_observability/logging/LogThrottle.h"
 
 #include <map>
 #include <memory>
@@ -47,8 +49,11 @@
 
     GroupMapKeeper(EventLoop &loop, EngineApi api, Options options);
 
-    /** Address of each rank; those of lost ranks are missing. */
-    void setRanks(std::map<RankIndex, std::string> addresses);
+    /** The rows that name ranks of the group; those of lost ranks are missing. */
+    void setRows(const RankDirectory::Rows &rows)
+    {
+        ranks_.setRows(rows);
+    }
 
     void tick();
 
@@ -62,15 +67,19 @@
     using Guard = std::weak_ptr<int>;
 
     void sendOrders(const std::vector<EngineOrder> &orders);
+    void takeResult(const RankEndpoint &endpoint, const EngineOrder &order, EngineOrderResult result);
     void readReports();
     /** Asks all ranks how slow they are if the passes give a reason to. */
     void readPaces();
-    void readReport(RankIndex rank, const std::string &address);
+    /** Asks the rank, or the servers that may be it. */
+    void readReport(RankIndex rank);
+    void readReportAt(const RankEndpoint &endpoint);
+    void logUnclearRank(const RankEndpoint &endpoint, RankDirectory::Outcome outcome);
     void readCounts();
     void takeCounts(RankIndex rank, const ExpertCounts &counts);
     void readMaps();
     void readPlacements();
-    void readPlacement(RankIndex rank, const std::string &address);
+    void readPlacement(const RankEndpoint &endpoint);
     void takePlacement(const RankPlacement &placement);
     void considerMap();
     void logSlowness(const RankSlowness &slowness);
@@ -84,7 +93,9 @@
     ExpertPopularity popularity_;
     ExpertPlacement placement_;
     RankPaces paces_;
-    std::map<RankIndex, std::string> addresses_;
+    RankDirectory ranks_;
+    /** Other writers decide how many rows name a rank that their server is not. */
+    LogThrottle unclearRankLog_{5, std::chrono::seconds(10)};
     std::map<RankIndex, ExpertCounts> lastCounts_;
     /** The map in use, if its content is known. */
     std::optional<ExpertMap> active_;
--- a/modules/hornbeamlane_gateway/maps/MapDuty.cpp
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace hornbeamlane {
@@ -84,22 +85,36 @@
     }
 }
 
+// A rank that several rows name says nothing of its group's state until one of them has gone, unless no other does.
+bool MapDuty::GroupView::isOpen() const
+{
+    const auto isOpenRank = [](const auto &rank) {
+        return std::all_of(rank.second.begin(), rank.second.end(),
+                           [](const BackendSpec *row) { return row->group->isOpen; });
+    };
+    const auto isContested = [](const auto &rank) { return rank.second.size() > 1; };
+    const bool areAllContested = std::all_of(rows.begin(), rows.end(), isContested);
+    return std::all_of(rows.begin(), rows.end(),
+                       [&](const auto &rank) { return isOpenRank(rank) || (isContested(rank) && !areAllContested); });
+}
+
 // Rows of other writers may state any size. A size counts once there is a row for each of its ranks, so what is kept
 // for a group is never more than its rows; and a row that states another size than the others stands alone.
 std::vector<MapDuty::GroupView> MapDuty::groups()
 {
-    std::map<std::pair<GroupId, std::uint32_t>, GroupView> views;
+    std::map<std::pair<std::string_view, std::uint32_t>, GroupView> views;
     for (const auto &[id, backend] : hooks_.servers()) {
         if (!backend.spec.group || backend.isGone) {
             continue;
         }
         const auto &place = *backend.spec.group;
-        auto &view = views[{place.group, place.size}];
-        view.group = place.group;
-        view.service = backend.spec.service;
-        view.size = place.size;
-        view.isOpen = view.isOpen && place.isOpen;
-        view.addresses[place.rank] = backend.spec.address;
+        auto &view = views[{place.group.name(), place.size}];
+        if (view.rows.empty()) {
+            view.group = place.group;
+            view.service = backend.spec.service;
+            view.size = place.size;
+        }
+        view.rows[place.rank].push_back(&backend.spec);
     }
     std::vector<GroupView> groups;
     for (auto &[key, view] : views) {
@@ -162,9 +177,9 @@
         keepers_.clear();
         keepersToken_ = token_;
     }
-    auto views = groups();
+    const auto views = groups();
     dropKeepersWithout(views);
-    for (auto &view : views) {
+    for (const auto &view : views) {
         keepMaps(view);
     }
 }
@@ -198,7 +213,7 @@
     return true;
 }
 
-void MapDuty::keepMaps(GroupView &view)
+void MapDuty::keepMaps(const GroupView &view)
 {
     const auto engine = hooks_.engineOf(view.service);
     if (!engine || engine->expertLayers == 0) {
@@ -207,8 +222,8 @@
     auto &kept = keepers_[view.group];
     const bool isDone = runContained("map_keeper_failed", view.group.name(), [&] {
         // Orders to a group that has lost a rank would have no effect in its next epoch.
-        if (makeKeeper(view, *engine, kept) && view.isOpen) {
-            kept.keeper->setRanks(std::move(view.addresses));
+        if (makeKeeper(view, *engine, kept) && view.isOpen()) {
+            kept.keeper->setRows(view.rows);
             kept.keeper->tick();
         }
     });
--- a/modules/hornbeamlane_gateway/maps/MapDuty.h
+++ b/modules/hornbeamlane_gateway/maps/MapDuty.h
@@ -70,19 +70,21 @@
     }
 
 private:
+    /** The rows of a group that state the same size; used within one turn only. */
     struct GroupView
     {
         GroupId group;
         ServiceId service;
         /** Number of ranks as their rows state it. */
         std::uint32_t size = 0;
-        bool isOpen = true;
-        std::map<RankIndex, std::string> addresses;
+        RankDirectory::Rows rows;
 
         bool isComplete() const
         {
-            return addresses.size() == size;
+            return rows.size() == size;
         }
+
+        bool isOpen() const;
     };
 
     /** The keeper of a group's maps; empty after a failure, until the given time. */
@@ -103,7 +105,7 @@
     void dropKeepersWithout(const std::vector<GroupView> &views);
     /** Makes the keeper if there is none of that size; false if the group's maps cannot be kept now. */
     bool makeKeeper(const GroupView &view, const EngineModel &engine, Kept &kept);
-    void keepMaps(GroupView &view);
+    void keepMaps(const GroupView &view);
 
     EventLoop &loop_;
     TableClient &table_;
--- a/modules/hornbeamlane_gateway/state/GroupProbe.cpp
+++ b/modules/hornbeamlane_gateway/state/GroupProbe.cpp
@@ -36,7 +36,7 @@
 
 void GroupProbe::ask(const Backend &rank)
 {
-    hooks_.readReport(rank.spec.address, rank.spec.group->rank,
+    hooks_.readReport(rankEndpointOf(rank.spec),
                       [this, id = rank.spec.id](const std::optional<EngineRankReport> &report) {
                           logEvent(LogLevel::Info, "group_asked",
                                    {{"server", id.name()},
--- a/modules/hornbeamlane_groups/enginemaps/EngineOrders.h
+++ b/modules/hornbeamlane_groups/enginemaps/EngineOrders.h
@@ -66,6 +66,7 @@
 enum class EngineOrderResult {
     Accepted, ///< Begun, done, or held already.
     Refused, ///< Does not fit the state of the rank; has no effect, now or later.
+    Misdirected, ///< Another server has the address of the rank; the rank has got nothing.
     NoReply, ///< May take effect, now or seconds later.
 };
 
--- a/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
+++ b/modules/hornbeamlane_groups/enginemaps/HeldMapSwitch.cpp
@@ -236,7 +236,7 @@
         return;
     }
     auto &rank = ranks_[order.rank];
-    if (result == EngineOrderResult::NoReply) {
+    if (result == EngineOrderResult::NoReply || result == EngineOrderResult::Misdirected) {
         return; // resendLost() sends it again.
     }
     const bool isAccepted = result == EngineOrderResult::Accepted;
--- a/modules/hornbeamlane_network/http1/Http1Caller.cpp
+++ b/modules/hornbeamlane_network/http1/Http1Caller.cpp
@@ -76,6 +76,7 @@
     running->timeout->startOnce(call.timeout);
     running->connection = connectionTo(call);
     HttpHeaders headers = {{"Host", call.address}};
+    headers.insert(headers.end(), call.headers.begin(), call.headers.end());
     if (!call.contentType.empty()) {
         headers.emplace_back("Content-Type", call.contentType);
     }
--- a/modules/hornbeamlane_network/http1/Http1Caller.h
+++ b/modules/hornbeamlane_network/http1/Http1Caller.h
@@ -22,6 +22,8 @@
         std::string method = "GET";
         std::string target;
         std::string contentType;
+        /** Beside Host and Content-Type. */
+        HttpHeaders headers;
         std::string body;
         std::chrono::milliseconds timeout{1000};
     };
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -214,6 +214,31 @@
     EXPECT_FALSE(choose());
 }
 
+// Guards against a group that one row of another writer closes, or moves to a later epoch: the row names a rank that
+// has a row of its own. It counts once no other rank has one.
+TEST_F(BackendBookTest, DoesNotJudgeAGroupByRowsThatNameOneRank)
+{
+    const auto tell = [this](const char *name, std::uint32_t number, std::uint64_t epoch, bool isOpen) {
+        auto rank = server(name);
+        rank.group = GroupPlace{.group = GroupId("g"), .epoch = epoch, .rank = number, .size = 2, .isOpen = isOpen};
+        book_.update(rank, start);
+    };
+    tell("a", 0, 3, true);
+    tell("b", 1, 3, true);
+    tell("odd", 0, 9, false);
+    EXPECT_EQ(book_.groupEpochOf(ServerId("a")), 3U);
+    EXPECT_FALSE(book_.isInClosedGroup(ServerId("b"), start));
+    book_.remove(ServerId("odd"), std::nullopt);
+    EXPECT_FALSE(book_.isInClosedGroup(ServerId("a"), start));
+    // A server that starts again under another id has two rows for a while: the other rank tells the new epoch.
+    tell("a2", 0, 4, true);
+    tell("b", 1, 4, true);
+    EXPECT_EQ(book_.groupEpochOf(ServerId("a2")), 4U);
+    book_.remove(ServerId("b"), std::nullopt);
+    book_.sweep(start);
+    EXPECT_EQ(book_.groupEpochOf(ServerId("a2")), 4U) << "the newest of the rows that are left";
+}
+
 // Load pattern "a rank is lost under full load": the first rejection that names the lost rank keeps all further
 // requests from the other ranks, whose entries say only later that the group is broken. Each would stall and come back
 // in vain.
--- a/tests/gateway/GroupProbeTest.cpp
+++ b/tests/gateway/GroupProbeTest.cpp
@@ -49,10 +49,10 @@
                       servers_,
                       {},
                       {.readReport =
-                           [this](const std::string &, RankIndex rank, const auto &reply) {
+                           [this](const RankEndpoint &rank, const auto &reply) {
                                ++asked_;
                                if (report_) {
-                                   report_->rank = rank;
+                                   report_->rank = rank.rank;
                                }
                                reply(report_);
                            },
--- a/tests/gateway/MapDutyTest.cpp
+++ b/tests/gateway/MapDutyTest.cpp
@@ -167,16 +167,18 @@
     MapDutyGroupsTest()
     {
         EngineApi engines;
-        engines.sendOrder = [this](const std::string &address, const auto &, auto, auto) { ordered_.insert(address); };
-        engines.readReport = [this](const std::string &address, RankIndex rank, auto handler) {
-            asked_.insert(address);
+        engines.sendOrder = [this](const RankEndpoint &rank, const auto &, auto, auto) {
+            ordered_.insert(rank.address);
+        };
+        engines.readReport = [this](const RankEndpoint &rank, auto handler) {
+            asked_.insert(rank.address);
             if (report_) {
-                report_->rank = rank;
+                report_->rank = rank.rank;
                 loop_.post([handler, report = report_] { handler(report); });
             }
         };
         engines.readCounts = [](const auto &, auto) {};
-        engines.readPlacement = [](const auto &, auto, auto) {};
+        engines.readPlacement = [](const auto &, auto) {};
         duty_ = std::make_unique<MapDuty>(
             loop_, table_, MapDuty::Options{.self = Incarnation(5), .maxGroups = 2},
             MapDuty::Hooks{.engines = engines,
--- a/tests/platform/RowDecodersTest.cpp
+++ b/tests/platform/RowDecodersTest.cpp
@@ -242,6 +242,13 @@
     EXPECT_EQ(usable, (std::vector<std::string>{"a", "d"}));
 }
 
+/** Rank 0 of the group "g". */
+RankEndpoint rankAt(const std::string &address)
+{
+    const ServiceId service("pool");
+    return {.server = ServerId("i-1"), .service = service, .address = address, .group = groupIdOf(service, "g")};
+}
+
 // Guards against a report of a faulty server that ends the process which asked for it.
 TEST(EngineClientTest, SurvivesADeeplyNestedReport)
 {
@@ -252,7 +259,7 @@
     });
     EngineClient client(loop);
     bool isDone = false;
-    client.api().readReport(engine.address(), 0, [&](const std::optional<EngineRankReport> &report) {
+    client.api().readReport(rankAt(engine.address()), [&](const std::optional<EngineRankReport> &report) {
         EXPECT_FALSE(report);
         isDone = true;
         loop.stop();
@@ -278,7 +285,7 @@
         });
         EngineClient client(loop);
         std::optional<EngineRankReport> result;
-        client.api().readReport(engine.address(), 0, [&](const std::optional<EngineRankReport> &report) {
+        client.api().readReport(rankAt(engine.address()), [&](const std::optional<EngineRankReport> &report) {
             result = report;
             loop.stop();
         });
