Judge a broken connection by the server's fate, not by its age

Cause: a sending on a kept connection that broke within 10 ms counted as one on a connection that had been broken before, and told nothing of its request. A server that dies while it reads a request looks the same.

Change: each unanswered sending whose connection breaks is evidence. A server that accepts a connection after the break lives, which clears all that had broken off there by then, kept connection or new; before, that stayed evidence for 10 s. A probe says nothing of what breaks after its begin, so another one follows it.

A sound lookup whose kept connections servers close just then is no suspect, before and after.

--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
@@ -66,6 +66,7 @@
         loop_.post(std::move(checked));
         return;
     }
+    request.hasBrokenOff = true;
     onGivenUp(start, std::move(request));
     probe(start, std::move(checked));
 }
@@ -82,30 +83,49 @@
 void CrashDetector::probe(const ServerStart &start, std::function<void()> checked)
 {
     auto &probe = probes_[start.key()];
-    if (!probe.connection && loop_.now() - probe.endedAt < options_.probePause) {
-        loop_.post(std::move(checked));
+    probe.start = start;
+    if (probe.connection) {
+        probe.checkedNext.push_back(std::move(checked));
         return;
     }
-    probe.checked.push_back(std::move(checked));
-    if (probe.connection) {
+    if (loop_.now() - probe.endedAt < options_.probePause) {
+        probe.isDue = true;
+        loop_.post(std::move(checked));
         return;
     }
-    probe.start = start;
+    probe.checked.push_back(std::move(checked));
+    beginProbe(probe);
+}
+
+void CrashDetector::beginProbe(Probe &probe)
+{
+    probe.isDue = false;
+    probe.begunAt = loop_.now();
     probe.connection = std::make_unique<ConnectProbe>(
-        loop_, start.address, options_.probeTimeout,
-        [this, key = start.key()](ConnectProbe::Result result) { finishProbe(key, result); });
+        loop_, probe.start.address, options_.probeTimeout,
+        [this, key = probe.start.key()](ConnectProbe::Result result) { finishProbe(key, result); });
 }
 
 void CrashDetector::finishProbe(ServerStartKey key, ConnectProbe::Result result)
 {
     auto &probe = probes_[key];
     const auto start = probe.start;
-    const auto checked = std::exchange(probe.checked, {});
+    auto checked = std::exchange(probe.checked, {});
+    auto next = std::exchange(probe.checkedNext, {});
     probe.endedAt = loop_.now();
     // The probe's own callback is running.
     loop_.post([kept = std::shared_ptr<ConnectProbe>(std::move(probe.connection))] {});
     logEvent(LogLevel::Info, "server_probed",
              {{"server", start.server.name()}, {"address", start.address}, {"result", std::string(toString(result))}});
+    if (result == ConnectProbe::Result::Listening) {
+        failed_.dropBrokenOff(key, probe.begunAt);
+        if (!next.empty()) {
+            probe.checked = std::move(next);
+            beginProbe(probe);
+        }
+    } else {
+        checked.insert(checked.end(), next.begin(), next.end());
+    }
     if (result == ConnectProbe::Result::Refused) {
         auto requests = failed_.since(key, loop_.now() - options_.refusalReach);
         for (auto &request : hooks_.unanswered(start.server)) {
@@ -118,6 +138,15 @@
     }
 }
 
+void CrashDetector::probeWhatIsDue(TimePoint now)
+{
+    for (auto &[key, probe] : probes_) {
+        if (probe.isDue && !probe.connection && now - probe.endedAt >= options_.probePause) {
+            beginProbe(probe);
+        }
+    }
+}
+
 std::optional<CrashSign> CrashDetector::endOf(const ServerStart &start) const
 {
     const auto *backend = servers_.find(start.server);
@@ -139,6 +168,7 @@
 void CrashDetector::sweep(TimePoint now)
 {
     failed_.expire(now);
+    probeWhatIsDue(now);
     std::erase_if(watched_, [this](const auto &entry) { return !failed_.hasAny(entry.first); });
     std::erase_if(probes_, [this, now](const auto &entry) {
         return !entry.second.connection && now - entry.second.endedAt >= options_.probePause;
--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.h
@@ -39,6 +39,8 @@
 
     A server seems to have crashed if it refuses connections right after one broke, and has if another start of it, or
     another server, has its address without its having announced its end. One that cannot be reached is not looked at.
+    If it still accepts connections after one broke, that one was closed by a server that lives: mostly a kept
+   connection that had been idle for too long.
 */
 class CrashDetector final
 {
@@ -77,12 +79,19 @@
     {
         ServerStart start;
         std::unique_ptr<ConnectProbe> connection;
-        std::vector<std::function<void()>> checked;
+        TimePoint begunAt;
         TimePoint endedAt;
+        std::vector<std::function<void()>> checked;
+        /** The same for connections that broke after it had begun, of which it says nothing if the server listens. */
+        std::vector<std::function<void()>> checkedNext;
+        /** Connections have broken in the pause after it. */
+        bool isDue = false;
     };
 
     bool isLeaving(const ServerId &server) const;
     void probe(const ServerStart &start, std::function<void()> checked);
+    void beginProbe(Probe &probe);
+    void probeWhatIsDue(TimePoint now);
     void finishProbe(ServerStartKey key, ConnectProbe::Result result);
     /** What the entries of the servers say of the start; empty if it has not ended. */
     std::optional<CrashSign> endOf(const ServerStart &start) const;
--- a/modules/hornbeamlane_gateway/request/BackendExchange.cpp
+++ b/modules/hornbeamlane_gateway/request/BackendExchange.cpp
@@ -205,9 +205,8 @@
     hooks_.mayHaveRun();
     const auto start = send_->start;
     const auto unanswered = unansweredAt(start.server);
-    const bool wasStale = send_->wasStale(now());
     end(BackendOutcome::Failed);
-    if (!unanswered || wasStale) {
+    if (!unanswered) {
         hooks_.failed(GatewayRefusal::ServerFailed);
         return;
     }
--- a/modules/hornbeamlane_gateway/request/BackendSend.h
+++ b/modules/hornbeamlane_gateway/request/BackendSend.h
@@ -30,16 +30,6 @@
     std::uint32_t inFlightAtStart = 0;
     TimePoint lastEventAt;
 
-    /** A kept connection that breaks as soon as it is used again was broken before, which says nothing of the request.
-     */
-    bool wasStale(TimePoint now) const
-    {
-        return isKept && !head && now - startedAt < staleTime;
-    }
-
-    /** Longer than it takes a server in reach to reset a connection. */
-    static constexpr std::chrono::milliseconds staleTime{10};
-
     /** Nothing of the answer's body has come, no whole event of a stream either. */
     bool isUnanswered() const
     {
--- a/modules/hornbeamlane_routing/crashes/FailedSends.cpp
+++ b/modules/hornbeamlane_routing/crashes/FailedSends.cpp
@@ -44,6 +44,19 @@
     return requests;
 }
 
+void FailedSends::dropBrokenOff(ServerStartKey server, TimePoint livedAt)
+{
+    const auto found = servers_.find(server);
+    if (found == servers_.end()) {
+        return;
+    }
+    std::erase_if(found->second,
+                  [livedAt](const LostRequest &request) { return request.hasBrokenOff && request.lostAt <= livedAt; });
+    if (found->second.empty()) {
+        servers_.erase(found);
+    }
+}
+
 bool FailedSends::hasAny(ServerStartKey server) const
 {
     return servers_.contains(server);
--- a/modules/hornbeamlane_routing/crashes/FailedSends.h
+++ b/modules/hornbeamlane_routing/crashes/FailedSends.h
@@ -16,6 +16,8 @@
     CrashCandidate candidate;
     TimePoint sentAt;
     TimePoint lostAt;
+    /** Its connection broke; otherwise it was given up. */
+    bool hasBrokenOff = false;
 };
 
 /** Requests whose sending ended without an answer, by server, until it is known whether the server has crashed. */
@@ -40,6 +42,9 @@
     /** What failed at the server since then, which may be the cause of an end that was noticed now. */
     std::vector<LostRequest> since(ServerStartKey server, TimePoint start) const;
 
+    /** The server lived at that time, so what had broken off there by then was not lost to a crash. */
+    void dropBrokenOff(ServerStartKey server, TimePoint livedAt);
+
     bool hasAny(ServerStartKey server) const;
 
     /** Forgets what is too old. */
--- a/tests/gateway/CrashDetectorTest.cpp
+++ b/tests/gateway/CrashDetectorTest.cpp
@@ -83,6 +83,56 @@
     EXPECT_TRUE(crashed_.empty());
 }
 
+// Guards against a sound request that is blamed for a later end of its server because the server had closed the kept
+// connection on which it was sent.
+TEST_F(CrashDetectorTest, ForgetsWhatBrokeOffAtAServerThatLives)
+{
+    testing::ScriptedServer server(loop_, [](auto &, const auto &, int) {});
+    list("s1", server.address(), 1);
+    breakOff("s1");
+    // The next one breaks in the pause after the probe, and is looked at when the pause is over.
+    breakOff("s1");
+    Timer sweep(loop_, [this] { detector_.sweep(loop_.now()); });
+    sweep.startRepeating(milliseconds(50));
+    Timer end(loop_, [this] { loop_.stop(); });
+    end.startOnce(milliseconds(400));
+    loop_.run();
+    // One that was given up tells nothing: the server may have been silent since.
+    detector_.onGivenUp(startOf("s1"), lost());
+    list("s1", server.address(), 2);
+    detector_.sweep(loop_.now());
+    EXPECT_EQ(crashed_, std::vector<std::string>{"s1 started_again"});
+    EXPECT_EQ(candidates_, 1U);
+}
+
+// Guards against a request that is let off by a probe which began before its connection broke: the server may have
+// crashed since.
+TEST_F(CrashDetectorTest, ProbesAgainForWhatBreaksOffDuringAProbe)
+{
+    testing::ScriptedServer server(loop_, [](auto &, const auto &, int) {});
+    list("s1", server.address(), 1);
+    std::vector<int> connectionsWhenChecked;
+    const auto note = [&] {
+        connectionsWhenChecked.push_back(server.connections());
+        if (connectionsWhenChecked.size() == 3) {
+            loop_.stop();
+        }
+    };
+    for (int broken = 0; broken < 3; ++broken) {
+        detector_.onBrokenOff(startOf("s1"), lost(), note);
+    }
+    loop_.run();
+    // One probe for the first, and another one for the two that broke off after it had begun.
+    ASSERT_EQ(connectionsWhenChecked.size(), 3U);
+    EXPECT_LE(connectionsWhenChecked[0], 1);
+    EXPECT_EQ(connectionsWhenChecked[1], connectionsWhenChecked[2]);
+    Timer end(loop_, [this] { loop_.stop(); });
+    end.startOnce(milliseconds(20));
+    loop_.run();
+    EXPECT_EQ(server.connections(), 2);
+    EXPECT_TRUE(crashed_.empty());
+}
+
 // Guards against servers that are blamed for a cut between them and the table, which takes their entries away.
 TEST_F(CrashDetectorTest, DoesNotTakeALostEntryForACrash)
 {
--- a/tests/gateway/GatewayWorld.cpp
+++ b/tests/gateway/GatewayWorld.cpp
@@ -13,9 +13,6 @@
 const std::string lookupPrefix = "/look/";
 const std::string orderPrefix = "/order/";
 
-/** Time from the arrival of a deadly request to the crash. */
-constexpr milliseconds crashDelay{10};
-
 } // namespace
 
 GatewayWorld::GatewayWorld(Options options)
@@ -218,6 +215,10 @@
         crashUnderRequest(server);
         return;
     }
+    if (!closedPath.empty() && head.find(" " + closedPath) != std::string::npos && connection.requests() > 1) {
+        connection.close();
+        return;
+    }
     if (lookupTime == milliseconds(0)) {
         connection.send(answer(head, 200, "found"));
         return;
@@ -242,7 +243,7 @@
     if (deadlyArrivals_.size() < crashes) {
         return 0;
     }
-    const auto from = deadlyArrivals_[crashes - 1] + crashDelay + time;
+    const auto from = deadlyArrivals_[crashes - 1] + options_.crashDelay + time;
     return static_cast<int>(std::count_if(deadlyArrivals_.begin(), deadlyArrivals_.end(),
                                           [from](TimePoint arrival) { return arrival > from; }));
 }
@@ -250,7 +251,11 @@
 void GatewayWorld::crashUnderRequest(Server &server)
 {
     deadlyArrivals_.push_back(loop_.now());
-    later(crashDelay, [this, &server] { crashServer(static_cast<std::size_t>(&server - servers_.data())); });
+    later(options_.crashDelay, [this, &server, number = server.lifetimes] {
+        if (server.lifetimes == number) {
+            crashServer(static_cast<std::size_t>(&server - servers_.data()));
+        }
+    });
 }
 
 void GatewayWorld::crashServer(std::size_t index)
@@ -288,9 +293,13 @@
 {
     request.headers.insert(request.headers.end(), {{"Host", "h"}, {"X-Attempt-Id", "a" + std::to_string(++attempts_)}});
     auto result = std::make_shared<CallerAnswer>();
-    auto &connection = callers_.emplace_back(std::make_unique<Http1ClientConnection>(
-        loop_,
-        Http1ClientConnection::Options{.address = "127.0.0.1:" + std::to_string(entries_[entry]->callerPort())}));
+    std::erase_if(callers_, [](const auto &caller) { return caller.second->end.has_value(); });
+    const auto address = "127.0.0.1:" + std::to_string(entries_[entry]->callerPort());
+    auto &connection = callers_
+                           .emplace_back(std::make_unique<Http1ClientConnection>(
+                                             loop_, Http1ClientConnection::Options{.address = address}),
+                                         result)
+                           .first;
     connection->call(request,
                      {.head =
                           [result](const Http1ResponseHead &head) {
--- a/tests/gateway/GatewayWorld.h
+++ b/tests/gateway/GatewayWorld.h
@@ -4,10 +4,12 @@
 #include "hornbeamlane_gateway/hornbeamlane_gateway.h"
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hornbeamlane {
@@ -20,6 +22,8 @@
     {
         std::size_t entries = 3;
         std::size_t servers = 6;
+        /** Time from the arrival of a deadly request to the crash of its server. */
+        std::chrono::milliseconds crashDelay{10};
         /** Time after which a crashed server is back. */
         std::chrono::milliseconds downTime{150};
         /** Whether it comes back under the id that it had, and nothing tells its starts apart. */
@@ -51,6 +55,9 @@
     /** Time that servers take for other lookups and orders. */
     std::chrono::milliseconds lookupTime{0};
 
+    /** Servers close a connection on which they have answered before when one of these lookups comes on it. */
+    std::string closedPath;
+
     /** Lists of parts whose requests servers take and do not answer. */
     std::set<std::string> silentParts;
 
@@ -142,7 +149,8 @@
     Options options_;
     std::vector<std::unique_ptr<Gateway>> entries_;
     std::vector<Server> servers_;
-    std::vector<std::unique_ptr<Http1ClientConnection>> callers_;
+    /** Connections of callers, each with its answer. */
+    std::list<std::pair<std::unique_ptr<Http1ClientConnection>, std::shared_ptr<CallerAnswer>>> callers_;
     std::vector<std::unique_ptr<Timer>> timers_;
     std::string row_;
     RowVersion rowVersion_;
--- a/tests/gateway/RepeatedRequestTest.cpp
+++ b/tests/gateway/RepeatedRequestTest.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <optional>
+#include <ostream>
 
 namespace hornbeamlane {
 namespace {
@@ -209,5 +211,103 @@
     EXPECT_EQ(world.deadlyRequests(), 2);
 }
 
+/** What crashes servers, and after which time. */
+struct CrashCase
+{
+    Repetition::Kind kind = Repetition::Kind::Order;
+    milliseconds delay{0};
+};
+
+std::ostream &operator<<(std::ostream &out, const CrashCase &one)
+{
+    const char *const kinds[] = {"Lookup", "Order", "Stream", "StreamWithOnePart"};
+    return out << kinds[static_cast<std::size_t>(one.kind)] << "After" << one.delay.count() << "Ms";
+}
+
+/** Servers that crash a given time after the deadly request has come, with other requests on kept connections. */
+class CrashDelayTest : public RepeatedRequestTest, public ::testing::WithParamInterface<CrashCase>
+{
+protected:
+    /** Sends the request again and again, or others only. */
+    static Served runWithLoad(GatewayWorld &world, std::optional<Repetition::Kind> deadly)
+    {
+        constexpr int rounds = 900;
+        constexpr int roundsPerDeadly = 70;
+        world.lookupTime = milliseconds(5);
+        world.deadlyPath = deadly == Repetition::Kind::Order ? "/order/dead" : "/look/dead";
+        world.deadlyParts = {"dead"};
+        world.runFor(milliseconds(100));
+        std::vector<std::shared_ptr<CallerAnswer>> sound;
+        for (int round = 0; round < rounds; ++round) {
+            const auto entry = static_cast<std::size_t>(round) % 2;
+            if (deadly && round % roundsPerDeadly == roundsPerDeadly - 1) {
+                sendDeadly(world, entry, *deadly);
+            }
+            for (const auto *team : {"glue", "zip"}) {
+                sound.push_back(world.sendLookup(entry, team, "/look/sound" + std::to_string(round)));
+            }
+            world.runFor(milliseconds(10));
+        }
+        world.runFor(milliseconds(1000));
+        const auto served =
+            std::count_if(sound.begin(), sound.end(), [](const auto &answer) { return answer->head.status == 200; });
+        return {.sound = static_cast<int>(served), .ofSound = static_cast<int>(sound.size())};
+    }
+};
+
+// Guards against a request that is taken for a sound one because its server crashed a few milliseconds after it was
+// sent on a kept connection, which looks like a connection that was broken before (review/8).
+TEST_P(CrashDelayTest, CountsHoweverFastItCrashesItsServer)
+{
+    GatewayWorld world({.entries = 2,
+                        .servers = 6,
+                        .crashDelay = GetParam().delay,
+                        .downTime = milliseconds(2000),
+                        .sendsHeadBeforeCrash = false});
+    const auto served = runWithLoad(world, GetParam().kind);
+    expectKept(world, served);
+    EXPECT_LE(world.deadlyRequests(), 4);
+    EXPECT_GE(world.deadlyRequests(), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(KindsAndDelays, CrashDelayTest,
+                         ::testing::Values(CrashCase{Repetition::Kind::Order, milliseconds(0)},
+                                           CrashCase{Repetition::Kind::Order, milliseconds(3)},
+                                           CrashCase{Repetition::Kind::Order, milliseconds(9)},
+                                           CrashCase{Repetition::Kind::Order, milliseconds(60)},
+                                           CrashCase{Repetition::Kind::Lookup, milliseconds(0)},
+                                           CrashCase{Repetition::Kind::Lookup, milliseconds(3)},
+                                           CrashCase{Repetition::Kind::StreamWithOnePart, milliseconds(0)},
+                                           CrashCase{Repetition::Kind::StreamWithOnePart, milliseconds(3)}),
+                         [](const auto &test) { return ::testing::PrintToString(test.param); });
+
+// Guards against a sound request that becomes a suspect because servers close their kept connections just as it is
+// sent: the servers live on, and end by something else a moment later.
+TEST_F(RepeatedRequestTest, IsNoSuspectBecauseServersCloseKeptConnections)
+{
+    GatewayWorld world({.entries = 1, .servers = 4, .downTime = milliseconds(300)});
+    world.closedPath = "/look/closed";
+    world.runFor(milliseconds(100));
+    for (std::size_t server = 0; server < 4; ++server) {
+        // Each server keeps a connection after this, and closes it when the next request comes on it.
+        std::vector<std::shared_ptr<CallerAnswer>> others;
+        others.reserve(24);
+        for (int other = 0; other < 24; ++other) {
+            others.push_back(world.sendLookup(0, "zip", "/look/other" + std::to_string(other)));
+        }
+        world.runFor(milliseconds(50));
+        for (int sending = 0; sending < 4; ++sending) {
+            const auto answer = world.sendLookup(0, "glue", "/look/closed");
+            world.runFor(milliseconds(100));
+            EXPECT_NE(answer->head.status, 503) << server << " " << sending;
+        }
+        world.crashServer(server);
+        world.runFor(milliseconds(700));
+    }
+    const auto answer = world.sendLookup(0, "glue", "/look/closed");
+    world.runFor(milliseconds(100));
+    EXPECT_EQ(answer->head.status, 200);
+}
+
 } // namespace
 } // namespace hornbeamlane
