--- a/modules/hornbeamlane_gateway/state/TableFollower.h
+++ b/modules/hornbeamlane_gateway/state/TableFollower.h
@@ -112,6 +112,13 @@
     /** Asks at once, and until all rows are known up to this version of the store, without waiting for a change. */
     void catchUp(const TableVersion &version);
 
+    /** The changes that are being handed out are likely to be followed by others at once: there is no pause after them.
+     */
+    void hurry()
+    {
+        isHurried_ = true;
+    }
+
     /** Another process has seen a row of this version; a wait that has not told of it by now is given up. Versions of
        an earlier era, or of an era that is not told, say nothing about rows of this one. */
     void onPeerVersion(const TableVersion &seen);
@@ -155,6 +162,7 @@
     bool isReachable_ = true;
     bool isStopped_ = false;
     RowVersion version_;
+    bool isHurried_ = false;
     /** Version up to which all rows are wanted; see catchUp(). */
     RowVersion wantedVersion_;
     RowVersion newestRow_;
--- a/tests/gateway/TableFollowerTest.cpp
+++ b/tests/gateway/TableFollowerTest.cpp
@@ -34,7 +34,13 @@
                                    .maxPeerLead = milliseconds(30),
                                    .peerExpiry = milliseconds(150)},
             TableFollower::Callbacks{.snapshot = [this](const auto &rows) { snapshots_.push_back(rows); },
-                                     .changes = [this](const auto &rows) { changes_.push_back(rows); },
+                                     .changes =
+                                         [this](const auto &rows) {
+                                             changes_.push_back(rows);
+                                             if (hurries_) {
+                                                 follower_->hurry();
+                                             }
+                                         },
                                      .reachable = [this](bool isReachable) { reachable_ = isReachable; },
                                      .peers = [this] { return peers_; },
                                      .restored = [this] { ++restored_; },
@@ -78,6 +84,7 @@
     std::size_t peers_ = 0;
     int restored_ = 0;
     int advanced_ = 0;
+    bool hurries_ = false;
     std::unique_ptr<TableFollower> follower_;
 };
 
@@ -145,6 +152,21 @@
     EXPECT_EQ(follower_->complete().version, 9U);
 }
 
+// Guards against changes that come in quick succession and matter at once, such as servers that become cold together.
+TEST_F(TableFollowerTest, AsksAgainAtOnceWhenHurried)
+{
+    hurries_ = true;
+    start();
+    reads_[0](reply(7));
+    watches_[0](reply(8, {row("a", 8)}));
+    EXPECT_EQ(watches_.size(), 2U);
+    hurries_ = false;
+    watches_[1](reply(9, {row("b", 9)}));
+    EXPECT_EQ(watches_.size(), 2U);
+    runFor(milliseconds(40));
+    EXPECT_EQ(watches_.size(), 3U);
+}
+
 // Guards against going on after a gap in the history as if nothing had been missed.
 TEST_F(TableFollowerTest, ReadsAnewWhenTheHistoryIsGone)
 {
--- a/tests/platform/ReturnedDataCentreTest.cpp
+++ b/tests/platform/ReturnedDataCentreTest.cpp
@@ -281,5 +281,16 @@
     EXPECT_GT(arrivalsInDataCentre(), 40U);
 }
 
+// Guards against servers in service that become cold together and of which all but the first are served as warm ones
+// for the pause after a change.
+TEST_F(ReturnedDataCentreTest, LearnsAtOnceThatServersBecomeColdTogether)
+{
+    startWithTraffic();
+    turnCold();
+    runFor(milliseconds(1500));
+    EXPECT_LE(static_cast<double>(busiestSecond()), mostInOneSecond);
+    EXPECT_EQ(served_, sent_);
+}
+
 } // namespace
 } // namespace hornbeamlane::platform
