--- a/tests/platform/MapRanksTest.cpp
+++ b/tests/platform/MapRanksTest.cpp
@@ -1,3 +1,4 @@
+#include "platform/NodeSettings.h"
 #include "platform/PlatformNode.h"
 #include "platform/RankGroupStandIn.h"
 
@@ -21,14 +22,7 @@
     {
         ASSERT_TRUE(store_.listen("127.0.0.1:0", "127.0.0.1:0"));
         makeGroup({});
-        PlatformSettings settings;
-        settings.gateway.name = "entry";
-        settings.gateway.dataCentre = DataCentreId("a");
-        settings.gateway.callerAddress = "127.0.0.1:0";
-        settings.gateway.readyAddress = "127.0.0.1:0";
-        settings.gateway.peerAddress = "127.0.0.1:0";
-        settings.store.address = "127.0.0.1:" + std::to_string(store_.port());
-        node_ = std::make_unique<PlatformNode>(loop_, random_, settings);
+        node_ = std::make_unique<PlatformNode>(loop_, random_, settingsOfEntry(store_));
     }
 
     void makeGroup(RankGroupStandIn::Options options)
--- a/tests/platform/PlatformNodeTest.cpp
+++ b/tests/platform/PlatformNodeTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/PlatformNode.h"
+#include "platform/NodeSettings.h"
 #include "platform/soak/SoakStore.h"
 
 #include <gtest/gtest.h>
@@ -18,13 +19,7 @@
     void SetUp() override
     {
         ASSERT_TRUE(store_.listen("127.0.0.1:0", "127.0.0.1:0"));
-        PlatformSettings settings;
-        settings.gateway.name = "entry";
-        settings.gateway.callerAddress = "127.0.0.1:0";
-        settings.gateway.readyAddress = "127.0.0.1:0";
-        settings.gateway.peerAddress = "127.0.0.1:0";
-        settings.store.address = "127.0.0.1:" + std::to_string(store_.port());
-        node_ = std::make_unique<PlatformNode>(loop_, random_, settings);
+        node_ = std::make_unique<PlatformNode>(loop_, random_, settingsOfEntry(store_));
     }
 
     bool isRegistered() const
--- a/tests/platform/ReturnedDataCentreTest.cpp
+++ b/tests/platform/ReturnedDataCentreTest.cpp
@@ -1,5 +1,6 @@
 #include "hornbeamlane_network/http1/Http1ClientConnection.h"
 #include "platform/JsonFields.h"
+#include "platform/NodeSettings.h"
 #include "platform/PlatformNode.h"
 #include "platform/soak/SoakStore.h"
 
@@ -44,19 +45,13 @@
             addServer(dataCentre);
         }
         store_.put("op", "config", catalogue().dump());
-        PlatformSettings settings;
-        settings.gateway.name = "entry";
-        settings.gateway.dataCentre = DataCentreId("a");
-        settings.gateway.callerAddress = "127.0.0.1:0";
-        settings.gateway.readyAddress = "127.0.0.1:0";
-        settings.gateway.peerAddress = "127.0.0.1:0";
+        auto settings = settingsOfEntry(store_);
         settings.gateway.headers = {.attemptId = "Attempt-Id",
                                     .timeLeft = "Deadline-Ms",
                                     .expectedServer = "Expect-Instance",
                                     .signature = "Server-Seal",
                                     .notRun = "Not-Executed",
                                     .warmup = "Warmup-Ms"};
-        settings.store.address = "127.0.0.1:" + std::to_string(store_.port());
         node_ = std::make_unique<PlatformNode>(loop_, random_, settings);
     }
 
