Keep what broke off until the next start tells when it began

Cause: a server that accepted a connection after a break counted as alive, and all that had broken off there was dropped. Its next start may be there already: then the request that crashed it was let off.

Change: such sendings are kept with the time at which somebody listened. They count as lost by a crash if the entry of the next start says that it had begun by then, with half a second for the difference of clocks.

Evidence: CrashDetectorTest.KnowsACrashByAStartBeforeTheProbe fails on the code before (no candidate of two) and holds now. Two more cases of CrashDelayTest, with servers that are back after 0 and 20 ms, hold before and after: the probe meets the closed port first.

--- a/modules/hornbeamlane_dispatch/servers/Backend.h
+++ b/modules/hornbeamlane_dispatch/servers/Backend.h
@@ -5,6 +5,7 @@
 #include "hornbeamlane_dispatch/ratelimits/ServerRateLimits.h"
 #include "hornbeamlane_dispatch/servers/GroupStates.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,8 +26,18 @@
     /** Time for which it stays cold from now on. */
     std::chrono::milliseconds warmupLeft{0};
     std::optional<GroupPlace> group;
-    /** Start of the server; another one under the same id is another server. */
+    /** Start of the server, in milliseconds of Unix time; another one under the same id is another server. Zero if it
+       is not told. */
     std::uint64_t incarnation = 0;
+
+    /** The same as a time; empty if it is not told. */
+    std::optional<std::chrono::system_clock::time_point> startedAt() const
+    {
+        if (incarnation == 0) {
+            return std::nullopt;
+        }
+        return std::chrono::system_clock::time_point(std::chrono::milliseconds(incarnation));
+    }
 };
 
 /** A backend server as this entry sees it. */
--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.cpp
@@ -50,7 +50,7 @@
 CrashDetector::CrashDetector(EventLoop &loop, const BackendBook &servers, Options options, Hooks hooks)
     : loop_(loop)
     , servers_(servers)
-    , options_(options)
+    , options_(std::move(options))
     , hooks_(std::move(hooks))
 {
 }
@@ -118,7 +118,7 @@
     logEvent(LogLevel::Info, "server_probed",
              {{"server", start.server.name()}, {"address", start.address}, {"result", std::string(toString(result))}});
     if (result == ConnectProbe::Result::Listening) {
-        failed_.dropBrokenOff(key, probe.begunAt);
+        failed_.noteListening(key, probe.begunAt, options_.timeOfDay());
         if (!next.empty()) {
             probe.checked = std::move(next);
             beginProbe(probe);
@@ -147,22 +147,26 @@
     }
 }
 
-std::optional<CrashSign> CrashDetector::endOf(const ServerStart &start) const
+std::optional<CrashDetector::End> CrashDetector::endOf(const ServerStart &start) const
 {
+    const auto endBy = [](CrashSign sign, const Backend &next) {
+        const auto began = next.spec.startedAt();
+        return End{.sign = sign, .nextStart = began};
+    };
     const auto *backend = servers_.find(start.server);
     if (isLeaving(start.server)) {
         return std::nullopt;
     }
     if (backend != nullptr && backend->spec.incarnation != start.incarnation) {
-        return CrashSign::StartedAgain;
+        return endBy(CrashSign::StartedAgain, *backend);
     }
     // An entry that has gone is no proof: a server that is cut off loses its entry too.
     const auto &all = servers_.all();
-    const bool isReplaced = std::any_of(all.begin(), all.end(), [&start](const auto &entry) {
-        const auto &other = entry.second;
-        return !other.isGone && other.spec.id != start.server && other.spec.address == start.address;
+    const auto other = std::find_if(all.begin(), all.end(), [&start](const auto &entry) {
+        const auto &one = entry.second;
+        return !one.isGone && one.spec.id != start.server && one.spec.address == start.address;
     });
-    return isReplaced ? std::optional(CrashSign::AddressTaken) : std::nullopt;
+    return other == all.end() ? std::nullopt : std::optional(endBy(CrashSign::AddressTaken, other->second));
 }
 
 void CrashDetector::sweep(TimePoint now)
@@ -176,9 +180,9 @@
     // Reporting a crash ends the watch.
     const auto watched = watched_;
     for (const auto &[key, start] : watched) {
-        if (const auto sign = endOf(start)) {
+        if (const auto end = endOf(start)) {
             watched_.erase(key);
-            hooks_.crashed(start, *sign, failed_.take(key));
+            hooks_.crashed(start, end->sign, failed_.take(key, end->nextStart));
         }
     }
 }
--- a/modules/hornbeamlane_gateway/crashes/CrashDetector.h
+++ b/modules/hornbeamlane_gateway/crashes/CrashDetector.h
@@ -50,6 +50,7 @@
         std::chrono::milliseconds probeTimeout{120};
         /** Time after a refused or accepted probe for which the same start is not probed again. */
         std::chrono::milliseconds probePause{200};
+        std::function<TimeOfDay()> timeOfDay = [] { return std::chrono::system_clock::now(); };
         /** A refused connection shows the cause of what broke off within this time before; what failed earlier may have
             failed because the server is cut off. */
         std::chrono::milliseconds refusalReach{400};
@@ -93,8 +94,16 @@
     void beginProbe(Probe &probe);
     void probeWhatIsDue(TimePoint now);
     void finishProbe(ServerStartKey key, ConnectProbe::Result result);
-    /** What the entries of the servers say of the start; empty if it has not ended. */
-    std::optional<CrashSign> endOf(const ServerStart &start) const;
+    /** The end of a start, as the entries of the servers tell it. */
+    struct End
+    {
+        CrashSign sign = CrashSign::StartedAgain;
+        /** When the next start at the address began; empty if its entry does not tell. */
+        std::optional<TimeOfDay> nextStart;
+    };
+
+    /** Empty if the start has not ended. */
+    std::optional<End> endOf(const ServerStart &start) const;
 
     EventLoop &loop_;
     const BackendBook &servers_;
--- a/modules/hornbeamlane_routing/crashes/FailedSends.cpp
+++ b/modules/hornbeamlane_routing/crashes/FailedSends.cpp
@@ -25,10 +25,17 @@
     requests.push_back(std::move(request));
 }
 
-std::vector<LostRequest> FailedSends::take(ServerStartKey server)
+std::vector<LostRequest> FailedSends::take(ServerStartKey server, std::optional<TimeOfDay> nextStart)
 {
-    auto requests = since(server, TimePoint());
-    servers_.erase(server);
+    const auto found = servers_.find(server);
+    if (found == servers_.end()) {
+        return {};
+    }
+    auto requests = std::move(found->second);
+    servers_.erase(found);
+    std::erase_if(requests, [this, nextStart](const LostRequest &request) {
+        return request.listenedAt && (!nextStart || *nextStart > *request.listenedAt + options_.clockTolerance);
+    });
     return requests;
 }
 
@@ -40,20 +47,20 @@
         return requests;
     }
     std::copy_if(found->second.begin(), found->second.end(), std::back_inserter(requests),
-                 [start](const LostRequest &request) { return request.lostAt >= start; });
+                 [start](const LostRequest &request) { return request.lostAt >= start && !request.listenedAt; });
     return requests;
 }
 
-void FailedSends::dropBrokenOff(ServerStartKey server, TimePoint livedAt)
+void FailedSends::noteListening(ServerStartKey server, TimePoint at, TimeOfDay timeOfDay)
 {
     const auto found = servers_.find(server);
     if (found == servers_.end()) {
         return;
     }
-    std::erase_if(found->second,
-                  [livedAt](const LostRequest &request) { return request.hasBrokenOff && request.lostAt <= livedAt; });
-    if (found->second.empty()) {
-        servers_.erase(found);
+    for (auto &request : found->second) {
+        if (request.hasBrokenOff && request.lostAt <= at && !request.listenedAt) {
+            request.listenedAt = timeOfDay;
+        }
     }
 }
 
--- a/modules/hornbeamlane_routing/crashes/FailedSends.h
+++ b/modules/hornbeamlane_routing/crashes/FailedSends.h
@@ -2,6 +2,8 @@
 
 #include "hornbeamlane_routing/crashes/ServerCrash.h"
 
+#include <chrono>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -10,6 +12,9 @@
 /** Names one start of a server as far as it can be told from others. */
 using ServerStartKey = Number<struct ServerStartTag>;
 
+/** Time of day, as servers state the time of their start. */
+using TimeOfDay = std::chrono::system_clock::time_point;
+
 /** A request that was sent to a server and got no answer there. */
 struct LostRequest
 {
@@ -18,6 +23,8 @@
     TimePoint lostAt;
     /** Its connection broke; otherwise it was given up. */
     bool hasBrokenOff = false;
+    /** A server listened at the address after that: the same start of it, or already the next one. */
+    std::optional<TimeOfDay> listenedAt = std::nullopt;
 };
 
 /** Requests whose sending ended without an answer, by server, until it is known whether the server has crashed. */
@@ -29,6 +36,8 @@
         /** Time within which a server that has crashed has to be seen again. */
         std::chrono::milliseconds memory{10000};
         std::size_t maxPerServer = 32;
+        /** Difference between the clocks of servers and this process that is allowed for. */
+        std::chrono::milliseconds clockTolerance{500};
     };
 
     FailedSends();
@@ -36,14 +45,15 @@
 
     void add(ServerStartKey server, LostRequest request);
 
-    /** Takes out what failed at the server. */
-    std::vector<LostRequest> take(ServerStartKey server);
+    /** Takes out what may have been lost by the end of the server's start. What broke off before a server listened
+       there counts only if the next start had begun by then; it is empty if nothing tells when that was. */
+    std::vector<LostRequest> take(ServerStartKey server, std::optional<TimeOfDay> nextStart);
 
     /** What failed at the server since then, which may be the cause of an end that was noticed now. */
     std::vector<LostRequest> since(ServerStartKey server, TimePoint start) const;
 
-    /** The server lived at that time, so what had broken off there by then was not lost to a crash. */
-    void dropBrokenOff(ServerStartKey server, TimePoint livedAt);
+    /** A server listened at the address at that time, as the loop and the time of day have it. */
+    void noteListening(ServerStartKey server, TimePoint at, TimeOfDay timeOfDay);
 
     bool hasAny(ServerStartKey server) const;
 
--- a/tests/gateway/CrashDetectorTest.cpp
+++ b/tests/gateway/CrashDetectorTest.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 class CrashDetectorTest : public ::testing::Test
 {
@@ -36,6 +37,13 @@
         loop_.run();
     }
 
+    /** That long after now. */
+    static std::uint64_t unixMilliseconds(milliseconds fromNow)
+    {
+        const auto time = std::chrono::system_clock::now() + fromNow;
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count());
+    }
+
     LostRequest lost() const
     {
         return {.candidate = {.traits = {.whole = TraitHash(7)}, .hadHead = true},
@@ -88,7 +96,7 @@
 TEST_F(CrashDetectorTest, ForgetsWhatBrokeOffAtAServerThatLives)
 {
     testing::ScriptedServer server(loop_, [](auto &, const auto &, int) {});
-    list("s1", server.address(), 1);
+    list("s1", server.address(), unixMilliseconds(-seconds(60)));
     breakOff("s1");
     // The next one breaks in the pause after the probe, and is looked at when the pause is over.
     breakOff("s1");
@@ -99,12 +107,30 @@
     loop_.run();
     // One that was given up tells nothing: the server may have been silent since.
     detector_.onGivenUp(startOf("s1"), lost());
-    list("s1", server.address(), 2);
+    list("s1", server.address(), unixMilliseconds(seconds(5)));
     detector_.sweep(loop_.now());
     EXPECT_EQ(crashed_, std::vector<std::string>{"s1 started_again"});
     EXPECT_EQ(candidates_, 1U);
 }
 
+// Guards against a request that is let off because its server is back before the probe: the entry of the next start
+// tells that it had begun by then, under the id that it had or under another one.
+TEST_F(CrashDetectorTest, KnowsACrashByAStartBeforeTheProbe)
+{
+    testing::ScriptedServer server(loop_, [](auto &, const auto &, int) {});
+    testing::ScriptedServer other(loop_, [](auto &, const auto &, int) {});
+    list("s1", server.address(), unixMilliseconds(-seconds(60)));
+    list("s2", other.address(), unixMilliseconds(-seconds(60)));
+    breakOff("s1");
+    breakOff("s2");
+    list("s1", server.address(), unixMilliseconds(-milliseconds(100)));
+    book_.remove(ServerId("s2"), std::nullopt);
+    list("s3", other.address(), unixMilliseconds(-milliseconds(100)));
+    detector_.sweep(loop_.now());
+    EXPECT_EQ(crashed_, (std::vector<std::string>{"s1 started_again", "s2 address_taken"}));
+    EXPECT_EQ(candidates_, 2U);
+}
+
 // Guards against a request that is let off by a probe which began before its connection broke: the server may have
 // crashed since.
 TEST_F(CrashDetectorTest, ProbesAgainForWhatBreaksOffDuringAProbe)
--- a/tests/gateway/GatewayWorld.cpp
+++ b/tests/gateway/GatewayWorld.cpp
@@ -155,7 +155,8 @@
                              .service = ServiceId("pool"),
                              .address = server.process->address(),
                              .dataCentre = DataCentreId("here"),
-                             .slots = 16},
+                             .slots = 16,
+                             .incarnation = options_.tellsStarts ? server.startedAt : 0},
                             loop_.now());
     entry.serversChanged();
 }
@@ -164,6 +165,8 @@
 {
     const ServerId old(server.id);
     ++server.lifetimes;
+    server.startedAt = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     server.id = server.process->address() + "/" + std::to_string(options_.keepsIds ? 1 : server.lifetimes);
     for (const auto &entry : entries_) {
         entry->backends().remove(old, std::nullopt);
--- a/tests/gateway/GatewayWorld.h
+++ b/tests/gateway/GatewayWorld.h
@@ -28,6 +28,8 @@
         std::chrono::milliseconds downTime{150};
         /** Whether it comes back under the id that it had, and nothing tells its starts apart. */
         bool keepsIds = false;
+        /** Whether entries are told the time of each start. */
+        bool tellsStarts = false;
         /** Whether a server that crashes has sent the head of its answer before. */
         bool sendsHeadBeforeCrash = true;
         /** Whether the entries hear each other. */
@@ -119,6 +121,8 @@
         std::unique_ptr<testing::ScriptedServer> process;
         std::string id;
         int lifetimes = 0;
+        /** In milliseconds of Unix time. */
+        std::uint64_t startedAt = 0;
         bool isUp = true;
         std::optional<double> limit;
         std::vector<TimePoint> arrivals;
--- a/tests/gateway/RepeatedRequestTest.cpp
+++ b/tests/gateway/RepeatedRequestTest.cpp
@@ -216,12 +216,14 @@
 {
     Repetition::Kind kind = Repetition::Kind::Order;
     milliseconds delay{0};
+    milliseconds downTime{2000};
 };
 
 std::ostream &operator<<(std::ostream &out, const CrashCase &one)
 {
     const char *const kinds[] = {"Lookup", "Order", "Stream", "StreamWithOnePart"};
-    return out << kinds[static_cast<std::size_t>(one.kind)] << "After" << one.delay.count() << "Ms";
+    return out << kinds[static_cast<std::size_t>(one.kind)] << "After" << one.delay.count() << "MsBackAfter"
+               << one.downTime.count() << "Ms";
 }
 
 /** Servers that crash a given time after the deadly request has come, with other requests on kept connections. */
@@ -262,7 +264,8 @@
     GatewayWorld world({.entries = 2,
                         .servers = 6,
                         .crashDelay = GetParam().delay,
-                        .downTime = milliseconds(2000),
+                        .downTime = GetParam().downTime,
+                        .tellsStarts = true,
                         .sendsHeadBeforeCrash = false});
     const auto served = runWithLoad(world, GetParam().kind);
     expectKept(world, served);
@@ -275,6 +278,8 @@
                                            CrashCase{Repetition::Kind::Order, milliseconds(3)},
                                            CrashCase{Repetition::Kind::Order, milliseconds(9)},
                                            CrashCase{Repetition::Kind::Order, milliseconds(60)},
+                                           CrashCase{Repetition::Kind::Order, milliseconds(0), milliseconds(0)},
+                                           CrashCase{Repetition::Kind::Order, milliseconds(3), milliseconds(20)},
                                            CrashCase{Repetition::Kind::Lookup, milliseconds(0)},
                                            CrashCase{Repetition::Kind::Lookup, milliseconds(3)},
                                            CrashCase{Repetition::Kind::StreamWithOnePart, milliseconds(0)},
