Name assumed coldness and skipped pauses in usual terms

Cause: doubtWarmth(), trustWarmth() and hurry() have to be explained.

Change: assumeCold(), endAssumedCold() and skipNextPause(). Behaviour is unchanged.

Result: the tests of the followed tables, the servers and the returned data centres pass.

--- a/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.cpp
@@ -101,14 +101,14 @@
     evacuated_ = std::move(dataCentres);
 }
 
-void BackendBook::doubtWarmth(const DataCentreId &dataCentre, TimePoint now)
+void BackendBook::assumeCold(const DataCentreId &dataCentre, TimePoint now)
 {
-    doubtedWarmth_[dataCentre] = now;
+    assumedColdSince_[dataCentre] = now;
 }
 
-void BackendBook::trustWarmth(const DataCentreId &dataCentre)
+void BackendBook::endAssumedCold(const DataCentreId &dataCentre)
 {
-    doubtedWarmth_.erase(dataCentre);
+    assumedColdSince_.erase(dataCentre);
 }
 
 void BackendBook::setEntryCount(std::uint32_t count)
@@ -180,9 +180,10 @@
     if (now < backend.coldUntil) {
         return true;
     }
-    const auto doubted = doubtedWarmth_.find(backend.spec.dataCentre);
+    const auto assumed = assumedColdSince_.find(backend.spec.dataCentre);
     const auto warmup = warmups_.find(backend.spec.service);
-    return doubted != doubtedWarmth_.end() && warmup != warmups_.end() && now < doubted->second + warmup->second.time;
+    return assumed != assumedColdSince_.end() && warmup != warmups_.end()
+        && now < assumed->second + warmup->second.time;
 }
 
 bool BackendBook::isColdFull(Backend &backend, TimePoint now, RandomSource &random) const
--- a/modules/hornbeamlane_dispatch/servers/BackendBook.h
+++ b/modules/hornbeamlane_dispatch/servers/BackendBook.h
@@ -94,12 +94,12 @@
     void setWarmup(const ServiceId &service, std::chrono::milliseconds warmup, double requestsPerSecond);
     void setEvacuated(std::set<DataCentreId> dataCentres);
 
-    /** Servers of the data centre may have become cold by now without their entries telling it. Until trustWarmth()
+    /** Servers of the data centre may have become cold by now without their entries telling it. Until endAssumedCold()
        each counts as cold, at most for the time that servers of its service stay so. */
-    void doubtWarmth(const DataCentreId &dataCentre, TimePoint now);
+    void assumeCold(const DataCentreId &dataCentre, TimePoint now);
 
     /** The entries of the data centre's servers tell whether they are cold. */
-    void trustWarmth(const DataCentreId &dataCentre);
+    void endAssumedCold(const DataCentreId &dataCentre);
 
     void setEntryCount(std::uint32_t count);
 
@@ -219,7 +219,7 @@
     GroupWatch groups_;
     std::set<DataCentreId> evacuated_;
     /** Data centres whose servers may be cold without telling, and since when. */
-    std::map<DataCentreId, TimePoint> doubtedWarmth_;
+    std::map<DataCentreId, TimePoint> assumedColdSince_;
     BackendIndex index_;
     BackendSelector selector_;
 };
--- a/modules/hornbeamlane_gateway/state/TableFollower.cpp
+++ b/modules/hornbeamlane_gateway/state/TableFollower.cpp
@@ -264,7 +264,7 @@
     if (hasAdvanced) {
         callbacks_.advanced();
     }
-    if (std::exchange(isHurried_, false) || reply.rows.empty() || isBehind()) {
+    if (std::exchange(skipsNextPause_, false) || reply.rows.empty() || isBehind()) {
         watch();
     } else {
         timer_.startOnce(options_.changePause);
--- a/modules/hornbeamlane_gateway/state/TableFollower.h
+++ b/modules/hornbeamlane_gateway/state/TableFollower.h
@@ -114,9 +114,9 @@
 
     /** The changes that are being handed out are likely to be followed by others at once: there is no pause after them.
      */
-    void hurry()
+    void skipNextPause()
     {
-        isHurried_ = true;
+        skipsNextPause_ = true;
     }
 
     /** Another process has seen a row of this version; a wait that has not told of it by now is given up. Versions of
@@ -162,7 +162,7 @@
     bool isReachable_ = true;
     bool isStopped_ = false;
     RowVersion version_;
-    bool isHurried_ = false;
+    bool skipsNextPause_ = false;
     /** Version up to which all rows are wanted; see catchUp(). */
     RowVersion wantedVersion_;
     RowVersion newestRow_;
--- a/tests/dispatch/BackendBookTest.cpp
+++ b/tests/dispatch/BackendBookTest.cpp
@@ -146,15 +146,15 @@
         return count;
     };
     EXPECT_EQ(countFor(start, milliseconds(500)), 50);
-    book_.doubtWarmth(DataCentreId("elsewhere"), start);
+    book_.assumeCold(DataCentreId("elsewhere"), start);
     EXPECT_EQ(countFor(start, milliseconds(500)), 50);
-    book_.doubtWarmth(DataCentreId("back"), start);
+    book_.assumeCold(DataCentreId("back"), start);
     // Two a second: the share of one of four entries.
     EXPECT_LE(countFor(start, milliseconds(1900)), 4);
     EXPECT_EQ(countFor(start + milliseconds(2000), milliseconds(500)), 50);
-    book_.doubtWarmth(DataCentreId("back"), start + milliseconds(3000));
+    book_.assumeCold(DataCentreId("back"), start + milliseconds(3000));
     EXPECT_LE(countFor(start + milliseconds(3000), milliseconds(500)), 2);
-    book_.trustWarmth(DataCentreId("back"));
+    book_.endAssumedCold(DataCentreId("back"));
     EXPECT_EQ(countFor(start + milliseconds(3500), milliseconds(500)), 50);
 }
 
--- a/tests/gateway/TableFollowerTest.cpp
+++ b/tests/gateway/TableFollowerTest.cpp
@@ -37,8 +37,8 @@
                                      .changes =
                                          [this](const auto &rows) {
                                              changes_.push_back(rows);
-                                             if (hurries_) {
-                                                 follower_->hurry();
+                                             if (skipsPause_) {
+                                                 follower_->skipNextPause();
                                              }
                                          },
                                      .reachable = [this](bool isReachable) { reachable_ = isReachable; },
@@ -84,7 +84,7 @@
     std::size_t peers_ = 0;
     int restored_ = 0;
     int advanced_ = 0;
-    bool hurries_ = false;
+    bool skipsPause_ = false;
     std::unique_ptr<TableFollower> follower_;
 };
 
@@ -153,14 +153,14 @@
 }
 
 // Guards against changes that come in quick succession and matter at once, such as servers that become cold together.
-TEST_F(TableFollowerTest, AsksAgainAtOnceWhenHurried)
+TEST_F(TableFollowerTest, AsksAgainAtOnceWhenThePauseIsSkipped)
 {
-    hurries_ = true;
+    skipsPause_ = true;
     start();
     reads_[0](reply(7));
     watches_[0](reply(8, {row("a", 8)}));
     EXPECT_EQ(watches_.size(), 2U);
-    hurries_ = false;
+    skipsPause_ = false;
     watches_[1](reply(9, {row("b", 9)}));
     EXPECT_EQ(watches_.size(), 2U);
     runFor(milliseconds(40));
